Add the design page and the kernel, settings and interface skeleton

Cause: the repository was empty; plug-ins need agreed interfaces before they can be written in parallel. Change: docs/design.md states requirements, packages, messages and failure behaviour. internal/kernel loads self-registering plug-ins, internal/settings reports every fault with file, line and field, internal/api holds the interfaces between plug-ins, fleetconfig the configuration document.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Build, test and run nutmegrouter. CGO stays on: programs are linked to the C library.
+export CGO_ENABLED = 1
+GO ?= go
+# One setting for all test runs, so that CI and developers get the same verdict.
+TEST_TIMEOUT ?= 8m
+
+.PHONY: build test fmt vet lint linkcheck race demo bench clean
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+test: fmt vet lint build linkcheck race
+
+fmt:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+linkcheck: build
+	@for b in bin/nutmegd bin/nutmegctl; do \
+	  ldd $$b 2>/dev/null | grep -q 'libc\.so' || { echo "$$b is not linked to the C library"; exit 1; }; done
+
+race:
+	$(GO) test -race -count=1 -timeout $(TEST_TIMEOUT) ./...
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/cmd/nutmegd/main.go
@@ -0,0 +1,58 @@
+// Command nutmegd is the daemon that runs on every instance of the fleet.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("nutmegd", flag.ContinueOnError)
+	file := flags.String("settings", "", "settings `file` of this instance (JSON with comments)")
+	check := flags.Bool("check", false, "check the settings, report every error, and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitSettings
+	}
+	if *file == "" || flags.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "usage: nutmegd -settings FILE [-check]")
+		return exitSettings
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if *check {
+		fmt.Printf("%s: ok, instance %s in data centre %s\n", *file, s.Instance, s.DataCentre)
+		return exitOK
+	}
+	return serve(s)
+}
+
+func serve(s *settings.Settings) int {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("instance", s.Instance)
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	if err := kernel.Run(context.Background(), s, log, stop); err != nil {
+		log.Error("ended", "step", "run", "error", err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/fleetconfig/defaults.go
@@ -0,0 +1,72 @@
+package fleetconfig
+
+import "time"
+
+// Defaults of a pool's settings.
+const (
+	DefaultQueueLimit   = 256
+	DefaultRequestLimit = 10 * time.Minute
+	DefaultSilenceLimit = 5 * time.Second
+	DefaultEvidenceLife = 10 * time.Second
+	DefaultReportLag    = 2 * time.Second
+)
+
+// QueueLimitFor returns the bound on waiting requests of a workspace on one router.
+func (p Pool) QueueLimitFor(w Workspace) int {
+	if w.QueueLimit > 0 {
+		return w.QueueLimit
+	}
+	if p.QueueLimit > 0 {
+		return p.QueueLimit
+	}
+	return DefaultQueueLimit
+}
+
+// RequestLimit returns the bound on the whole time of a request on a target.
+func (p Pool) RequestLimit() time.Duration { return msOr(p.RequestLimitMs, DefaultRequestLimit) }
+
+// SilenceLimit returns the bound on the gap between two reads from a target.
+func (p Pool) SilenceLimit() time.Duration { return msOr(p.SilenceLimitMs, DefaultSilenceLimit) }
+
+// EvidenceLife returns how long evidence of warmth lasts.
+func (p Pool) EvidenceLife() time.Duration { return msOr(p.EvidenceLifeMs, DefaultEvidenceLife) }
+
+// ReportLag returns the largest lag of a load report.
+func (p Pool) ReportLag() time.Duration { return msOr(p.ReportLagMs, DefaultReportLag) }
+
+func msOr(ms int, fallback time.Duration) time.Duration {
+	if ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return fallback
+}
+
+// FindPool returns the pool with the name.
+func (c *Config) FindPool(name string) (Pool, bool) {
+	for _, p := range c.Pools {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
+
+// FindTarget returns the target with the name.
+func (c *Config) FindTarget(name string) (Target, bool) {
+	for _, t := range c.Targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+// FindWorkspace returns the workspace with the name.
+func (c *Config) FindWorkspace(name string) (Workspace, bool) {
+	for _, w := range c.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
--- /dev/null
+++ b/internal/kernel/events.go
@@ -0,0 +1,113 @@
+package kernel
+
+import (
+	"sync"
+	"time"
+)
+
+// Stamp is a hybrid logical clock value: wall time in milliseconds and a
+// counter that orders events within one millisecond and across instances.
+type Stamp struct {
+	UnixMs int64  `json:"ms"`
+	Count  uint32 `json:"n"`
+}
+
+// Less orders stamps.
+func (s Stamp) Less(o Stamp) bool {
+	if s.UnixMs != o.UnixMs {
+		return s.UnixMs < o.UnixMs
+	}
+	return s.Count < o.Count
+}
+
+// Event is one change of state on an instance. Empty fields do not apply.
+type Event struct {
+	Stamp      Stamp  `json:"stamp"`
+	Instance   string `json:"instance"`
+	Kind       string `json:"kind"`
+	Step       string `json:"step,omitempty"`
+	Peer       string `json:"peer,omitempty"`
+	Pool       string `json:"pool,omitempty"`
+	Epoch      uint64 `json:"epoch,omitempty"`
+	Revision   uint64 `json:"revision,omitempty"`
+	Workspace  string `json:"workspace,omitempty"`
+	Target     string `json:"target,omitempty"`
+	DataCentre string `json:"data_centre,omitempty"`
+	Request    string `json:"request,omitempty"`
+	Detail     string `json:"detail,omitempty"`
+}
+
+// Events is a bounded ring of the newest events of this instance, stamped by a
+// hybrid logical clock. It is safe for concurrent use.
+type Events struct {
+	mu       sync.Mutex
+	instance string
+	wall     func() time.Time
+	last     Stamp
+	buf      []Event
+	next     int
+	dropped  uint64
+}
+
+// NewEvents returns a ring for size events; size < 1 keeps 4096.
+func NewEvents(instance string, size int, _ Clock) *Events {
+	if size < 1 {
+		size = 4096
+	}
+	return &Events{instance: instance, wall: time.Now, buf: make([]Event, 0, size)}
+}
+
+// Record stamps and stores an event. The oldest event gives way in a full ring.
+func (e *Events) Record(ev Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ev.Instance = e.instance
+	ev.Stamp = e.tick(Stamp{})
+	if len(e.buf) < cap(e.buf) {
+		e.buf = append(e.buf, ev)
+		return
+	}
+	e.buf[e.next] = ev
+	e.next = (e.next + 1) % len(e.buf)
+	e.dropped++
+}
+
+// Now advances the clock and returns a stamp to send to a peer.
+func (e *Events) Now() Stamp {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tick(Stamp{})
+}
+
+// Observe advances the clock past a stamp received from a peer.
+func (e *Events) Observe(s Stamp) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tick(s)
+}
+
+// tick moves the clock past both the wall clock and the received stamp.
+func (e *Events) tick(received Stamp) Stamp {
+	now := Stamp{UnixMs: e.wall().UnixMilli()}
+	next := e.last
+	if next.Less(received) {
+		next = received
+	}
+	if next.UnixMs < now.UnixMs {
+		next = now
+	} else {
+		next.Count++
+	}
+	e.last = next
+	return next
+}
+
+// Read returns the stored events, oldest first, and how many were overwritten.
+func (e *Events) Read() ([]Event, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Event, 0, len(e.buf))
+	out = append(out, e.buf[e.next:]...)
+	out = append(out, e.buf[:e.next]...)
+	return out, e.dropped
+}
--- /dev/null
+++ b/internal/kernel/ring.go
@@ -0,0 +1,51 @@
+package kernel
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Ring is a bounded queue between two duties. A full ring refuses values and
+// counts the refusals; it never blocks a producer.
+type Ring[T any] struct {
+	ch      chan T
+	refused *metrics.Counter
+}
+
+// NewRing returns a ring for size values. The counter ring_refused_total with
+// the ring's name counts refusals.
+func NewRing[T any](set *metrics.Set, name string, size int) *Ring[T] {
+	return &Ring[T]{
+		ch:      make(chan T, size),
+		refused: set.GetOrCreateCounter(`nutmeg_ring_refused_total{ring="` + name + `"}`),
+	}
+}
+
+// Push adds a value and reports whether there was room.
+func (r *Ring[T]) Push(v T) bool {
+	select {
+	case r.ch <- v:
+		return true
+	default:
+		r.refused.Inc()
+		return false
+	}
+}
+
+// Pop waits for a value or the context's end.
+func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
+	select {
+	case v := <-r.ch:
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// C returns the channel of values for use in a select.
+func (r *Ring[T]) C() <-chan T { return r.ch }
+
+// Len returns the number of values in the ring.
+func (r *Ring[T]) Len() int { return len(r.ch) }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,101 @@
+// Package settings reads the settings of one instance: JSON with comments.
+// Unknown fields are errors, and all errors are reported with file, line and
+// field, not only the first.
+package settings
+
+import (
+	"time"
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	// Instance is the unique name of this instance.
+	Instance string `json:"instance"`
+	// DataCentre is where the instance runs.
+	DataCentre string `json:"dataCentre"`
+	// Listen is the IP:port for callers.
+	Listen string `json:"listen"`
+	// Admin is the IP:port for operators.
+	Admin string `json:"admin"`
+	// Mesh is the IP:port for other instances.
+	Mesh string `json:"mesh"`
+	// Peers lists all instances of the fleet, this one included.
+	Peers []Peer `json:"peers"`
+	// DataDir is the folder for durable state; empty on instances without a disk.
+	DataDir string `json:"dataDir,omitempty"`
+	// PlatformList is the URL of the platform's instance list; empty = none.
+	PlatformList string `json:"platformList,omitempty"`
+	// WeightStore is the base URL of the weight store; empty = none.
+	WeightStore string `json:"weightStore,omitempty"`
+	// Limits bound the use of memory and time.
+	Limits Limits `json:"limits"`
+}
+
+// Peer is one instance of the fleet as seen from this one.
+type Peer struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"dataCentre"`
+	// Mesh is the IP:port at which this instance reaches the peer.
+	Mesh string `json:"mesh"`
+	// Disk reports that the peer has a disk and so a control replica.
+	Disk bool `json:"disk,omitempty"`
+}
+
+// Limits bound the use of memory and time. Zero values mean the defaults.
+type Limits struct {
+	// MaxBodyBytes bounds a request body; 0 = 16 MiB.
+	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+	// MaxWaiting bounds the waiting requests of all workspaces; 0 = 8192.
+	MaxWaiting int `json:"maxWaiting,omitempty"`
+	// StopGraceMs is how long the listener still accepts after SIGTERM; 0 = 3000.
+	StopGraceMs int `json:"stopGraceMs,omitempty"`
+	// StopLimitMs bounds a planned stop; 0 = 120000.
+	StopLimitMs int `json:"stopLimitMs,omitempty"`
+	// Events is the size of the event ring; 0 = 4096.
+	Events int `json:"events,omitempty"`
+}
+
+// Defaults of the limits.
+const (
+	DefaultMaxBodyBytes = 16 << 20 // bytes
+	DefaultMaxWaiting   = 8192     // requests
+	DefaultStopGrace    = 3 * time.Second
+	DefaultStopLimit    = 120 * time.Second
+)
+
+// MaxBodyBytes returns the bound on a request body in bytes.
+func (s *Settings) MaxBodyBytes() int { return orInt(s.Limits.MaxBodyBytes, DefaultMaxBodyBytes) }
+
+// MaxWaiting returns the bound on waiting requests.
+func (s *Settings) MaxWaiting() int { return orInt(s.Limits.MaxWaiting, DefaultMaxWaiting) }
+
+// StopGrace returns how long the listener accepts after the stop signal.
+func (s *Settings) StopGrace() time.Duration { return orMs(s.Limits.StopGraceMs, DefaultStopGrace) }
+
+// StopLimit returns the bound on a planned stop.
+func (s *Settings) StopLimit() time.Duration { return orMs(s.Limits.StopLimitMs, DefaultStopLimit) }
+
+// Replicas returns the names of the instances with a disk.
+func (s *Settings) Replicas() []string {
+	var out []string
+	for _, p := range s.Peers {
+		if p.Disk {
+			out = append(out, p.Instance)
+		}
+	}
+	return out
+}
+
+func orInt(v, fallback int) int {
+	if v > 0 {
+		return v
+	}
+	return fallback
+}
+
+func orMs(ms int, fallback time.Duration) time.Duration {
+	if ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return fallback
+}
--- /dev/null
+++ b/plugin/fleet/setup.go
@@ -0,0 +1,67 @@
+// Package fleet holds the newest committed view of the configuration on this
+// instance and tells other plug-ins when it changes. It provides api.Fleet.
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "fleet",
+		Order: kernel.OrderFleet,
+		New:   func() kernel.Plugin { return &Holder{} },
+	})
+}
+
+// Holder implements api.Fleet. The zero value holds revision 0.
+type Holder struct {
+	view   atomic.Pointer[api.View]
+	events *kernel.Events
+
+	mu        sync.Mutex
+	listeners []func(*api.View)
+}
+
+// Provision implements kernel.Plugin.
+func (h *Holder) Provision(c *kernel.Context) error {
+	h.events = c.Events
+	c.Metrics.NewGauge("nutmeg_view_revision", func() float64 { return float64(h.View().Revision) })
+	return kernel.Provide[api.Fleet](c, h)
+}
+
+// View implements api.Fleet.
+func (h *Holder) View() *api.View {
+	if v := h.view.Load(); v != nil {
+		return v
+	}
+	return &api.View{}
+}
+
+// Install implements api.Fleet. Views are installed in order of revision, so a
+// reader never sees an older one after a newer one.
+func (h *Holder) Install(v *api.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v == nil || v.Config == nil || v.Revision <= h.View().Revision {
+		return
+	}
+	h.view.Store(v)
+	if h.events != nil {
+		h.events.Record(kernel.Event{Kind: "view", Step: "install", Revision: v.Revision})
+	}
+	for _, f := range h.listeners {
+		f(v)
+	}
+}
+
+// OnChange implements api.Fleet.
+func (h *Holder) OnChange(f func(*api.View)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listeners = append(h.listeners, f)
+}
