Add the operators' interface and the command-line tool

Cause: operators need to submit, review and watch changes. Change: internal/adminapi defines the HTTP interface and a client, plugin/admin serves it and merges the events of all instances, nutmegctl offers apply, check, show, history, status, wait, out, back and timeline. Conclusion: ready to be joined with the other plug-ins.

--- /dev/null
+++ b/cmd/nutmegctl/change.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/adminapi"
+	"nutmegrouter/internal/api"
+)
+
+// pollInterval is the pause between two questions about a revision, and
+// between two tries of a change.
+const pollInterval = 200 * time.Millisecond
+
+// maxConfigBytes bounds a configuration read from a file.
+const maxConfigBytes = adminapi.MaxChangeBytes
+
+func (t *tool) apply(args []string) error {
+	var dryRun bool
+	var base uint64
+	rest, err := t.subflags("apply", args, 1, 1, func(fs *flag.FlagSet) {
+		fs.BoolVar(&dryRun, "dry-run", false, "show the difference and change nothing")
+		fs.Uint64Var(&base, "base", 0, "`revision` the change was reviewed against (default: the one in force)")
+	})
+	if err != nil {
+		return err
+	}
+	cfg, err := t.read(rest[0])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := t.context()
+	defer cancel()
+	view, err := t.client.View(ctx)
+	if err != nil {
+		return err
+	}
+	if dryRun {
+		return t.printDiff(view, cfg)
+	}
+	if base == 0 {
+		base = view.Revision
+	}
+	return t.submit(ctx, api.Submission{Base: base, Config: cfg})
+}
+
+func (t *tool) check(args []string) error {
+	rest, err := t.subflags("check", args, 1, 1, nil)
+	if err != nil {
+		return err
+	}
+	cfg, err := t.read(rest[0])
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s: ok, fleet %s: %d workspaces, %d pools, %d targets\n",
+		rest[0], cfg.Fleet, len(cfg.Workspaces), len(cfg.Pools), len(cfg.Targets))
+	return nil
+}
+
+func (t *tool) read(path string) (*fleetconfig.Config, error) {
+	in := t.in
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, &exitError{exitUsage, errors.Wrap(err, "read configuration")}
+		}
+		defer f.Close()
+		in = f
+	}
+	raw, err := io.ReadAll(io.LimitReader(in, maxConfigBytes+1))
+	if err != nil {
+		return nil, &exitError{exitUsage, errors.Wrap(err, "read configuration")}
+	}
+	if len(raw) > maxConfigBytes {
+		return nil, usageError("%s: configuration is larger than %d bytes", path, maxConfigBytes)
+	}
+	cfg, err := fleetconfig.Parse(raw)
+	if err != nil {
+		return nil, &exitError{exitUsage, errors.WithMessage(err, path)}
+	}
+	return cfg, nil
+}
+
+func (t *tool) printDiff(view api.View, cfg *fleetconfig.Config) error {
+	changes := fleetconfig.Diff(view.Config, cfg)
+	if t.json {
+		return t.printJSON(map[string]any{"base": view.Revision, "changes": changes})
+	}
+	fmt.Fprintf(t.out, "against revision %d: %d changes\n", view.Revision, len(changes))
+	for _, c := range changes {
+		fmt.Fprintln(t.out, c)
+	}
+	return nil
+}
+
+func (t *tool) setDataCentre(args []string, name string, out bool) error {
+	rest, err := t.subflags(name, args, 1, 1, nil)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := t.context()
+	defer cancel()
+	view, err := t.client.View(ctx)
+	if err != nil {
+		return err
+	}
+	return t.submit(ctx, api.Submission{Base: view.Revision, DataCentre: rest[0], Out: out})
+}
+
+func (t *tool) takeOut(args []string) error   { return t.setDataCentre(args, "out", true) }
+func (t *tool) bringBack(args []string) error { return t.setDataCentre(args, "back", false) }
+
+// submit sends one change until its outcome is known, always with the same id,
+// so that a repeat changes nothing.
+func (t *tool) submit(ctx context.Context, s api.Submission) error {
+	s.ChangeID, s.Author = t.changeID, t.author
+	if s.ChangeID == "" {
+		s.ChangeID = newChangeID()
+	}
+	res, err := t.submitUntilKnown(ctx, s)
+	if err != nil {
+		return &exitError{exitUnknown, errors.WithMessagef(err,
+			"outcome unknown; resend with -change-id %s -base %d", s.ChangeID, s.Base)}
+	}
+	switch {
+	case res.Conflict != "":
+		return &exitError{exitConflict, errors.Errorf("refused: change %s won (revision %d); nothing was changed", res.Conflict, res.Revision)}
+	case res.Error != "":
+		return &exitError{exitUsage, errors.Errorf("refused: %s; nothing was changed", res.Error)}
+	}
+	if !t.noWait {
+		if err := t.waitFor(ctx, res.Revision); err != nil {
+			return err
+		}
+	}
+	if t.json {
+		return t.printJSON(map[string]any{"change_id": s.ChangeID, "revision": res.Revision, "in_force": !t.noWait})
+	}
+	fmt.Fprintf(t.out, "revision %d accepted%s (change %s)\n", res.Revision, inForceText(!t.noWait), s.ChangeID)
+	return nil
+}
+
+func inForceText(inForce bool) string {
+	if inForce {
+		return " and in force everywhere"
+	}
+	return ""
+}
+
+func (t *tool) submitUntilKnown(ctx context.Context, s api.Submission) (api.SubmitResult, error) {
+	for {
+		res, err := t.client.Submit(ctx, s)
+		var se *adminapi.StatusError
+		if err == nil || errors.As(err, &se) && se.Code < 500 {
+			return res, err
+		}
+		select {
+		case <-ctx.Done():
+			return res, err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func newChangeID() string {
+	raw := make([]byte, 8)
+	_, _ = rand.Read(raw) // never fails on supported systems
+	return hex.EncodeToString(raw)
+}
+
+func (t *tool) wait(args []string) error {
+	rest, err := t.subflags("wait", args, 0, 1, nil)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := t.context()
+	defer cancel()
+	revision, err := t.revisionArg(ctx, rest)
+	if err != nil {
+		return err
+	}
+	if err := t.waitFor(ctx, revision); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(adminapi.InForce{Revision: revision, InForce: true})
+	}
+	fmt.Fprintf(t.out, "revision %d is in force everywhere\n", revision)
+	return nil
+}
+
+func (t *tool) revisionArg(ctx context.Context, rest []string) (uint64, error) {
+	if len(rest) == 1 {
+		n, err := strconv.ParseUint(rest[0], 10, 64)
+		if err != nil || n == 0 {
+			return 0, usageError("revision wants a number from 1, got %q", rest[0])
+		}
+		return n, nil
+	}
+	view, err := t.client.View(ctx)
+	if err == nil && view.Revision == 0 {
+		err = errors.New("the fleet has no configuration yet")
+	}
+	return view.Revision, err
+}
+
+func (t *tool) waitFor(ctx context.Context, revision uint64) error {
+	for {
+		res, err := t.client.InForce(ctx, revision)
+		if err == nil && res.InForce {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &exitError{exitUnknown, errors.Errorf("revision %d is not in force everywhere yet, waiting for %v", revision, res.Waiting)}
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/adminapi/client.go
@@ -0,0 +1,157 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+)
+
+// Client calls the operators' interface on the first of several instances that
+// answers. A call is repeated on the next address only after a failure of the
+// connection or an answer of 503; changes carry an id, so a repeat is safe.
+type Client struct {
+	// Addresses are IP:port of the instances, in the order of preference.
+	Addresses []string
+	// Timeout bounds one attempt; 0 = 10 s.
+	Timeout time.Duration
+
+	http fasthttp.Client
+}
+
+const defaultTimeout = 10 * time.Second
+
+// StatusError is an error answer of an instance.
+type StatusError struct {
+	Code int
+	Peer string
+	Body Error
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: %s (peer %s, status %d)", e.Body.Step, e.Body.Message, e.Peer, e.Code)
+}
+
+// Status returns the status of the first instance that answers.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	return out, c.get(ctx, PathStatus, nil, &out)
+}
+
+// View returns the view in force on the first instance that answers.
+func (c *Client) View(ctx context.Context) (api.View, error) {
+	var out api.View
+	return out, c.get(ctx, PathView, nil, &out)
+}
+
+// History returns the newest accepted changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]api.HistoryEntry, error) {
+	var out []api.HistoryEntry
+	return out, c.get(ctx, PathHistory, url.Values{"limit": {strconv.Itoa(limit)}}, &out)
+}
+
+// InForce tells whether a revision is in force everywhere.
+func (c *Client) InForce(ctx context.Context, revision uint64) (InForce, error) {
+	var out InForce
+	return out, c.get(ctx, PathInForce, url.Values{"revision": {strconv.FormatUint(revision, 10)}}, &out)
+}
+
+// Events returns the merged time line.
+func (c *Client) Events(ctx context.Context, f Filter) (Timeline, error) {
+	var out Timeline
+	return out, c.get(ctx, PathEvents, f.Query(), &out)
+}
+
+// Submit proposes a change. After an error the outcome is unknown; the same
+// submission may be sent again.
+func (c *Client) Submit(ctx context.Context, s api.Submission) (api.SubmitResult, error) {
+	var out api.SubmitResult
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return out, errors.Wrap(err, "encode change")
+	}
+	return out, c.call(ctx, fasthttp.MethodPost, PathChanges, raw, &out)
+}
+
+// Query encodes the filter as query parameters.
+func (f Filter) Query() url.Values {
+	q := url.Values{}
+	set := func(k, v string) {
+		if v != "" && v != "0" {
+			q.Set(k, v)
+		}
+	}
+	set("since_ms", strconv.FormatInt(f.SinceMs, 10))
+	set("until_ms", strconv.FormatInt(f.UntilMs, 10))
+	set("kind", f.Kind)
+	set("workspace", f.Workspace)
+	set("target", f.Target)
+	set("request", f.Request)
+	return q
+}
+
+func (c *Client) get(ctx context.Context, path string, q url.Values, out any) error {
+	if len(q) > 0 {
+		path += "?" + q.Encode()
+	}
+	return c.call(ctx, fasthttp.MethodGet, path, nil, out)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	last := errors.New("no address given")
+	for _, addr := range c.Addresses {
+		if ctx.Err() != nil {
+			return errors.WithMessage(ctx.Err(), last.Error())
+		}
+		err := c.once(ctx, addr, method, path, body, out)
+		if err == nil {
+			return nil
+		}
+		last = err
+		var se *StatusError
+		if errors.As(err, &se) && se.Code != fasthttp.StatusServiceUnavailable {
+			return err
+		}
+	}
+	return last
+}
+
+func (c *Client) once(ctx context.Context, addr, method, path string, body []byte, out any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	req.SetBody(body)
+	if err := c.http.DoDeadline(req, resp, c.deadline(ctx)); err != nil {
+		return errors.Wrapf(err, "%s %s (peer %s)", method, path, addr)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		se := &StatusError{Code: resp.StatusCode(), Peer: addr}
+		if json.Unmarshal(resp.Body(), &se.Body) != nil {
+			se.Body = Error{Step: method + " " + path, Message: "answer without a readable error"}
+		}
+		return se
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), out), "decode %s (peer %s)", path, addr)
+}
+
+func (c *Client) deadline(ctx context.Context) time.Time {
+	timeout := c.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	end := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		return d
+	}
+	return end
+}
--- /dev/null
+++ b/plugin/admin/http.go
@@ -0,0 +1,170 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/adminapi"
+	"nutmegrouter/internal/api"
+)
+
+// callLimit bounds the time an operator's call may wait for the control log. It
+// is longer than the 11 s in which a change must be in force under a fault.
+const callLimit = 15 * time.Second
+
+func (a *Admin) handle(r *fasthttp.RequestCtx) {
+	switch path := string(r.Path()); path {
+	case adminapi.PathLive:
+		r.SetBodyString("live\n")
+	case adminapi.PathReady:
+		a.serveReady(r)
+	case adminapi.PathMetrics:
+		r.SetContentType("text/plain; charset=utf-8")
+		a.kernel.Metrics.WritePrometheus(r)
+		metrics.WriteProcessMetrics(r)
+	case adminapi.PathStatus:
+		reply(r, a.status())
+	case adminapi.PathView:
+		reply(r, a.fleet.View())
+	case adminapi.PathHistory:
+		a.serveHistory(r)
+	case adminapi.PathChanges:
+		a.serveChange(r)
+	case adminapi.PathInForce:
+		a.serveInForce(r)
+	case adminapi.PathEvents:
+		a.serveEvents(r)
+	default:
+		fail(r, fasthttp.StatusNotFound, "route", "no such path "+strconv.Quote(path))
+	}
+}
+
+func (a *Admin) serveReady(r *fasthttp.RequestCtx) {
+	if ok, why := a.ready(); !ok {
+		fail(r, fasthttp.StatusServiceUnavailable, "ready", why)
+		return
+	}
+	r.SetBodyString("ready\n")
+}
+
+func (a *Admin) status() adminapi.Status {
+	s := a.kernel.Settings
+	view := a.fleet.View()
+	out := adminapi.Status{
+		Instance: s.Instance, DataCentre: s.DataCentre,
+		Lease: a.lease.Valid(), Revision: view.Revision, Control: a.control.Status(),
+	}
+	out.Ready, out.NotReady = a.ready()
+	for name, isOut := range view.Out {
+		if isOut {
+			out.Out = append(out.Out, name)
+		}
+	}
+	sort.Strings(out.Out)
+	if view.Config != nil {
+		for _, p := range view.Config.Pools {
+			owner, epoch, _ := a.lease.Owner(p.Name)
+			out.Pools = append(out.Pools, adminapi.PoolStatus{Pool: p.Name, Owner: owner, Epoch: epoch})
+		}
+	}
+	for _, peer := range a.mesh.Peers() {
+		out.Peers = append(out.Peers, adminapi.PeerStatus{
+			Instance: peer, Reachable: a.mesh.Reachable(peer),
+			MayLease: a.lease.MayHoldLease(peer), Revision: a.lease.Revision(peer),
+		})
+	}
+	return out
+}
+
+func (a *Admin) serveHistory(r *fasthttp.RequestCtx) {
+	limit, err := intArg(r, "limit", 20)
+	if err != nil || limit < 1 || limit > 1000 {
+		fail(r, fasthttp.StatusBadRequest, "history", "limit wants a number from 1 to 1000")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	list, err := a.control.History(ctx, int(limit))
+	if err != nil {
+		fail(r, fasthttp.StatusServiceUnavailable, "history", err.Error())
+		return
+	}
+	if list == nil {
+		list = []api.HistoryEntry{}
+	}
+	reply(r, list)
+}
+
+func (a *Admin) serveChange(r *fasthttp.RequestCtx) {
+	if !r.IsPost() {
+		fail(r, fasthttp.StatusMethodNotAllowed, "change", "want POST")
+		return
+	}
+	var s api.Submission
+	if err := json.Unmarshal(r.PostBody(), &s); err != nil {
+		fail(r, fasthttp.StatusBadRequest, "change", "malformed change: "+err.Error())
+		return
+	}
+	if s.ChangeID == "" || (s.Config == nil) == (s.DataCentre == "") {
+		fail(r, fasthttp.StatusBadRequest, "change", "want a change_id and either config or data_centre")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	res, err := a.control.Submit(ctx, s)
+	if err != nil {
+		fail(r, fasthttp.StatusServiceUnavailable, "change", err.Error())
+		return
+	}
+	reply(r, res)
+}
+
+func (a *Admin) serveInForce(r *fasthttp.RequestCtx) {
+	revision, err := intArg(r, "revision", 0)
+	if err != nil || revision < 1 {
+		fail(r, fasthttp.StatusBadRequest, "in force", "revision wants a number from 1")
+		return
+	}
+	out := adminapi.InForce{Revision: uint64(revision)}
+	if a.fleet.View().Revision < out.Revision {
+		out.Waiting = append(out.Waiting, a.kernel.Settings.Instance)
+	}
+	for _, peer := range a.mesh.Peers() {
+		if a.lease.MayHoldLease(peer) && a.lease.Revision(peer) < out.Revision {
+			out.Waiting = append(out.Waiting, peer)
+		}
+	}
+	out.InForce = len(out.Waiting) == 0
+	reply(r, out)
+}
+
+func intArg(r *fasthttp.RequestCtx, name string, fallback int64) (int64, error) {
+	raw := string(r.QueryArgs().Peek(name))
+	if raw == "" {
+		return fallback, nil
+	}
+	return strconv.ParseInt(raw, 10, 64)
+}
+
+func reply(r *fasthttp.RequestCtx, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		fail(r, fasthttp.StatusInternalServerError, "encode", err.Error())
+		return
+	}
+	r.SetContentType("application/json")
+	r.SetBody(append(raw, '\n'))
+}
+
+func fail(r *fasthttp.RequestCtx, status int, step, message string) {
+	raw, _ := json.Marshal(adminapi.Error{Step: step, Message: message})
+	r.SetStatusCode(status)
+	r.SetContentType("application/json")
+	r.SetBody(append(raw, '\n'))
+}
--- /dev/null
+++ b/plugin/admin/setup.go
@@ -0,0 +1,116 @@
+// Package admin serves the HTTP interface for operators (package adminapi) and
+// merges the time lines of all instances.
+package admin
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/adminapi"
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "admin",
+		Order: kernel.OrderAdmin,
+		New:   func() kernel.Plugin { return &Admin{} },
+	})
+}
+
+// Bounds on the operators' connections.
+const (
+	readTimeout  = 10 * time.Second
+	writeTimeout = 30 * time.Second
+)
+
+// Admin is the plug-in. The zero value is ready for Provision.
+type Admin struct {
+	kernel  *kernel.Context
+	mesh    api.Mesh
+	lease   api.Lease
+	fleet   api.Fleet
+	control api.Control
+
+	listener net.Listener
+	server   *fasthttp.Server
+	draining atomic.Bool
+}
+
+// Provision implements kernel.Plugin.
+func (a *Admin) Provision(c *kernel.Context) error {
+	a.kernel = c
+	if err := a.lookup(c); err != nil {
+		return err
+	}
+	a.mesh.Handle(methodEvents, a.handleEvents)
+	c.Metrics.NewGauge("nutmeg_ready", func() float64 {
+		if ok, _ := a.ready(); ok {
+			return 1
+		}
+		return 0
+	})
+	ln, err := net.Listen("tcp", c.Settings.Admin)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	a.listener = ln
+	a.server = &fasthttp.Server{
+		Handler:            a.handle,
+		Name:               "nutmegd",
+		ReadTimeout:        readTimeout,
+		WriteTimeout:       writeTimeout,
+		IdleTimeout:        readTimeout,
+		MaxRequestBodySize: adminapi.MaxChangeBytes,
+	}
+	return nil
+}
+
+func (a *Admin) lookup(c *kernel.Context) (err error) {
+	if a.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
+		return err
+	}
+	if a.lease, err = kernel.Lookup[api.Lease](c); err != nil {
+		return err
+	}
+	if a.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
+		return err
+	}
+	a.control, err = kernel.Lookup[api.Control](c)
+	return err
+}
+
+// Start implements kernel.Starter.
+func (a *Admin) Start(d *kernel.Duties) error {
+	d.Go("admin", func(context.Context) error { return a.server.Serve(a.listener) })
+	d.Go("admin stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		return a.listener.Close()
+	})
+	return nil
+}
+
+// Drain turns /ready false at once, so that the balancer sends no new callers.
+func (a *Admin) Drain(context.Context) error {
+	a.draining.Store(true)
+	return nil
+}
+
+// ready tells whether callers should be sent here, and why not.
+func (a *Admin) ready() (bool, string) {
+	switch {
+	case a.draining.Load():
+		return false, "stopping"
+	case a.fleet.View().Revision == 0:
+		return false, "no configuration yet"
+	case !a.lease.Valid():
+		return false, "no valid lease: no majority of instances answers"
+	}
+	return true, ""
+}
