--- /dev/null
+++ b/examples/amman/main_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a committed document that differs from what the program prints.
+func TestCommittedDocument(t *testing.T) {
+	is := is.New(t)
+	var printed bytes.Buffer
+	is.NoErr(fleet().Print(&printed))
+	committed, err := os.ReadFile("config.json")
+	is.NoErr(err)
+	is.Equal(printed.String(), string(committed))
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,3 +72,12 @@
 		}
 	})
 }
+
+// Guards against an example that the daemon refuses.
+func TestExampleSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := Load("../../examples/settings.json")
+	is.NoErr(err)
+	is.Equal(len(s.Peers), 7)
+	is.Equal(len(s.Replicas()), 3)
+}
