--- /dev/null
+++ b/plugin/control/harness_test.go
@@ -0,0 +1,316 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+)
+
+// cluster runs several instances in one process. Replicas are driven by pump, so
+// that elections depend on ticks and not on the machine's speed.
+type cluster struct {
+	t     *testing.T
+	is    *is.I
+	dir   string
+	names []string
+	disks int
+	mu    sync.Mutex
+	cut   map[[2]string]bool // links that lose messages
+	nodes map[string]*instance
+	wall  time.Time
+}
+
+// instance is one running instance and its stand-ins for mesh, lease and fleet.
+type instance struct {
+	cluster  *cluster
+	name     string
+	control  *Control
+	mu       sync.Mutex
+	handlers map[string]api.Handler
+	view     *api.View
+}
+
+func newCluster(t *testing.T, disks, others int) *cluster {
+	c := &cluster{
+		t: t, is: is.New(t), dir: t.TempDir(), disks: disks,
+		cut: map[[2]string]bool{}, nodes: map[string]*instance{}, wall: time.Unix(1_800_000_000, 0),
+	}
+	for i := range disks + others {
+		c.names = append(c.names, fmt.Sprintf("i%d", i))
+	}
+	for _, name := range c.names {
+		c.start(name)
+	}
+	t.Cleanup(func() {
+		for _, name := range c.names {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) settings(name string) *settings.Settings {
+	s := &settings.Settings{Instance: name}
+	for i, n := range c.names {
+		s.Peers = append(s.Peers, settings.Peer{Instance: n, Disk: i < c.disks})
+		if n == name && i < c.disks {
+			s.DataDir = filepath.Join(c.dir, name)
+		}
+	}
+	return s
+}
+
+func (c *cluster) start(name string) {
+	c.t.Helper()
+	inst := &instance{cluster: c, name: name, handlers: map[string]api.Handler{}, view: &api.View{}}
+	k := kernel.NewContext(c.settings(name), slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
+	c.is.NoErr(kernel.Provide[api.Mesh](k, inst))
+	c.is.NoErr(kernel.Provide[api.Lease](k, lease{inst}))
+	c.is.NoErr(kernel.Provide[api.Fleet](k, fleet{inst}))
+	inst.control = &Control{}
+	c.is.NoErr(inst.control.Provision(k))
+	c.is.NoErr(inst.control.Validate())
+	inst.control.wall = func() time.Time { c.mu.Lock(); defer c.mu.Unlock(); return c.wall }
+	c.mu.Lock()
+	c.nodes[name] = inst
+	c.mu.Unlock()
+}
+
+// stop ends an instance as a kill does: nothing is handed over.
+func (c *cluster) stop(name string) {
+	c.mu.Lock()
+	inst := c.nodes[name]
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	if inst != nil {
+		if inst.control.replica != nil {
+			inst.control.replica.failAll()
+		}
+		c.is.NoErr(inst.control.Cleanup())
+	}
+}
+
+func (c *cluster) get(name string) *instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
+}
+
+// pump runs one tick of every replica.
+func (c *cluster) pump() {
+	for _, name := range c.names {
+		inst := c.get(name)
+		if inst == nil {
+			continue
+		}
+		ctl := inst.control
+		if ctl.replica != nil {
+			ctl.drainRings(ctl.replica)
+			ctl.replica.tick()
+			c.is.NoErr(ctl.replica.flush())
+		}
+		if from := ctl.aheadPeer(); from != "" {
+			ctl.fetch(context.Background(), from)
+		}
+	}
+}
+
+// join runs the joining of groups, which asks other instances, beside pump.
+func (c *cluster) join() {
+	for _, name := range c.names[:c.disks] {
+		if inst := c.get(name); inst != nil {
+			c.during(func() { inst.control.joinGroup(context.Background()) })
+		}
+	}
+}
+
+// during pumps until f has returned.
+func (c *cluster) during(f func()) {
+	done := make(chan struct{})
+	go func() { f(); close(done) }()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			c.pump()
+		}
+	}
+}
+
+// until pumps until the condition holds, for at most 4000 ticks.
+func (c *cluster) until(what string, cond func() bool) {
+	c.t.Helper()
+	for i := range 4000 {
+		if cond() {
+			return
+		}
+		if i%20 == 0 {
+			c.join()
+		}
+		c.pump()
+	}
+	for _, name := range c.names {
+		if inst := c.get(name); inst != nil {
+			c.t.Logf("%s: %+v", name, inst.control.Status())
+		}
+	}
+	c.t.Fatalf("not reached: %s", what)
+}
+
+func (c *cluster) leader() string {
+	for _, name := range c.names {
+		if inst := c.get(name); inst != nil && inst.control.Status().Role == "leader" {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) waitLeader() string {
+	c.t.Helper()
+	c.until("a leader", func() bool { return c.leader() != "" })
+	return c.leader()
+}
+
+// submit submits through an instance while all replicas run.
+func (c *cluster) submit(at string, s api.Submission) (r api.SubmitResult) {
+	c.t.Helper()
+	var err error
+	c.during(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		r, err = c.get(at).control.Submit(ctx, s)
+	})
+	c.is.NoErr(err)
+	return r
+}
+
+func (c *cluster) setLink(a, b string, up bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]string{a, b}], c.cut[[2]string{b, a}] = !up, !up
+}
+
+func (c *cluster) isolate(name string, up bool) {
+	for _, other := range c.names {
+		if other != name {
+			c.setLink(name, other, up)
+		}
+	}
+}
+
+// peer returns the instance at the other end of a working link.
+func (i *instance) peer(to string) *instance {
+	i.cluster.mu.Lock()
+	defer i.cluster.mu.Unlock()
+	if i.cluster.cut[[2]string{i.name, to}] || i.cluster.nodes[i.name] != i {
+		return nil
+	}
+	return i.cluster.nodes[to]
+}
+
+func (i *instance) Self() string { return i.name }
+
+func (i *instance) Peers() []string {
+	var out []string
+	for _, n := range i.cluster.names {
+		if n != i.name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (i *instance) Handle(method string, h api.Handler) { i.handlers[method] = h }
+
+func (i *instance) Reachable(peer string) bool { return i.peer(peer) != nil }
+
+func (i *instance) Notify(to, method string, params any) error {
+	return i.Call(context.Background(), to, method, params, nil)
+}
+
+func (i *instance) Call(ctx context.Context, to, method string, params, result any) error {
+	p := i.peer(to)
+	if p == nil {
+		return errors.Errorf("no link to %s", to)
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	res, err := p.handlers[method](ctx, i.name, raw)
+	if err != nil || result == nil {
+		return err
+	}
+	if raw, err = json.Marshal(res); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// fleet and lease stand in for the plug-ins of these names.
+type fleet struct{ *instance }
+
+func (f fleet) View() *api.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f fleet) Install(v *api.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v.Revision > f.view.Revision {
+		f.view = v
+	}
+}
+
+func (f fleet) OnChange(func(*api.View)) {}
+
+type lease struct{ *instance }
+
+func (l lease) Revision(peer string) uint64 {
+	if p := l.peer(peer); p != nil {
+		return fleet{p}.View().Revision
+	}
+	return 0
+}
+
+func (lease) Valid() bool                         { return true }
+func (lease) Owner(string) (string, uint64, bool) { return "", 0, false }
+func (lease) Holds(string) (uint64, bool)         { return 0, false }
+func (lease) MayHoldLease(string) bool            { return true }
+func (lease) SetPools([]string)                   {}
+func (lease) Resign(context.Context) error        { return nil }
+func (lease) OnChange(func())                     {}
+
+// document returns a valid document with two data centres.
+func document() *fleetconfig.Config {
+	return &fleetconfig.Config{
+		Fleet:       "test",
+		DataCentres: []fleetconfig.DataCentre{{Name: "a"}, {Name: "b"}},
+		Workspaces:  []fleetconfig.Workspace{{Name: "w", Weight: 1, KeyHashes: []string{keyHash}}},
+		Pools:       []fleetconfig.Pool{{Name: "p", Kind: fleetconfig.KindService}},
+		Targets: []fleetconfig.Target{
+			{Name: "t1", Pool: "p", DataCentre: "a", Address: "127.0.0.1:1001", WarmCapacity: 2, ColdCapacity: 1},
+			{Name: "t2", Pool: "p", DataCentre: "b", Address: "127.0.0.1:1002", WarmCapacity: 2, ColdCapacity: 1},
+		},
+	}
+}
+
+const keyHash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
--- /dev/null
+++ b/plugin/control/setup.go
@@ -0,0 +1,215 @@
+// Package control provides api.Control on every instance. On instances with a
+// disk it runs a replica of the control log; elsewhere it forwards to the leader.
+package control
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/wal"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "control",
+		Order: kernel.OrderControl,
+		New:   func() kernel.Plugin { return &Control{} },
+	})
+}
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// electionTicks makes an election timeout of 1 to 2 s, heartbeatTicks a
+	// heartbeat every 250 ms.
+	electionTicks  = 20
+	heartbeatTicks = 5
+	// folder is the name of the log's folder within the data directory.
+	folder = "control"
+)
+
+// Control implements api.Control. It must be provisioned before use.
+type Control struct {
+	kernel  *kernel.Context
+	mesh    api.Mesh
+	lease   api.Lease
+	fleet   api.Fleet
+	metrics counters
+	wall    func() time.Time
+
+	replicas []string // instances with a disk, sorted
+	replica  *replica // nil without a disk
+	calls    *kernel.Ring[func(*replica)]
+	inbox    *kernel.Ring[received]
+	news     *kernel.Ring[string]
+	views    viewCache
+	leader   leaderHint
+	ids      idSource
+}
+
+// Provision implements kernel.Plugin.
+func (c *Control) Provision(k *kernel.Context) error {
+	c.kernel, c.wall = k, time.Now
+	var err error
+	if c.mesh, err = kernel.Lookup[api.Mesh](k); err != nil {
+		return err
+	}
+	if c.lease, err = kernel.Lookup[api.Lease](k); err != nil {
+		return err
+	}
+	if c.fleet, err = kernel.Lookup[api.Fleet](k); err != nil {
+		return err
+	}
+	c.metrics = newCounters(k.Metrics)
+	c.replicas = slices.Sorted(slices.Values(k.Settings.Replicas()))
+	c.news = kernel.NewRing[string](k.Metrics, "control_news", newsRing)
+	if err := c.ids.seed(); err != nil {
+		return err
+	}
+	c.registerHandlers()
+	if err := c.openReplica(); err != nil {
+		return err
+	}
+	return kernel.Provide[api.Control](k, c)
+}
+
+// Validate implements kernel.Validator.
+func (c *Control) Validate() error {
+	self := c.kernel.Settings.Instance
+	disk := slices.Contains(c.replicas, self)
+	if disk != (c.replica != nil) {
+		return errors.Errorf("instance %s: dataDir must be set exactly if peers marks it with disk", self)
+	}
+	if len(c.replicas) == 0 {
+		return errors.New("peers: no instance has a disk for the control log")
+	}
+	return nil
+}
+
+// openReplica opens the data folder if the instance has a disk.
+func (c *Control) openReplica() error {
+	dir := c.kernel.Settings.DataDir
+	if dir == "" {
+		return nil
+	}
+	log, st, err := wal.Open(filepath.Join(dir, folder))
+	if err != nil {
+		return err
+	}
+	if st.TornBytes > 0 {
+		c.kernel.Events.Record(kernel.Event{Kind: "control", Step: "torn-tail"})
+		c.kernel.Log.Info("cut off the torn tail of the log", "step", "open", "bytes", st.TornBytes)
+	}
+	c.calls = kernel.NewRing[func(*replica)](c.kernel.Metrics, "control_calls", callRing)
+	c.inbox = kernel.NewRing[received](c.kernel.Metrics, "control_raft", raftRing)
+	c.replica, err = newReplica(c, log, st)
+	if err != nil {
+		_ = log.Close()
+	}
+	return err
+}
+
+// Sizes of the rings, in records.
+const (
+	callRing = 4096
+	raftRing = 1024
+	newsRing = 16
+)
+
+// Start implements kernel.Starter.
+func (c *Control) Start(d *kernel.Duties) error {
+	d.Go("control view", c.fetchViews)
+	if c.replica == nil {
+		return nil
+	}
+	d.Go("control replica", c.runReplica)
+	d.Every("control join", joinInterval, c.joinGroup)
+	return nil
+}
+
+// runReplica is the only goroutine that touches the replica.
+func (c *Control) runReplica(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	r := c.replica
+	for {
+		if err := r.flush(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			r.failAll()
+			return ctx.Err()
+		case <-t.C:
+			r.tick()
+		case m := <-c.inbox.C():
+			r.step(m)
+		case f := <-c.calls.C():
+			f(r)
+		}
+		c.drainRings(r)
+	}
+}
+
+// maxBatch bounds the records that share one write and one sync.
+const maxBatch = 512
+
+// drainRings handles what has queued up, so that it shares one sync.
+func (c *Control) drainRings(r *replica) {
+	for range maxBatch {
+		select {
+		case m := <-c.inbox.C():
+			r.step(m)
+		case f := <-c.calls.C():
+			f(r)
+		default:
+			return
+		}
+	}
+}
+
+// transferLimit bounds the handover of leadership in a planned stop.
+const transferLimit = 3 * time.Second
+
+// Drain implements kernel.Drainer. It hands leadership over.
+func (c *Control) Drain(ctx context.Context) error {
+	if c.replica == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferLimit)
+	defer cancel()
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		a := c.inLoop(ctx, func(r *replica, done func(answer)) { done(r.handOver()) })
+		if a.err != nil || !a.leads {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.WithMessage(ctx.Err(), "hand over control leadership")
+		case <-t.C:
+		}
+	}
+}
+
+// Cleanup implements kernel.Cleaner.
+func (c *Control) Cleanup() error {
+	if c.replica == nil {
+		return nil
+	}
+	return c.replica.log.Close()
+}
+
+// Status implements api.Control.
+func (c *Control) Status() api.ControlStatus {
+	if c.replica == nil {
+		return api.ControlStatus{Role: "none", Leader: c.leader.get()}
+	}
+	return *c.replica.status.Load()
+}
