Let a voter campaign until its removal is committed

Cause: generated sequences left groups without a leader. A voter that was being removed held the newest log, so it refused its vote to the others, but did not campaign itself because its own membership no longer named it.

Change: such a voter campaigns without counting its own vote.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -76,11 +76,22 @@
 	if n.leader != "" && n.now-n.heard >= 2*uint64(n.cfg.ElectionTicks) {
 		n.leader = ""
 	}
-	if n.now-n.started >= n.timeout && n.members().Voter(n.cfg.ID) {
+	if n.now-n.started >= n.timeout && n.mayCampaign() {
 		n.campaign(PreCandidate, false)
 	}
 }
 
+// mayCampaign also holds for a voter whose removal is not committed: it may be
+// the only one left with the newest log, without which no other can be elected.
+// Its own vote does not count then.
+func (n *Node) mayCampaign() bool {
+	if n.members().Voter(n.cfg.ID) {
+		return true
+	}
+	h := n.log.history
+	return len(h) > 1 && n.log.membersIndex() > n.log.commit && h[len(h)-2].Voter(n.cfg.ID)
+}
+
 func (n *Node) members() Membership { return n.log.members() }
 
 func (n *Node) resetTimer() {
@@ -129,7 +140,7 @@
 	case MsgAppendReply, MsgHeartbeatReply, MsgSnapshotReply:
 		n.handleFollower(m)
 	case MsgTimeoutNow:
-		if n.members().Voter(n.cfg.ID) && n.role == Follower {
+		if n.mayCampaign() && n.role == Follower {
 			n.campaign(Candidate, true)
 		}
 	}
