--- a/plugin/control/harness_test.go
+++ b/plugin/control/harness_test.go
@@ -77,12 +77,8 @@
 func (c *cluster) start(name string) {
 	c.t.Helper()
 	inst := &instance{cluster: c, name: name, handlers: map[string]api.Handler{}, view: &api.View{}}
-	k := kernel.NewContext(c.settings(name), slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
-	c.is.NoErr(kernel.Provide[api.Mesh](k, inst))
-	c.is.NoErr(kernel.Provide[api.Lease](k, lease{inst}))
-	c.is.NoErr(kernel.Provide[api.Fleet](k, fleet{inst}))
 	inst.control = &Control{}
-	c.is.NoErr(inst.control.Provision(k))
+	c.is.NoErr(inst.control.Provision(c.context(name, inst)))
 	c.is.NoErr(inst.control.Validate())
 	inst.control.wall = func() time.Time { c.mu.Lock(); defer c.mu.Unlock(); return c.wall }
 	c.mu.Lock()
@@ -90,6 +86,14 @@
 	c.mu.Unlock()
 }
 
+func (c *cluster) context(name string, inst *instance) *kernel.Context {
+	k := kernel.NewContext(c.settings(name), slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
+	c.is.NoErr(kernel.Provide[api.Mesh](k, inst))
+	c.is.NoErr(kernel.Provide[api.Lease](k, lease{inst}))
+	c.is.NoErr(kernel.Provide[api.Fleet](k, fleet{inst}))
+	return k
+}
+
 // stop ends an instance as a kill does: nothing is handed over.
 func (c *cluster) stop(name string) {
 	c.mu.Lock()
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -73,6 +73,7 @@
 	applied   uint64
 	bytes     int // applied since the last snapshot
 	lastBytes int // size of the last snapshot
+	keep      int // bytes of entries kept in memory before a snapshot
 	ticks     uint64
 	status    atomic.Pointer[api.ControlStatus]
 }
@@ -86,6 +87,7 @@
 		c: c, log: log, state: state, id: st.Identity,
 		instances: map[string]string{}, waiting: map[uint64]pending{}, reads: map[uint64]func(answer){},
 		applied: st.Snapshot.Index, lastBytes: len(st.Snapshot.Data),
+		keep: keepBytes,
 	}
 	r.node = consensus.New(r.config(), st.Hard, st.Snapshot, st.Entries)
 	r.install()
@@ -241,7 +243,7 @@
 	if err := r.log.SaveSnapshot(s, r.node.Hard(), r.node.Entries(s.Index)); err != nil {
 		return err
 	}
-	r.node.Compact(s.Index, data, keepBytes)
+	r.node.Compact(s.Index, data, r.keep)
 	r.bytes, r.lastBytes = 0, len(data)
 	r.c.metrics.snapshots.Inc()
 	return nil
