Report a failed start of a plug-in; make the wait for signals a duty

Cause: Run wrapped the result of the duties, which is nil when they end well, so an error of Start was dropped and the process ended with success. The wait for signals was no duty, so a kernel without other duties ended at once. Change: Run returns the start error itself; the wait for signals runs under the errgroup.

--- /dev/null
+++ b/cmd/nutmegctl/main_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/adminapi"
+	"nutmegrouter/internal/api"
+)
+
+// fakeInstance answers the operators' interface from a script.
+type fakeInstance struct {
+	mu      sync.Mutex
+	address string
+	changes []api.Submission
+	// failures is the number of changes answered with 503 before one passes.
+	failures int
+	result   api.SubmitResult
+	inForce  bool
+}
+
+func startFake(t *testing.T) *fakeInstance {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	f := &fakeInstance{address: ln.Addr().String(), result: api.SubmitResult{Revision: 5}, inForce: true}
+	go func() { _ = fasthttp.Serve(ln, f.handle) }()
+	t.Cleanup(func() { ln.Close() })
+	return f
+}
+
+func (f *fakeInstance) handle(r *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out any
+	switch string(r.Path()) {
+	case adminapi.PathView:
+		out = api.View{Revision: 4}
+	case adminapi.PathInForce:
+		out = adminapi.InForce{Revision: 5, InForce: f.inForce, Waiting: []string{"b"}}
+	case adminapi.PathStatus:
+		out = adminapi.Status{Instance: "a", Ready: true, Control: api.ControlStatus{Role: "leader"}}
+	case adminapi.PathChanges:
+		var s api.Submission
+		_ = json.Unmarshal(r.PostBody(), &s)
+		f.changes = append(f.changes, s)
+		if len(f.changes) <= f.failures {
+			r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		out = f.result
+	}
+	raw, _ := json.Marshal(out)
+	r.SetBody(raw)
+}
+
+func runTool(in string, args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	code := run(args, strings.NewReader(in), &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+const document = `{"fleet": "f", "data_centres": [{"name": "a"}], "workspaces": [], "pools": [], "targets": [],}`
+
+// Guards against a lost answer that makes a second change: a repeat must carry
+// the same id and base.
+func TestSubmitRepeatsSameChange(t *testing.T) {
+	is := is.New(t)
+	f := startFake(t)
+	f.failures = 2
+	code, out, errOut := runTool(document, "-admin", "127.0.0.1:1,"+f.address, "apply", "-")
+	is.Equal(errOut, "")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "revision 5 accepted and in force everywhere"))
+	is.Equal(len(f.changes), 3)
+	is.Equal(f.changes[0].Base, uint64(4))
+	is.Equal(f.changes[0].ChangeID, f.changes[2].ChangeID)
+	is.True(f.changes[0].ChangeID != "")
+}
+
+// Guards against exit codes and messages that hide what happened to a change.
+func TestExitCodes(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	is.New(t).NoErr(os.WriteFile(bad, []byte(`{"fleet": "", "targets": [{}]}`), 0o600))
+	cases := []struct {
+		name   string
+		change func(*fakeInstance)
+		args   []string
+		code   int
+		text   string
+	}{
+		{"conflict", func(f *fakeInstance) { f.result = api.SubmitResult{Revision: 6, Conflict: "other"} }, []string{"out", "a"}, exitConflict, "change other won"},
+		{"refused", func(f *fakeInstance) { f.result = api.SubmitResult{Error: "no such data centre"} }, []string{"back", "a"}, exitUsage, "no such data centre"},
+		{"not in force", func(f *fakeInstance) { f.inForce = false }, []string{"wait", "5"}, exitUnknown, "waiting for [b]"},
+		{"unknown outcome", func(f *fakeInstance) { f.failures = 1 << 30 }, []string{"out", "a"}, exitUnknown, "resend with -change-id"},
+		{"invalid document", nil, []string{"apply", bad}, exitUsage, "targets[0].pool"},
+		{"missing file", nil, []string{"check", "none"}, exitUsage, "read configuration"},
+		{"bad revision", nil, []string{"wait", "x"}, exitUsage, "revision wants a number"},
+		{"unknown command", nil, []string{"nothing"}, exitUsage, "unknown command"},
+		{"unknown flag", nil, []string{"apply", "-x"}, exitUsage, "not defined"},
+		{"no command", nil, nil, exitUsage, "usage:"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFake(t)
+			if c.change != nil {
+				c.change(f)
+			}
+			code, _, errOut := runTool("", append([]string{"-admin", f.address, "-timeout", "1s"}, c.args...)...)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(errOut, c.text)) // tells what happened
+		})
+	}
+}
+
+// Guards against a dry run that submits.
+func TestDryRunChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := startFake(t)
+	code, out, _ := runTool(document, "-admin", f.address, "apply", "-dry-run", "-")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "+ data_centre a"))
+	is.Equal(len(f.changes), 0)
+}
+
+// Guards against a status that fails, or stays silent, because one address does
+// not answer.
+func TestStatusWithLostInstance(t *testing.T) {
+	is := is.New(t)
+	f := startFake(t)
+	code, out, _ := runTool("", "-admin", f.address+",127.0.0.1:1", "status")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "leader"))
+	is.True(strings.Contains(out, "127.0.0.1:1"))
+	code, _, _ = runTool("", "-admin", "127.0.0.1:1", "status")
+	is.Equal(code, exitFailure)
+}
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -30,14 +30,16 @@
 	d := NewDuties(ctx)
 	if err := start(plugins, d); err != nil {
 		cancel()
-		return errors.WithMessage(joinCleanup(plugins, d.Wait()), err.Error())
+		_ = d.Wait() // the failed start is the cause to report
+		return joinCleanup(plugins, err)
 	}
 	log.Info("started", "step", "start", "data_centre", s.DataCentre)
 	c.Events.Record(Event{Kind: "instance", Step: "start"})
-	go func() {
-		waitStop(d.Context(), c, plugins, stop)
+	d.Go("signals", func(ctx context.Context) error {
+		waitStop(ctx, c, plugins, stop)
 		cancel()
-	}()
+		return nil
+	})
 	return joinCleanup(plugins, d.Wait())
 }
 
