--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -23,6 +23,9 @@
 	Pools       []Pool       `json:"pools"`
 	Targets     []Target     `json:"targets"`
 	Moves       []Move       `json:"moves,omitempty"`
+	// WeightLoadsPerMinute is the rate at which the weight store serves loads
+	// to the whole fleet; 0 = 30.
+	WeightLoadsPerMinute int `json:"weight_loads_per_minute,omitempty"`
 }
 
 // DataCentre is a place with targets and instances.
--- a/fleetconfig/defaults.go
+++ b/fleetconfig/defaults.go
@@ -11,6 +11,26 @@
 	DefaultReportLag    = 2 * time.Second
 )
 
+// DefaultLoadsPerMinute is the rate of weight loads without a setting.
+const DefaultLoadsPerMinute = 30
+
+// LoadInterval returns the time between two load orders of one engine pool. The
+// pools share the weight store's rate evenly, so that their owners need not
+// coordinate.
+func (c *Config) LoadInterval() time.Duration {
+	perMinute := c.WeightLoadsPerMinute
+	if perMinute <= 0 {
+		perMinute = DefaultLoadsPerMinute
+	}
+	engines := 0
+	for _, p := range c.Pools {
+		if p.Kind == KindEngine {
+			engines++
+		}
+	}
+	return time.Minute / time.Duration(perMinute) * time.Duration(max(1, engines))
+}
+
 // QueueLimitFor returns the bound on waiting requests of a workspace on one router.
 func (p Pool) QueueLimitFor(w Workspace) int {
 	if w.QueueLimit > 0 {
--- a/fleetconfig/text.go
+++ b/fleetconfig/text.go
@@ -106,6 +106,7 @@
 		out[kind+" "+name] = string(raw)
 	}
 	put("fleet", "name", cfg.Fleet)
+	put("fleet", "weight_loads_per_minute", cfg.WeightLoadsPerMinute)
 	for _, d := range cfg.DataCentres {
 		put("data_centre", d.Name, d)
 	}
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -13,9 +13,10 @@
 
 // Bounds on a document.
 const (
-	MaxNameBytes = 64
-	MaxCapacity  = 1 << 20 // concurrent requests of one target
-	MaxWeight    = 1e6
+	MaxNameBytes      = 64
+	MaxCapacity       = 1 << 20 // concurrent requests of one target
+	MaxWeight         = 1e6
+	MaxLoadsPerMinute = 1 << 20
 	// MaxPoolMs bounds every time limit of a pool, in milliseconds.
 	MaxPoolMs = 24 * 60 * 60 * 1000
 )
@@ -58,6 +59,7 @@
 	pools := c.pools(cfg.Pools)
 	c.targets(cfg.Targets, pools, dataCentres)
 	c.moves(cfg.Moves, dataCentres)
+	c.within("weight_loads_per_minute", cfg.WeightLoadsPerMinute, 0, MaxLoadsPerMinute)
 	if len(c.problems) > 0 {
 		return c.problems
 	}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -324,6 +324,21 @@
 	Close() error
 }
 
+// TargetState is what the owner of a pool knows of a target.
+type TargetState struct {
+	Target  fleetconfig.Target
+	Warmth  Warmth // from the newest load report; WarmthUnknown without one
+	Boot    uint64 // boot number from the newest report, 0 if unknown
+	Leaving bool   // marked so in the platform's list
+	Out     bool   // its data centre is out of service
+}
+
+// TargetStates gives the states of the targets of the pools that this instance
+// owns. The result is empty for other pools.
+type TargetStates interface {
+	States(pool string) []TargetState
+}
+
 // Dispatcher runs a request: queue, grant, claim, send, retry, resume.
 type Dispatcher interface {
 	// Do returns the answer once its head is known, or a *Refusal.
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -48,6 +48,7 @@
 	OrderLease     = 40
 	OrderControl   = 50
 	OrderScheduler = 60
+	OrderOrders    = 65
 	OrderPool      = 70
 	OrderDispatch  = 80
 	OrderEntry     = 90
