Add the mesh, instance leases and pool ownership

Change: plugin/mesh (JSON-RPC 2.0 over varint frames, one outgoing link per peer, bounded queue, silence detection, relay), internal/lease (pure witness, holder and candidate), plugin/lease (beats, view.fetch, restart rule), internal/standin/relay. api.Links is new: the mesh learns from it which peers report a working link.

Conclusion: instances exchange messages over loopback, renew leases and elect one owner per pool.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,6 +35,15 @@
 	Reachable(peer string) bool
 }
 
+// Links tells the mesh which paths exist through other instances. Beats carry
+// the reports, so that they cost no message of their own.
+type Links interface {
+	// Unreached returns the peers without a working direct link, sorted.
+	Unreached() []string
+	// Report records the peers that a peer says it does not reach directly.
+	Report(peer string, unreached []string)
+}
+
 // Lease tells what this instance may do at this moment on the monotonic clock.
 type Lease interface {
 	// Valid reports whether this instance may dispatch work now.
--- /dev/null
+++ b/plugin/lease/cluster_test.go
@@ -0,0 +1,224 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/internal/standin/relay"
+	"nutmegrouter/plugin/fleet"
+	"nutmegrouter/plugin/mesh"
+)
+
+// patience bounds waiting in tests. It is far above the protocol's own times, so
+// that a busy machine does not fail a test.
+const patience = 20 * time.Second
+
+// quorum is a stand-in for the control quorum.
+type quorum struct {
+	api.Control
+	revision atomic.Uint64
+}
+
+func (q *quorum) ReadRevision(context.Context) (uint64, error) { return q.revision.Load(), nil }
+
+// instance is one running instance of a test cluster.
+type instance struct {
+	name   string
+	keeper *Keeper
+	mesh   *mesh.Mesh
+	fleet  *fleet.Holder
+	ctx    *kernel.Context
+	duties *kernel.Duties
+	cancel context.CancelFunc
+}
+
+func (in *instance) stop() {
+	in.cancel()
+	_ = in.duties.Wait()
+	_ = in.keeper.Cleanup()
+	_ = in.mesh.Cleanup()
+}
+
+// cluster runs instances whose links go through relays.
+type cluster struct {
+	t         *testing.T
+	names     []string
+	relays    map[[2]string]*relay.Relay // by from and to
+	quorum    *quorum
+	instances map[string]*instance
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{t: t, relays: map[[2]string]*relay.Relay{}, quorum: &quorum{}, instances: map[string]*instance{}}
+	for i := range size {
+		c.names = append(c.names, fmt.Sprintf("i%d", i+1))
+	}
+	for _, a := range c.names {
+		for _, b := range c.names {
+			r, err := relay.New("127.0.0.1:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.relays[[2]string{a, b}] = r
+			t.Cleanup(r.Close)
+		}
+	}
+	t.Cleanup(func() {
+		for _, in := range c.instances {
+			in.stop()
+		}
+	})
+	for _, name := range c.names {
+		c.start(name)
+	}
+	return c
+}
+
+// start runs an instance with empty memory.
+func (c *cluster) start(name string) *instance {
+	s := &settings.Settings{Instance: name, Mesh: "127.0.0.1:0"}
+	for _, p := range c.names {
+		s.Peers = append(s.Peers, settings.Peer{Instance: p, Mesh: c.relays[[2]string{name, p}].Addr()})
+	}
+	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
+	in := &instance{name: name, keeper: &Keeper{}, mesh: &mesh.Mesh{}, fleet: &fleet.Holder{}, ctx: k}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.cancel, in.duties = cancel, kernel.NewDuties(ctx)
+	check := func(err error) {
+		if err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	check(in.mesh.Provision(k))
+	check(in.fleet.Provision(k))
+	check(in.keeper.Provision(k))
+	check(kernel.Provide[api.Control](k, c.quorum))
+	check(in.mesh.Start(in.duties))
+	check(in.keeper.Start(in.duties))
+	for _, p := range c.names {
+		c.relays[[2]string{p, name}].SetTarget(in.mesh.Addr().String())
+	}
+	c.instances[name] = in
+	return in
+}
+
+func (c *cluster) stop(name string) {
+	c.instances[name].stop()
+	delete(c.instances, name)
+}
+
+func (c *cluster) await(what string, cond func() bool) time.Duration {
+	c.t.Helper()
+	begin := time.Now()
+	for !cond() {
+		if time.Since(begin) > patience {
+			c.t.Fatalf("no %s within %s", what, patience)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+func (c *cluster) awaitLeases() time.Duration {
+	c.t.Helper()
+	return c.await("lease everywhere", func() bool {
+		for _, in := range c.instances {
+			if !in.keeper.Valid() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// owner returns the only holder of a pool.
+func (c *cluster) owner(pool string) (string, uint64) {
+	for name, in := range c.instances {
+		if e, ok := in.keeper.Holds(pool); ok {
+			return name, e
+		}
+	}
+	return "", 0
+}
+
+func (c *cluster) awaitOwner(pool string) (string, uint64) {
+	c.t.Helper()
+	c.await("owner of "+pool, func() bool { name, _ := c.owner(pool); return name != "" })
+	return c.owner(pool)
+}
+
+func (c *cluster) setPools(pools ...string) {
+	for _, in := range c.instances {
+		in.keeper.SetPools(pools)
+	}
+}
+
+func view(revision uint64) *api.View {
+	return &api.View{Revision: revision, Config: &fleetconfig.Config{Fleet: "test"}}
+}
+
+// Guards against instances that do not gain a lease, do not elect one owner, or
+// disagree about it.
+func TestLeaseAndOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5)
+	c.setPools("p", "q")
+	t.Logf("leases after %s", c.awaitLeases())
+	for _, pool := range []string{"p", "q"} {
+		name, epoch := c.awaitOwner(pool)
+		for _, in := range c.instances {
+			c.await("owner known", func() bool {
+				n, e, ok := in.keeper.Owner(pool)
+				return ok && n == name && e == epoch
+			})
+		}
+		is.True(epoch > 0) // epochs start at 1
+	}
+}
+
+// Guards against a takeover that does not happen or takes longer than the 3 s of
+// section 1, and against a new owner with an old epoch. It also guards against
+// an owner that dies and for ever counts as a holder of a lease.
+func TestTakeover(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5)
+	c.setPools("p")
+	c.awaitLeases()
+	old, epoch := c.awaitOwner("p")
+	c.stop(old)
+	took := c.await("new owner", func() bool { name, _ := c.owner("p"); return name != "" })
+	t.Logf("takeover after %s", took)
+	name, next := c.owner("p")
+	is.True(next > epoch) // epochs grow
+	dead := c.await("proof that the old owner has no lease", func() bool { return !c.instances[name].keeper.MayHoldLease(old) })
+	t.Logf("old owner known to be without lease %s later", dead)
+}
+
+// Guards against an instance that keeps an old view although a peer has a newer
+// one, and against a lease with the old view.
+func TestViewSpreads(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitLeases()
+	c.instances["i1"].fleet.Install(view(7))
+	took := c.await("view everywhere", func() bool {
+		for _, in := range c.instances {
+			if in.fleet.View().Revision != 7 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("view everywhere after %s", took)
+	c.await("reported revision", func() bool { return c.instances["i2"].keeper.Revision("i3") == 7 })
+}
--- /dev/null
+++ b/plugin/mesh/link.go
@@ -0,0 +1,145 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"nutmegrouter/internal/kernel"
+)
+
+// Timing of a link.
+const (
+	dialLimit     = time.Second             // connect and hello, each
+	silenceLimit  = 1500 * time.Millisecond // without a received byte while a beat waits
+	beatWait      = time.Second             // a beat must have waited this long before its link counts as silent
+	silenceCheck  = 50 * time.Millisecond
+	backoffMin    = 50 * time.Millisecond
+	backoffMax    = time.Second            // short, because a healed partition must rejoin within a lease time
+	freezeAllowed = 500 * time.Millisecond // a checker that ran later than this was itself frozen
+)
+
+const helloMethod = "hello"
+
+// hello is the first call on a connection; both ends name themselves.
+type hello struct {
+	Instance string `json:"instance"`
+	Boot     string `json:"boot"`
+	To       string `json:"to,omitempty"`
+}
+
+// link is the outgoing link to one peer.
+type link struct {
+	mesh    *Mesh
+	peer    string
+	address string
+	count   *counters
+	session atomic.Pointer[session] // nil while the link is down
+}
+
+// up returns the open session or nil.
+func (l *link) up() *session { return l.session.Load() }
+
+// run dials, watches and redials until the context ends.
+func (l *link) run(ctx context.Context) error {
+	backoff := backoffMin
+	for ctx.Err() == nil {
+		s, err := l.connect(ctx)
+		if err == nil {
+			backoff = backoffMin
+			l.serve(ctx, s)
+		} else {
+			l.mesh.log.Debug("connect failed", "step", "dial", "peer", l.peer, "error", err)
+		}
+		wait := backoff/2 + rand.N(backoff/2)
+		backoff = min(2*backoff, backoffMax)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return ctx.Err()
+}
+
+// connect dials the peer and exchanges hellos.
+func (l *link) connect(ctx context.Context) (*session, error) {
+	dialer := net.Dialer{Timeout: dialLimit}
+	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return nil, errors.WithMessage(err, "dial "+l.peer)
+	}
+	s := l.mesh.newSession(ctx, conn, l.count, refuser{})
+	s.peer = l.peer
+	limited, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	var reply hello
+	err = s.conn.Call(limited, helloMethod, hello{Instance: l.mesh.self, Boot: l.mesh.boot, To: l.peer}, &reply)
+	if err == nil && reply.Instance != l.peer {
+		err = errors.Errorf("answered as %q", reply.Instance)
+	}
+	if err != nil {
+		s.close()
+		return nil, errors.WithMessage(err, "hello "+l.peer)
+	}
+	s.boot = reply.Boot
+	return s, nil
+}
+
+// serve publishes the session until it ends or goes silent.
+func (l *link) serve(ctx context.Context, s *session) {
+	l.session.Store(s)
+	l.record("up", s, "")
+	why := l.watch(ctx, s)
+	l.session.Store(nil)
+	s.close()
+	l.record("down", s, why)
+}
+
+// watch returns why the session ended.
+func (l *link) watch(ctx context.Context, s *session) string {
+	tick := time.NewTicker(silenceCheck)
+	defer tick.Stop()
+	last := l.mesh.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return "stop"
+		case <-s.conn.DisconnectNotify():
+			return "closed"
+		case <-tick.C:
+		}
+		now := l.mesh.clock.Now()
+		if now-last < freezeAllowed && s.stream.silent(now) {
+			l.count.silent.Inc()
+			return "silent"
+		}
+		last = now
+	}
+}
+
+// silent reports whether a beat waits and no byte came for the silence limit.
+func (s *stream) silent(now time.Duration) bool {
+	beat := time.Duration(s.firstBeat.Load())
+	return beat != 0 && now-beat >= beatWait && now-time.Duration(s.heard.Load()) >= silenceLimit
+}
+
+func (l *link) record(step string, s *session, why string) {
+	l.mesh.events.Record(kernel.Event{Kind: "link", Step: step, Peer: l.peer, Detail: why})
+	l.mesh.log.Info("link "+step, "step", "link", "peer", l.peer, "boot", s.boot, "why", why)
+}
+
+// refuser answers requests on outgoing links: peers send theirs on their own.
+type refuser struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuser) Handle(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !req.Notif {
+		_ = c.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
+			Code: jsonrpc2.CodeInvalidRequest, Message: "requests go over the sender's own link"})
+	}
+}
