--- /dev/null
+++ b/cmd/nutmegstandin/main.go
@@ -0,0 +1,78 @@
+// Command nutmegstandin runs simulated targets, the platform's list and the
+// weight store for tests and demonstrations, all in one process.
+package main
+
+import (
+	"flag"
+	"fmt"
+	_ "net" // links the C library's resolver
+	"os"
+	"os/signal"
+	"syscall"
+
+	"nutmegrouter/internal/standin"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	specs, err := parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	h, err := standin.Start(specs)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	defer h.Close()
+	fmt.Printf("serving %d stand-ins\n", len(specs))
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	return 0
+}
+
+// parse returns the stand-ins of the file, or those of the counting flags on
+// consecutive ports.
+func parse(args []string) ([]standin.Spec, error) {
+	flags := flag.NewFlagSet("nutmegstandin", flag.ContinueOnError)
+	file := flags.String("file", "", "JSON `file` that lists the stand-ins")
+	ip := flags.String("ip", "127.0.0.1", "`address` to listen on")
+	port := flags.Int("port", 21000, "first `port`")
+	counts := map[standin.Kind]*int{
+		standin.KindEngine:   flags.Int("engines", 0, "`number` of model engines"),
+		standin.KindService:  flags.Int("services", 0, "`number` of plain services"),
+		standin.KindPlatform: flags.Int("platforms", 0, "`number` of platform lists"),
+		standin.KindWeights:  flags.Int("weights", 0, "`number` of weight stores"),
+	}
+	warm := flags.Int("warm", 0, "warm capacity in concurrent `requests`")
+	cold := flags.Int("cold", 0, "cold capacity in concurrent `requests`")
+	pace := flags.Int("pace", 0, "time of one token in `µs`")
+	if err := flags.Parse(args); err != nil {
+		return nil, err
+	}
+	if *file != "" {
+		return standin.LoadFile(*file)
+	}
+	var out []standin.Spec
+	for _, kind := range []standin.Kind{standin.KindEngine, standin.KindService, standin.KindPlatform, standin.KindWeights} {
+		for i := range *counts[kind] {
+			out = append(out, standin.Spec{
+				Name: fmt.Sprintf("%s-%d", kind, i+1), Kind: kind, Listen: fmt.Sprintf("%s:%d", *ip, *port+len(out)),
+				WarmCapacity: *warm, ColdCapacity: *cold, PaceUs: *pace,
+			})
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("no stand-ins: give -file or a number of a kind")
+	}
+	return out, nil
+}
