Add fleetrun: lay out and run a fleet on loopback

Cause: the demo, the benchmark and the scenarios need the same small fleet of real processes, with links that can be put behind a relay.

--- /dev/null
+++ b/internal/fleetrun/fleetrun_test.go
@@ -0,0 +1,66 @@
+package fleetrun
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/internal/standin"
+)
+
+// Guards against settings and configurations that the programs would refuse,
+// and against links that bypass the relay's addresses.
+func TestPlanWritesValidFiles(t *testing.T) {
+	is := is.New(t)
+	l, err := Plan(Options{Dir: t.TempDir(), Links: true})
+	is.NoErr(err)
+	is.Equal(len(l.Links), 42)
+	own := map[string]bool{}
+	for _, r := range l.Routers {
+		own[r.Mesh] = true
+	}
+	for _, r := range l.Routers {
+		s, err := settings.Load(r.File)
+		is.NoErr(err)
+		is.Equal(len(s.Replicas()), 3)
+		for _, p := range s.Peers {
+			is.Equal(own[p.Mesh], p.Instance == s.Instance) // others are reached through links
+		}
+	}
+	specs, err := standin.LoadFile(l.file("standin.json"))
+	is.NoErr(err)
+	is.Equal(len(specs), 14)
+	is.Equal(len(l.TargetAddresses(EnginePool, "dc-a")), 2)
+	is.Equal(len(l.TargetAddresses("", "")), 12)
+}
+
+// Guards against a process that is reported as running after its end, and
+// against signals that do not reach it.
+func TestProcess(t *testing.T) {
+	is := is.New(t)
+	var g group
+	start := func() (*process, error) { return launch("p", "/bin/sleep", t.TempDir()+"/log", "60") }
+	is.NoErr(g.put("p", start))
+	is.True(g.put("p", start) != nil) // it already runs
+	p, err := g.get("p")
+	is.NoErr(err)
+	is.NoErr(p.signal(syscall.SIGTERM))
+	is.True(p.wait(10*time.Second) != nil) // ended by a signal, not with code 0
+	is.True(!p.running())
+	is.True(p.signal(syscall.SIGTERM) != nil)
+	is.NoErr(g.put("p", start))
+	g.killAll()
+}
+
+// Guards against an endless wait for something that never becomes true.
+func TestPollEnds(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	f := &Fleet{}
+	is.True(f.poll(ctx, "x", func() error { return syscall.EAGAIN }) != nil)
+}
--- /dev/null
+++ b/internal/fleetrun/layout.go
@@ -0,0 +1,299 @@
+package fleetrun
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/internal/standin"
+)
+
+// Names of the pools and of the model in every laid-out fleet.
+const (
+	EnginePool  = "matcher"
+	ServicePool = "counter"
+	Model       = "matcher-1"
+	Version     = "v1"
+)
+
+// Options describe a fleet. Zero values mean the defaults.
+type Options struct {
+	// Dir holds settings, logs and data folders.
+	Dir string
+	// Bin holds the programs.
+	Bin string
+	// DataCentres default to dc-a to dc-d.
+	DataCentres []string
+	// Instances, Replicas, Engines, Services and Workspaces are numbers;
+	// 0 = 7, 3, 8, 4 and 16. Instances and targets are dealt to the data
+	// centres in turn.
+	Instances, Replicas, Engines, Services, Workspaces int
+	// Links gives each directed pair of instances an address of its own, to
+	// be put behind a relay. Without it instances address each other directly.
+	Links bool
+	// Engine and Service are templates of the targets.
+	Engine, Service standin.Spec
+	// Pool adjusts both pools before the configuration is written.
+	Pool func(*fleetconfig.Pool)
+	// Limits go into all settings files.
+	Limits settings.Limits
+}
+
+// Link is the address at which one instance reaches another.
+type Link struct {
+	From, To string
+	Listen   string // address in From's settings
+	Target   string // To's own mesh address
+}
+
+// Instance is one router of the fleet.
+type Instance struct {
+	settings.Settings
+	File string // settings file
+}
+
+// Workspace is one tenant and its key.
+type Workspace struct {
+	Name, Key string
+	Weight    float64
+}
+
+// Layout is a fleet on paper: addresses, settings, stand-ins, configuration.
+type Layout struct {
+	Options
+	Routers    []Instance
+	Links      []Link
+	Specs      []standin.Spec // targets, then the platform's list and the weight store
+	Config     *fleetconfig.Config
+	Workspaces []Workspace
+	Platform   string // address
+	Weights    string // address
+}
+
+// Plan lays out a fleet and writes its files.
+func Plan(o Options) (*Layout, error) {
+	l := &Layout{Options: o.withDefaults()}
+	steps := []func() error{l.planTargets, l.planRouters, l.planConfig, l.write}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, errors.WithMessage(err, "lay out fleet")
+		}
+	}
+	return l, nil
+}
+
+func (o Options) withDefaults() Options {
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"dc-a", "dc-b", "dc-c", "dc-d"}
+	}
+	for _, d := range []struct {
+		field    *int
+		fallback int
+	}{{&o.Instances, 7}, {&o.Replicas, 3}, {&o.Engines, 8}, {&o.Services, 4}, {&o.Workspaces, 16},
+		{&o.Engine.WarmCapacity, 8}, {&o.Engine.ColdCapacity, 2}, {&o.Service.WarmCapacity, 16}, {&o.Service.ColdCapacity, 4}} {
+		if *d.field == 0 {
+			*d.field = d.fallback
+		}
+	}
+	return o
+}
+
+func (o Options) dc(i int) string { return o.DataCentres[i%len(o.DataCentres)] }
+
+func (l *Layout) planTargets() error {
+	ports, err := freePorts(l.Engines + l.Services + 2)
+	if err != nil {
+		return err
+	}
+	add := func(s standin.Spec, kind standin.Kind, name string) string {
+		s.Kind, s.Name, s.Listen = kind, name, address(ports[len(l.Specs)])
+		l.Specs = append(l.Specs, s)
+		return s.Listen
+	}
+	for i := range l.Engines {
+		add(l.Engine, standin.KindEngine, fmt.Sprintf("engine-%02d", i+1))
+	}
+	for i := range l.Services {
+		add(l.Service, standin.KindService, fmt.Sprintf("service-%02d", i+1))
+	}
+	var list []standin.Instance
+	for _, s := range l.Specs {
+		list = append(list, standin.Instance{Name: s.Name, Address: s.Listen, State: "live"})
+	}
+	l.Platform = add(standin.Spec{Instances: list, ReportLagMs: 200}, standin.KindPlatform, "platform")
+	l.Weights = add(standin.Spec{}, standin.KindWeights, "weights")
+	return nil
+}
+
+func (l *Layout) planRouters() error {
+	ports, err := freePorts(3 * l.Instances)
+	if err != nil {
+		return err
+	}
+	for i := range l.Instances {
+		s := settings.Settings{Instance: fmt.Sprintf("r%d", i+1), DataCentre: l.dc(i), Limits: l.Limits,
+			Listen: address(ports[3*i]), Admin: address(ports[3*i+1]), Mesh: address(ports[3*i+2]),
+			PlatformList: "http://" + l.Platform + "/instances", WeightStore: "http://" + l.Weights}
+		if i < l.Replicas {
+			s.DataDir = filepath.Join(l.Dir, "data", s.Instance)
+		}
+		l.Routers = append(l.Routers, Instance{Settings: s, File: filepath.Join(l.Dir, s.Instance+".json")})
+	}
+	if l.Options.Links {
+		if err := l.planLinks(); err != nil {
+			return err
+		}
+	}
+	for i := range l.Routers {
+		l.Routers[i].Peers = l.peersOf(l.Routers[i].Instance)
+	}
+	return nil
+}
+
+func (l *Layout) planLinks() error {
+	ports, err := freePorts(l.Instances * (l.Instances - 1))
+	if err != nil {
+		return err
+	}
+	for _, from := range l.Routers {
+		for _, to := range l.Routers {
+			if from.Instance == to.Instance {
+				continue
+			}
+			l.Links = append(l.Links, Link{from.Instance, to.Instance, address(ports[len(l.Links)]), to.Mesh})
+		}
+	}
+	return nil
+}
+
+// peersOf lists all instances at the addresses at which one reaches them.
+func (l *Layout) peersOf(name string) []settings.Peer {
+	via := map[string]string{}
+	for _, link := range l.Links {
+		if link.From == name {
+			via[link.To] = link.Listen
+		}
+	}
+	var out []settings.Peer
+	for _, r := range l.Routers {
+		p := settings.Peer{Instance: r.Instance, DataCentre: r.DataCentre, Mesh: r.Mesh, Disk: r.DataDir != ""}
+		if addr, ok := via[r.Instance]; ok {
+			p.Mesh = addr
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func (l *Layout) planConfig() error {
+	c := &fleetconfig.Config{Fleet: "loopback"}
+	for _, dc := range l.DataCentres {
+		c.DataCentres = append(c.DataCentres, fleetconfig.DataCentre{Name: dc})
+	}
+	for i := range l.Options.Workspaces {
+		w := Workspace{Name: fmt.Sprintf("ws-%02d", i+1), Key: fmt.Sprintf("key-of-workspace-%02d", i+1), Weight: 1}
+		sum := sha256.Sum256([]byte(w.Key))
+		c.Workspaces = append(c.Workspaces, fleetconfig.Workspace{Name: w.Name, Weight: w.Weight, KeyHashes: []string{hex.EncodeToString(sum[:])}})
+		l.Workspaces = append(l.Workspaces, w)
+	}
+	c.Pools = []fleetconfig.Pool{
+		{Name: EnginePool, Kind: fleetconfig.KindEngine, Model: Model, Version: Version},
+		{Name: ServicePool, Kind: fleetconfig.KindService},
+	}
+	for i := range c.Pools {
+		if l.Pool != nil {
+			l.Pool(&c.Pools[i])
+		}
+	}
+	l.addTargets(c)
+	l.Config = c
+	return fleetconfig.Validate(c)
+}
+
+func (l *Layout) addTargets(c *fleetconfig.Config) {
+	seen := map[standin.Kind]int{}
+	for _, s := range l.Specs {
+		t := fleetconfig.Target{Name: s.Name, Address: s.Listen, DataCentre: l.dc(seen[s.Kind]),
+			WarmCapacity: s.WarmCapacity, ColdCapacity: s.ColdCapacity, ChecksFence: s.ChecksFence}
+		switch s.Kind {
+		case standin.KindEngine:
+			t.Pool = EnginePool
+		case standin.KindService:
+			t.Pool = ServicePool
+		default:
+			continue
+		}
+		seen[s.Kind]++
+		c.Targets = append(c.Targets, t)
+	}
+}
+
+func (l *Layout) write() error {
+	if err := os.MkdirAll(l.Dir, 0o755); err != nil {
+		return errors.Wrap(err, "write files")
+	}
+	files := map[string]any{l.file("config.json"): l.Config, l.file("standin.json"): standin.File{Targets: l.Specs}}
+	for _, r := range l.Routers {
+		files[r.File] = r.Settings
+	}
+	for name, v := range files {
+		raw, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "write files")
+		}
+		if err := os.WriteFile(name, raw, 0o644); err != nil {
+			return errors.Wrap(err, "write files")
+		}
+	}
+	return nil
+}
+
+func (l *Layout) file(name string) string { return filepath.Join(l.Dir, name) }
+
+// Router returns the instance with the name.
+func (l *Layout) Router(name string) (*Instance, error) {
+	for i := range l.Routers {
+		if l.Routers[i].Instance == name {
+			return &l.Routers[i], nil
+		}
+	}
+	return nil, errors.Errorf("no instance %q", name)
+}
+
+// Target returns the stand-in with the name.
+func (l *Layout) Target(name string) (standin.Spec, error) {
+	for _, s := range l.Specs {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return standin.Spec{}, errors.Errorf("no stand-in %q", name)
+}
+
+// TargetAddresses returns the addresses of the targets of a pool in a data
+// centre; "" means all.
+func (l *Layout) TargetAddresses(pool, dc string) []string {
+	var out []string
+	for _, t := range l.Config.Targets {
+		if (pool == "" || t.Pool == pool) && (dc == "" || t.DataCentre == dc) {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
+// Entries returns the callers' addresses and the readiness URLs of all routers.
+func (l *Layout) Entries() (entries, ready []string) {
+	for _, r := range l.Routers {
+		entries = append(entries, r.Listen)
+		ready = append(ready, "http://"+r.Admin+"/ready")
+	}
+	return entries, ready
+}
