Serve plain calls and event streams from caller to target

Cause: callers had no way to a target. Change: plugin/entry checks, routes and answers requests over fasthttp; plugin/dispatch queues, sends, retries, resumes and cancels over connections whose bytes and silence it controls itself.

--- /dev/null
+++ b/plugin/dispatch/fakes_test.go
@@ -0,0 +1,419 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/plugin/fleet"
+)
+
+// waitLimit ends a test that waits for something that does not come. It bounds
+// failures only; no passing test takes this long.
+const waitLimit = 20 * time.Second
+
+// seen is one request that reached a fake target.
+type seen struct {
+	*http.Request
+	body string
+}
+
+// wire lets a script write the bytes of an answer.
+type wire struct {
+	net.Conn
+	t *fakeTarget
+}
+
+func (w *wire) raw(s string) { io.WriteString(w.Conn, s) }
+
+func (w *wire) plain(status int, body string, headers ...string) {
+	w.raw(fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), lines(headers), body))
+}
+
+func (w *wire) stream(id string, headers ...string) {
+	w.raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+		"X-Stream-Id: " + id + "\r\n" + lines(headers) + "\r\n")
+}
+
+func (w *wire) chunk(s string) { w.raw(fmt.Sprintf("%x\r\n%s\r\n", len(s), s)) }
+func (w *wire) events(from, to int) {
+	for n := from; n <= to; n++ {
+		w.chunk(eventText(n))
+	}
+}
+func (w *wire) done(n int) {
+	w.chunk(fmt.Sprintf("id: %d\ndata: {\"usage\":{\"prompt_tokens\":20,\"completion_tokens\":7}}\n\n", n))
+	w.chunk(fmt.Sprintf("id: %d\ndata: [DONE]\n\n", n+1))
+	w.raw("0\r\n\r\n")
+}
+
+// reset closes the connection with a TCP reset.
+func (w *wire) reset() {
+	w.Conn.(*net.TCPConn).SetLinger(0)
+	w.Close()
+}
+
+// silent keeps the connection open without a byte until the router closes it.
+func (w *wire) silent() { io.Copy(io.Discard, w.Conn) }
+
+func lines(headers []string) string {
+	if len(headers) == 0 {
+		return ""
+	}
+	return strings.Join(headers, "\r\n") + "\r\n"
+}
+
+func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: {\"n\":%d}\n\n", n, n) }
+
+func allEvents(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(eventText(i))
+	}
+	fmt.Fprintf(&b, "id: %d\ndata: {\"usage\":{\"prompt_tokens\":20,\"completion_tokens\":7}}\n\n", n+1)
+	fmt.Fprintf(&b, "id: %d\ndata: [DONE]\n\n", n+2)
+	return b.String()
+}
+
+// fakeTarget records what reaches it and answers by a script.
+type fakeTarget struct {
+	name, addr string
+	ln         net.Listener
+	script     func(w *wire, r *seen)
+
+	mu       sync.Mutex
+	requests []*seen
+	bytes    int
+	conns    int
+}
+
+func newTarget(t *testing.T, name string, script func(w *wire, r *seen)) *fakeTarget {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeTarget{name: name, addr: ln.Addr().String(), ln: ln, script: script}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			f.mu.Lock()
+			f.conns++
+			f.mu.Unlock()
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+// counted counts the request bytes that arrive.
+type counted struct {
+	net.Conn
+	f *fakeTarget
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.f.mu.Lock()
+	c.f.bytes += n
+	c.f.mu.Unlock()
+	return n, err
+}
+
+func (f *fakeTarget) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(counted{c, f})
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s := &seen{r, string(body)}
+		f.mu.Lock()
+		f.requests = append(f.requests, s)
+		f.mu.Unlock()
+		f.script(&wire{c, f}, s)
+	}
+}
+
+// work returns the requests other than cancels.
+func (f *fakeTarget) work() []*seen { return f.filter(false) }
+
+// cancels returns the cancels of streams.
+func (f *fakeTarget) cancels() []*seen { return f.filter(true) }
+
+func (f *fakeTarget) filter(cancels bool) []*seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*seen
+	for _, r := range f.requests {
+		if strings.HasSuffix(r.URL.Path, "/cancel") == cancels {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// fakePool grants at once and records how the work ended.
+type fakePool struct {
+	mu       sync.Mutex
+	targets  []*fakeTarget
+	next     int
+	hold     bool // grants nothing
+	refuse   func(n int) *api.Refusal
+	demands  []api.Demand
+	outcomes []api.Outcome
+	confirms []api.Warmth
+	cancels  int
+	ended    chan api.Outcome
+}
+
+type fakeTicket struct {
+	p     *fakePool
+	grant chan api.Grant
+	once  sync.Once
+}
+
+func (p *fakePool) Enqueue(d api.Demand) (api.Ticket, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demands = append(p.demands, d)
+	if p.refuse != nil {
+		if r := p.refuse(len(p.demands)); r != nil {
+			return nil, r
+		}
+	}
+	t := &fakeTicket{p: p, grant: make(chan api.Grant, 1)}
+	if !p.hold {
+		t.grant <- p.choose(d.Avoid)
+	}
+	return t, nil
+}
+
+func (p *fakePool) choose(avoid string) api.Grant {
+	for range p.targets {
+		f := p.targets[p.next%len(p.targets)]
+		if f.name != avoid || len(p.targets) == 1 {
+			return api.Grant{Target: f.name, Address: f.addr, Epoch: 1}
+		}
+		p.next++
+	}
+	panic("no target")
+}
+
+func (p *fakePool) Drain(context.Context) error { return nil }
+
+func (t *fakeTicket) Granted() <-chan api.Grant { return t.grant }
+func (t *fakeTicket) Refusal() *api.Refusal     { return nil }
+
+func (t *fakeTicket) Confirm(w api.Warmth, _ uint64) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	t.p.confirms = append(t.p.confirms, w)
+}
+
+func (t *fakeTicket) Done(o api.Outcome) {
+	first := false
+	t.once.Do(func() { first = true })
+	if !first {
+		panic("Done was called twice")
+	}
+	t.p.mu.Lock()
+	t.p.outcomes = append(t.p.outcomes, o)
+	t.p.mu.Unlock()
+	t.p.ended <- o
+}
+
+func (t *fakeTicket) Cancel() {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	t.p.cancels++
+}
+
+// results returns how the work ended, in order.
+func (p *fakePool) results() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, o := range p.outcomes {
+		out = append(out, string(o.Result))
+	}
+	return strings.Join(out, " ")
+}
+
+type fakeLease struct {
+	mu    sync.Mutex
+	valid func() bool
+}
+
+func (l *fakeLease) Valid() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.valid == nil || l.valid()
+}
+func (l *fakeLease) Owner(string) (string, uint64, bool) { return "", 0, false }
+func (l *fakeLease) Holds(string) (uint64, bool)         { return 0, false }
+func (l *fakeLease) MayHoldLease(string) bool            { return true }
+func (l *fakeLease) Revision(string) uint64              { return 0 }
+func (l *fakeLease) SetPools([]string)                   {}
+func (l *fakeLease) Resign(context.Context) error        { return nil }
+func (l *fakeLease) OnChange(func())                     {}
+
+// fakeControl keeps claims in memory.
+type fakeControl struct {
+	api.Control
+	mu      sync.Mutex
+	claims  map[api.ClaimKey]api.ClaimResult
+	fail    error
+	settled chan *api.ClaimOutcome
+}
+
+func (c *fakeControl) Claim(_ context.Context, k api.ClaimKey, _ string) (api.ClaimResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fail != nil {
+		return api.ClaimResult{}, c.fail
+	}
+	if r, ok := c.claims[k]; ok {
+		return r, nil
+	}
+	c.claims[k] = api.ClaimResult{State: api.ClaimRunning}
+	return api.ClaimResult{State: api.ClaimNew}, nil
+}
+
+func (c *fakeControl) Settle(_ context.Context, k api.ClaimKey, _ string, o *api.ClaimOutcome) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o == nil {
+		delete(c.claims, k)
+	} else {
+		c.claims[k] = api.ClaimResult{State: api.ClaimDone, Outcome: o}
+	}
+	c.settled <- o
+	return nil
+}
+
+// rig is a dispatcher over fakes.
+type rig struct {
+	t       testing.TB
+	c       *kernel.Context
+	d       *Dispatcher
+	pool    *fakePool
+	lease   *fakeLease
+	control *fakeControl
+	fleet   *fleet.Holder
+}
+
+// keyHash is the SHA-256 of the bearer key "secret".
+const keyHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+func config(targets ...*fakeTarget) *fleetconfig.Config {
+	cfg := &fleetconfig.Config{
+		DataCentres: []fleetconfig.DataCentre{{Name: "amman-a"}},
+		Workspaces:  []fleetconfig.Workspace{{Name: "w1", Weight: 1, KeyHashes: []string{keyHash}}},
+		Pools: []fleetconfig.Pool{
+			{Name: "llm", Kind: fleetconfig.KindEngine, Model: "m1", SilenceLimitMs: 400},
+			{Name: "svc", Kind: fleetconfig.KindService, SilenceLimitMs: 400},
+		},
+	}
+	for _, f := range targets {
+		cfg.Targets = append(cfg.Targets, fleetconfig.Target{Name: f.name, DataCentre: "amman-a", Address: f.addr})
+	}
+	return cfg
+}
+
+func newRig(t testing.TB, targets ...*fakeTarget) *rig {
+	t.Helper()
+	s := &settings.Settings{Instance: "a1", DataCentre: "amman-a", Listen: "127.0.0.1:0"}
+	s.Limits.StopGraceMs = 50
+	c := kernel.NewContext(s, slog.New(slog.DiscardHandler), kernel.NewClock())
+	r := &rig{
+		t: t, c: c, d: &Dispatcher{}, lease: &fakeLease{}, fleet: &fleet.Holder{},
+		pool:    &fakePool{targets: targets, ended: make(chan api.Outcome, 1<<16)},
+		control: &fakeControl{claims: map[api.ClaimKey]api.ClaimResult{}, settled: make(chan *api.ClaimOutcome, 64)},
+	}
+	must(t, r.fleet.Provision(c))
+	must(t, kernel.Provide[api.Pool](c, r.pool))
+	must(t, kernel.Provide[api.Lease](c, r.lease))
+	must(t, kernel.Provide[api.Control](c, r.control))
+	must(t, r.d.Provision(c))
+	r.fleet.Install(&api.View{Revision: 1, Config: config(targets...)})
+	t.Cleanup(func() {
+		ctx, stop := context.WithTimeout(context.Background(), waitLimit)
+		defer stop()
+		must(t, r.d.Drain(ctx))
+		must(t, r.d.Cleanup())
+	})
+	return r
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// do runs a request and reads its whole answer.
+func (r *rig) do(req *api.Request) (string, api.AnswerHead, error) {
+	ans, err := r.d.Do(context.Background(), req)
+	if err != nil {
+		return "", api.AnswerHead{}, err
+	}
+	defer ans.Close()
+	b, err := io.ReadAll(ans)
+	return string(b), ans.Head(), err
+}
+
+// outcome waits for the end of work on a grant.
+func (r *rig) outcome() api.Outcome {
+	r.t.Helper()
+	return receive(r.t, r.pool.ended)
+}
+
+func receive[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(waitLimit):
+		t.Fatal("nothing arrived")
+		panic("unreachable")
+	}
+}
+
+func engineRequest() *api.Request {
+	return &api.Request{
+		ID: "r1", Workspace: "w1", Pool: "llm", Method: "POST", Path: "/v1/chat/completions",
+		Header: map[string]string{"Content-Type": "application/json"}, Body: []byte(`{"model":"m1","stream":true}`),
+	}
+}
+
+func serviceRequest(method string) *api.Request {
+	r := &api.Request{ID: "r1", Workspace: "w1", Pool: "svc", Method: method, Path: "/count"}
+	if method == "POST" {
+		r.Body, r.NonIdempotent = []byte("x=1"), true
+	}
+	return r
+}
--- /dev/null
+++ b/plugin/entry/handler.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+)
+
+// wholeLimit bounds the answers that are read whole before they are written.
+const wholeLimit = 256 << 10 // bytes
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	conn, _ := ctx.Conn().(*callerConn)
+	if conn != nil {
+		defer conn.setState(stateServed)
+	}
+	s.stats.received.Add(len(ctx.Request.Body()))
+	r, refusal := s.parse(ctx)
+	if refusal != nil {
+		s.writeRefusal(ctx, refusal, r.ID)
+		s.closeIfDraining(ctx)
+		return
+	}
+	s.stats.request(r.Pool)
+	work, cancel := context.WithCancel(context.Background())
+	r.Gone = work.Done()
+	end := cancel
+	if conn != nil {
+		stop := conn.watch(func() { s.stats.gone.Inc(); cancel() })
+		end = func() { stop(); cancel() }
+	}
+	s.run(ctx, work, r, end)
+	s.closeIfDraining(ctx)
+}
+
+// run has the request dispatched and writes its answer. It calls end once the
+// caller need not be watched any more.
+func (s *Server) run(ctx *fasthttp.RequestCtx, work context.Context, r *api.Request, end func()) {
+	ans, err := s.dispatch.Do(work, r)
+	if err != nil {
+		end()
+		s.writeRefusal(ctx, asRefusal(err), r.ID)
+		return
+	}
+	head := ans.Head()
+	s.writeHead(ctx, &head, r.ID)
+	if r.Method == fasthttp.MethodHead {
+		defer end()
+		if head.Length >= 0 {
+			ctx.Response.Header.SetContentLength(int(head.Length))
+		}
+		ctx.Response.SkipBody = true
+		ans.Close() //nolint:errcheck // there is no body to lose
+		return
+	}
+	if head.Length >= 0 && head.Length <= wholeLimit {
+		defer end()
+		s.writeWhole(ctx, ans, int(head.Length), r.ID)
+		return
+	}
+	body := newBody(s, ans, &head, r.ID, end)
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.Response.SetBodyStream(body, int(head.Length))
+}
+
+func (s *Server) writeHead(ctx *fasthttp.RequestCtx, head *api.AnswerHead, id string) {
+	h := &ctx.Response.Header
+	ctx.Response.SetStatusCode(head.Status)
+	for k, v := range head.Header {
+		h.Set(k, v)
+	}
+	h.Set(headerID, id)
+	h.Set("X-Served-By", s.instance)
+	if head.Target != "" {
+		h.Set("X-Target", head.Target)
+	}
+}
+
+// writeWhole answers with a short body that is already at hand.
+func (s *Server) writeWhole(ctx *fasthttp.RequestCtx, ans api.Answer, length int, id string) {
+	defer ans.Close() //nolint:errcheck // the body was read to its end or is refused
+	var b bytes.Buffer
+	b.Grow(length + bytes.MinRead)
+	if _, err := io.Copy(&b, struct{ io.Reader }{ans}); err != nil {
+		s.stats.cut.Inc()
+		ctx.Response.Reset()
+		ctx.Response.Header.SetNoDefaultContentType(true)
+		s.writeRefusal(ctx, asRefusal(err), id)
+		return
+	}
+	ctx.Response.SetBodyRaw(b.Bytes())
+}
+
+// closeIfDraining asks the caller to use another connection, and so another
+// instance, for its next request.
+func (s *Server) closeIfDraining(ctx *fasthttp.RequestCtx) {
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
--- /dev/null
+++ b/plugin/entry/setup.go
@@ -0,0 +1,128 @@
+// Package entry is the HTTP server for callers: it checks and routes requests,
+// passes answers on as they arrive, and refuses with a truthful run state.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "entry",
+		Order: kernel.OrderEntry,
+		New:   func() kernel.Plugin { return &Server{} },
+	})
+}
+
+// Bounds of connections from callers.
+const (
+	readLimit    = 60 * time.Second  // of one request with its body
+	idleLimit    = 120 * time.Second // between two requests of a connection
+	writeLimit   = 30 * time.Second  // of one write to a caller that does not read
+	headerBuffer = 32 << 10          // bytes; bounds the head of a request
+	writeBuffer  = 16 << 10          // bytes
+)
+
+// Server is the HTTP server for callers. The zero value must be provisioned.
+type Server struct {
+	dispatch api.Dispatcher
+	fleet    api.Fleet
+
+	instance string
+	listen   string
+	grace    time.Duration
+	maxBody  int
+	log      *slog.Logger
+	events   *kernel.Events
+	stats    *stats
+	routes   atomic.Pointer[routes]
+
+	http     *fasthttp.Server
+	listener *listener
+	conns    *tracker
+	draining atomic.Bool
+}
+
+// Provision implements kernel.Plugin.
+func (s *Server) Provision(c *kernel.Context) error {
+	var err error
+	if s.dispatch, err = kernel.Lookup[api.Dispatcher](c); err != nil {
+		return err
+	}
+	if s.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
+		return err
+	}
+	s.instance, s.listen = c.Settings.Instance, c.Settings.Listen
+	s.grace, s.maxBody = c.Settings.StopGrace(), c.Settings.MaxBodyBytes()
+	s.log, s.events = c.Log, c.Events
+	s.conns = newTracker()
+	s.stats = newStats(c.Metrics, s.conns)
+	s.conns.bytes = s.stats.sent
+	s.http = s.newHTTP()
+	return nil
+}
+
+func (s *Server) newHTTP() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.handleMalformed,
+		Name:                         "nutmegd",
+		ReadTimeout:                  readLimit,
+		IdleTimeout:                  idleLimit,
+		ReadBufferSize:               headerBuffer,
+		WriteBufferSize:              writeBuffer,
+		MaxRequestBodySize:           s.maxBody,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
+		Logger:                       quiet{},
+	}
+}
+
+// Start implements kernel.Starter.
+func (s *Server) Start(d *kernel.Duties) error {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 3,
+	}}
+	ln, err := lc.Listen(d.Context(), "tcp", s.listen)
+	if err != nil {
+		return errors.WithMessage(err, "listen for callers")
+	}
+	s.listener = &listener{Listener: ln, conns: s.conns}
+	d.Go("entry server", s.serve)
+	return nil
+}
+
+// serve accepts callers until the listener closes.
+func (s *Server) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		s.listener.Close()
+		s.conns.closeAll()
+	})
+	defer stop()
+	err := s.http.Serve(s.listener)
+	if ctx.Err() != nil || s.draining.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errors.WithMessage(err, "serve callers")
+}
+
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// quiet drops the server's own log lines. Faults of callers are counted.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
