--- a/internal/fleetrun/fleetrun_test.go
+++ b/internal/fleetrun/fleetrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -16,9 +17,13 @@
 // and against links that bypass the relay's addresses.
 func TestPlanWritesValidFiles(t *testing.T) {
 	is := is.New(t)
-	l, err := Plan(Options{Dir: t.TempDir(), Links: true})
+	links := 0
+	l, err := Plan(Options{Dir: t.TempDir(), Link: func(from, to, target string) (string, error) {
+		links++
+		return fmt.Sprintf("127.0.0.2:%d", links), nil
+	}})
 	is.NoErr(err)
-	is.Equal(len(l.Links), 42)
+	is.Equal(links, 42)
 	own := map[string]bool{}
 	for _, r := range l.Routers {
 		own[r.Mesh] = true
--- a/internal/fleetrun/layout.go
+++ b/internal/fleetrun/layout.go
@@ -35,9 +35,9 @@
 	// 0 = 7, 3, 8, 4 and 16. Instances and targets are dealt to the data
 	// centres in turn.
 	Instances, Replicas, Engines, Services, Workspaces int
-	// Links gives each directed pair of instances an address of its own, to
-	// be put behind a relay. Without it instances address each other directly.
-	Links bool
+	// Link returns the address at which one instance reaches another's mesh
+	// address, for a relay in between; nil = they address each other directly.
+	Link func(from, to, target string) (string, error)
 	// Engine and Service are templates of the targets.
 	Engine, Service standin.Spec
 	// Pool adjusts both pools before the configuration is written.
@@ -46,13 +46,6 @@
 	Limits settings.Limits
 }
 
-// Link is the address at which one instance reaches another.
-type Link struct {
-	From, To string
-	Listen   string // address in From's settings
-	Target   string // To's own mesh address
-}
-
 // Instance is one router of the fleet.
 type Instance struct {
 	settings.Settings
@@ -69,7 +62,6 @@
 type Layout struct {
 	Options
 	Routers    []Instance
-	Links      []Link
 	Specs      []standin.Spec // targets, then the platform's list and the weight store
 	Config     *fleetconfig.Config
 	Workspaces []Workspace
@@ -146,50 +138,28 @@
 		}
 		l.Routers = append(l.Routers, Instance{Settings: s, File: filepath.Join(l.Dir, s.Instance+".json")})
 	}
-	if l.Options.Links {
-		if err := l.planLinks(); err != nil {
-			return err
-		}
-	}
 	for i := range l.Routers {
-		l.Routers[i].Peers = l.peersOf(l.Routers[i].Instance)
-	}
-	return nil
-}
-
-func (l *Layout) planLinks() error {
-	ports, err := freePorts(l.Instances * (l.Instances - 1))
-	if err != nil {
-		return err
-	}
-	for _, from := range l.Routers {
-		for _, to := range l.Routers {
-			if from.Instance == to.Instance {
-				continue
-			}
-			l.Links = append(l.Links, Link{from.Instance, to.Instance, address(ports[len(l.Links)]), to.Mesh})
+		if l.Routers[i].Peers, err = l.peersOf(l.Routers[i].Instance); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
 // peersOf lists all instances at the addresses at which one reaches them.
-func (l *Layout) peersOf(name string) []settings.Peer {
-	via := map[string]string{}
-	for _, link := range l.Links {
-		if link.From == name {
-			via[link.To] = link.Listen
-		}
-	}
+func (l *Layout) peersOf(name string) ([]settings.Peer, error) {
 	var out []settings.Peer
 	for _, r := range l.Routers {
 		p := settings.Peer{Instance: r.Instance, DataCentre: r.DataCentre, Mesh: r.Mesh, Disk: r.DataDir != ""}
-		if addr, ok := via[r.Instance]; ok {
-			p.Mesh = addr
+		if l.Link != nil && r.Instance != name {
+			var err error
+			if p.Mesh, err = l.Link(name, r.Instance, r.Mesh); err != nil {
+				return nil, err
+			}
 		}
 		out = append(out, p)
 	}
-	return out
+	return out, nil
 }
 
 func (l *Layout) planConfig() error {
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -213,3 +213,19 @@
 		a.gaps = append(a.gaps, now.Sub(last)/time.Duration(events))
 	}
 }
+
+// Send makes one attempt at one job and returns what became of it.
+func (p *Plan) Send(ctx context.Context, j *Job, addr string) (Verdict, string) {
+	s := newSender(p)
+	defer s.close()
+	a := s.send(ctx, j, addr, j.Body())
+	if a.unsent {
+		a.verdict = Refused
+	}
+	return a.verdict, a.code
+}
+
+// String names a verdict.
+func (v Verdict) String() string {
+	return [...]string{"whole", "refused", "unknown", "lost", "wrong"}[v]
+}
