Add fair share, target limits, the pool protocol and its two plug-ins

Cause: requests need a slot that one scheduler per pool gives out in fair order. Change: internal/fairness (start-time fair queueing, learned estimates), internal/limits (warm, cold, ramp, reports, orphans), internal/schedule (pure owner and router with a compact encoding), plugin/scheduler and plugin/pool. Conclusion: a request enqueued on one of three instances is granted by the owner, remote or local, and its slot is freed by Done (TestGrantAndDone with -race); takeover and faults are untested.

--- /dev/null
+++ b/internal/schedule/owner.go
@@ -0,0 +1,226 @@
+package schedule
+
+import (
+	"time"
+
+	"nutmegrouter/internal/fairness"
+	"nutmegrouter/internal/limits"
+)
+
+const (
+	// Window is the number of waiting requests of one workspace that a router
+	// announces. It bounds the owner's state.
+	Window = 64
+	// staleAfter is the silence after which a router gets no grants. Routers
+	// with waiting requests send every 250 ms and refuse grants that echo a
+	// clock value older than 1 s.
+	staleAfter = 800 * time.Millisecond
+	// askEvery is the interval between requests for the same full report.
+	askEvery = 200 * time.Millisecond
+	// ackLimit is how long grants may stay unacknowledged before a full report
+	// is requested. A router acknowledges with its next message.
+	ackLimit = 600 * time.Millisecond
+	// deadAfter is the silence after which a router without a lease is dead.
+	deadAfter = time.Second
+	// gateTime bounds the wait for the first load report after a takeover.
+	gateTime = time.Second
+	// spareWorkspaces is room for workspaces that routers know and the owner's
+	// view does not.
+	spareWorkspaces = 16
+)
+
+// Stats are counters of an owner. They only grow.
+type Stats struct {
+	Grants, Started, Settled, Refunded uint64
+	Gaps, Stale, Reports, Dropped      uint64
+	Lost                               uint64 // requests whose end was never reported
+}
+
+// Note is a change of state for the timeline.
+type Note struct {
+	Step   string
+	Peer   string
+	Target string
+	Detail string
+}
+
+// maxNotes bounds the notes kept between two calls of Notes.
+const maxNotes = 256
+
+// Owner schedules one pool during one epoch of ownership.
+type Owner struct {
+	Stats Stats
+
+	pool  string
+	epoch uint64
+	fair  *fairness.Table
+	lim   *limits.Set
+	peers map[string]*peer
+	order []*peer
+	dirty []*peer
+	free  *request
+
+	open       bool
+	workspaces int
+	table      ServiceMsg // newest copy offered by a report
+	seq        uint64     // number of the last copy sent; starts at the clock, so that it grows if one instance owns an epoch twice
+	forgot     time.Duration
+	notes      []Note
+	msg        GrantMsg
+}
+
+// NewOwner returns an owner that waits for the reports of all instances. The
+// map gives the data centre of each instance, this one included.
+func NewOwner(pool string, epoch uint64, instances map[string]string, now time.Duration) *Owner {
+	o := &Owner{
+		pool: pool, epoch: epoch, forgot: now, seq: toMs(now),
+		fair: fairness.New(), lim: limits.NewSet(),
+		peers: make(map[string]*peer, len(instances)),
+	}
+	for name, dc := range instances {
+		p := &peer{name: name, dataCentre: dc, heard: now, requests: map[uint64]*request{}}
+		o.peers[name] = p
+		o.order = append(o.order, p)
+		o.ask(p, now)
+	}
+	return o
+}
+
+// Pool returns the name of the pool.
+func (o *Owner) Pool() string { return o.pool }
+
+// Epoch returns the epoch of ownership.
+func (o *Owner) Epoch() uint64 { return o.epoch }
+
+// Open reports whether all instances have reported or hold no lease.
+func (o *Owner) Open() bool { return o.open }
+
+// Limits gives access to the targets.
+func (o *Owner) Limits() *limits.Set { return o.lim }
+
+// Fair gives access to the accounts.
+func (o *Owner) Fair() *fairness.Table { return o.fair }
+
+// SetWeights sets the weights of the configured workspaces.
+func (o *Owner) SetWeights(weights map[string]float64) {
+	o.workspaces = len(weights)
+	o.fair.SetWeights(weights)
+}
+
+// Notes returns and clears the changes of state. The slice is reused.
+func (o *Owner) Notes() []Note {
+	for _, c := range o.lim.Changes() {
+		o.note(Note{Step: "target", Target: c.Target, Detail: c.What})
+	}
+	n := o.notes
+	o.notes = o.notes[:0]
+	return n
+}
+
+func (o *Owner) note(n Note) {
+	if len(o.notes) < maxNotes {
+		o.notes = append(o.notes, n)
+	}
+}
+
+// Schedule makes grants until no request waits or no target has room, and
+// returns their number.
+func (o *Owner) Schedule(now time.Duration) int {
+	if !o.open {
+		return 0
+	}
+	count := 0
+	for o.Decide(now) {
+		count++
+	}
+	return count
+}
+
+// Decide makes one scheduling decision and reports whether it granted. It costs
+// at most the logarithm of the workspaces and of the targets, and allocates
+// nothing once the buffers have grown.
+func (o *Owner) Decide(now time.Duration) bool {
+	w := o.fair.Min()
+	if w == nil {
+		return false
+	}
+	r := w.Data.(*queue).head
+	t := o.lim.Pick(r.peer.dataCentre, r.avoid)
+	if t == nil {
+		return false
+	}
+	r.estimate = o.fair.Charge(w, r.kind, r.hint)
+	o.dequeue(r)
+	o.lim.Begin(t, &r.work, now)
+	o.send(r.peer, Grant{r.n, t.Name, r.estimate}, now)
+	o.Stats.Grants++
+	return true
+}
+
+func (o *Owner) send(p *peer, g Grant, now time.Duration) {
+	if p.mark == 0 {
+		p.markAt = now
+	}
+	p.out = append(p.out, g)
+	p.sent++
+	if p.mark == 0 {
+		p.mark = p.sent
+	}
+	o.touch(p)
+}
+
+func (o *Owner) touch(p *peer) {
+	if !p.dirty {
+		p.dirty = true
+		o.dirty = append(o.dirty, p)
+	}
+}
+
+// Flush passes the messages due to a function. The message is valid only during
+// the call. If the function returns false the message is lost, and the router's
+// acknowledgements will show it.
+func (o *Owner) Flush(send func(to string, m *GrantMsg) bool) {
+	for _, p := range o.dirty {
+		p.dirty = false
+		if len(p.out) == 0 && !p.want {
+			continue
+		}
+		o.msg = GrantMsg{
+			Pool: o.pool, Epoch: o.epoch, Inc: p.inc, Gen: p.gen, Clock: p.clock,
+			First: p.sent - uint64(len(p.out)), Want: p.want, List: p.out,
+		}
+		if !send(p.name, &o.msg) {
+			o.Stats.Dropped++
+		}
+		p.out, p.want = p.out[:0], false
+	}
+	o.dirty = o.dirty[:0]
+}
+
+// Pending reports whether Flush has messages.
+func (o *Owner) Pending() bool { return len(o.dirty) > 0 }
+
+// ask requests a full report, at most once in askEvery.
+func (o *Owner) ask(p *peer, now time.Duration) {
+	if p.askedAt && now-p.asked < askEvery {
+		return
+	}
+	p.askedAt, p.asked, p.want = true, now, true
+	o.touch(p)
+}
+
+// Service fills a copy of the virtual service table: the accounts in use, or all.
+func (o *Owner) Service(m *ServiceMsg, all bool) {
+	o.seq++
+	m.Pool, m.Epoch, m.Seq, m.Virtual = o.pool, o.epoch, o.seq, o.fair.VirtualTime()
+	m.Rows = o.fair.Rows(m.Rows[:0], all)
+}
+
+// Waiting returns the number of announced requests that wait.
+func (o *Owner) Waiting() int {
+	n := 0
+	for _, p := range o.order {
+		n += p.waiting
+	}
+	return n
+}
--- /dev/null
+++ b/plugin/pool/queue.go
@@ -0,0 +1,156 @@
+package pool
+
+import (
+	"net/http"
+	"time"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/schedule"
+)
+
+const step = "queue"
+
+// refusal returns a refusal of a request that has not reached any target.
+func refusal(code, text string, status int, retry time.Duration) *api.Refusal {
+	return &api.Refusal{Code: code, Message: text, Status: status, Run: api.NotRun, RetryAfter: retry, Step: step}
+}
+
+// Enqueue implements api.Pool.
+func (c *Client) Enqueue(d api.Demand) (api.Ticket, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshView()
+	now := c.now()
+	limit, known := c.view.limit(d.Pool, d.Workspace)
+	if !known {
+		return nil, c.refuse("", unknownPool())
+	}
+	if r := c.refusesAll(now); r != nil {
+		return nil, c.refuse(d.Pool, r)
+	}
+	it, retry := c.router(d.Pool).Enqueue(d, limit, now)
+	if it == nil {
+		return nil, c.refuse(d.Pool, refusal("queue_full", "too many requests of the workspace wait", http.StatusTooManyRequests, retry))
+	}
+	c.queued++
+	t := &ticket{client: c, item: it, granted: make(chan api.Grant, 1)}
+	it.Data = t
+	c.kick()
+	return t, nil
+}
+
+// refusesAll returns why no request is accepted now, or nil.
+func (c *Client) refusesAll(now time.Duration) *api.Refusal {
+	switch {
+	case c.draining:
+		return refusal("stopping", "the instance is stopping", http.StatusServiceUnavailable, time.Second)
+	case c.leaseLost(now):
+		return noLease()
+	case c.queued >= c.kernel.Settings.MaxWaiting():
+		return refusal("instance_full", "too many requests wait on the instance", http.StatusServiceUnavailable, time.Second)
+	}
+	return nil
+}
+
+func unknownPool() *api.Refusal {
+	return refusal("unknown_pool", "the pool is not configured", http.StatusNotFound, 0)
+}
+
+func noLease() *api.Refusal {
+	return refusal("no_lease", "the instance is cut off from the majority", http.StatusServiceUnavailable, time.Second)
+}
+
+// leaseLost reports whether the lease has been invalid for longer than the grace.
+func (c *Client) leaseLost(now time.Duration) bool {
+	if c.lease.Valid() {
+		c.invalid = 0
+		return false
+	}
+	if c.invalid == 0 {
+		c.invalid = now
+	}
+	return now-c.invalid >= leaseGrace
+}
+
+func (c *Client) refuse(pool string, r *api.Refusal) *api.Refusal {
+	c.count(pool).refused(r.Code)
+	return r
+}
+
+func (c *Client) router(pool string) *schedule.Router {
+	r := c.routers[pool]
+	if r == nil {
+		r = schedule.NewRouter(pool, c.incarnation)
+		c.routers[pool] = r
+		c.syncOwner(pool, r)
+	}
+	return r
+}
+
+func (c *Client) syncOwner(pool string, r *schedule.Router) {
+	if owner, epoch, ok := c.lease.Owner(pool); ok {
+		_, was := r.Owner()
+		r.SetOwner(owner, epoch)
+		if epoch > was {
+			c.kernel.Events.Record(kernel.Event{Kind: "pool", Step: "owner", Pool: pool, Peer: owner, Epoch: epoch})
+		}
+	}
+}
+
+// tick handles deadlines, the lease and changes of ownership.
+func (c *Client) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.refreshView()
+	c.addRouters()
+	lost := c.leaseLost(now)
+	for pool, r := range c.routers {
+		c.syncOwner(pool, r)
+		for _, it := range r.Tick(now) {
+			c.end(pool, it, refusal("deadline", "the deadline passed in the queue", http.StatusGatewayTimeout, time.Second))
+		}
+		switch {
+		case r.Queued() == 0:
+		case lost:
+			c.refuseWaiting(pool, r, noLease, now)
+		case !c.view.pools[pool]:
+			c.refuseWaiting(pool, r, unknownPool, now)
+		}
+	}
+	c.kick()
+}
+
+// addRouters makes a router for each pool, because a new owner waits for the
+// report of every instance, also of those that never had a request.
+func (c *Client) addRouters() {
+	for pool := range c.view.pools {
+		c.router(pool)
+	}
+}
+
+func (c *Client) refuseWaiting(pool string, r *schedule.Router, why func() *api.Refusal, now time.Duration) {
+	for _, it := range r.RefuseAll(now) {
+		c.end(pool, it, why())
+	}
+	c.kernel.Events.Record(kernel.Event{Kind: "pool", Step: "refuse waiting", Pool: pool, Detail: why().Code})
+}
+
+// end refuses a request that has left the queue.
+func (c *Client) end(pool string, it *schedule.Item, r *api.Refusal) {
+	t := it.Data.(*ticket)
+	t.refusal.Store(c.refuse(pool, r))
+	c.leave(t)
+	close(t.granted)
+}
+
+// leave counts a request out of the queue once.
+func (c *Client) leave(t *ticket) {
+	if !t.left {
+		t.left = true
+		c.queued--
+	}
+}
+
+func (c *Client) now() time.Duration { return c.kernel.Clock.Now() }
--- /dev/null
+++ b/plugin/pool/setup.go
@@ -0,0 +1,155 @@
+// Package pool queues the requests of this router until the scheduler of their
+// pool grants them. It provides api.Pool.
+package pool
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/schedule"
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	// flushEvery is the shortest time between two batches of messages. The
+	// first message after a pause of this length goes out at once.
+	flushEvery = time.Millisecond
+	// leaseGrace is how long requests wait for a lease to come back.
+	leaseGrace = 500 * time.Millisecond
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "pool",
+		Order: kernel.OrderPool,
+		New:   func() kernel.Plugin { return &Client{} },
+	})
+}
+
+// Client implements api.Pool. The lock guards all routers; no call is made under
+// it that waits.
+type Client struct {
+	kernel *kernel.Context
+	mesh   api.Mesh
+	lease  api.Lease
+	fleet  api.Fleet
+	owner  schedule.Local
+	bad    func()
+	flush  chan struct{} // something may be due
+
+	mu          sync.Mutex
+	incarnation uint64
+	routers     map[string]*schedule.Router
+	view        view
+	queued      int
+	draining    bool
+	invalid     time.Duration // since when the lease is invalid; 0 = it is valid
+	flushed     time.Duration
+	counts      map[string]*counters
+}
+
+// Provision implements kernel.Plugin.
+func (c *Client) Provision(k *kernel.Context) (err error) {
+	if c.mesh, err = kernel.Lookup[api.Mesh](k); err != nil {
+		return err
+	}
+	if c.lease, err = kernel.Lookup[api.Lease](k); err != nil {
+		return err
+	}
+	if c.fleet, err = kernel.Lookup[api.Fleet](k); err != nil {
+		return err
+	}
+	if c.owner, err = kernel.Lookup[schedule.Local](k); err != nil {
+		return err
+	}
+	c.kernel = k
+	c.flush = make(chan struct{}, 1)
+	c.routers, c.counts = map[string]*schedule.Router{}, map[string]*counters{}
+	// 32 bits tell the processes of one instance apart and stay short on the wire.
+	c.incarnation = uint64(rand.Uint32()) + 1
+	bad := k.Metrics.GetOrCreateCounter(`nutmeg_sched_bad_messages_total{at="router"}`)
+	c.bad = bad.Inc
+	k.Metrics.NewGauge("nutmeg_pool_waiting", func() float64 { return float64(c.waiting()) })
+	c.mesh.Handle(schedule.MethodGrant, c.onGrant)
+	c.mesh.Handle(schedule.MethodService, c.onService)
+	c.lease.OnChange(c.kick)
+	c.owner.Attach(c)
+	return kernel.Provide[api.Pool](k, c)
+}
+
+// Start implements kernel.Starter.
+func (c *Client) Start(d *kernel.Duties) error {
+	d.Go("pool messages", c.send)
+	d.Every("pool clock", tickEvery, func(context.Context) { c.tick() })
+	return nil
+}
+
+// Drain implements api.Pool and kernel.Drainer: it refuses new requests and
+// waits until no request waits or runs.
+func (c *Client) Drain(ctx context.Context) error {
+	c.mu.Lock()
+	c.draining = true
+	c.mu.Unlock()
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		if waiting, running := c.load(); waiting+running == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.WithMessage(ctx.Err(), "drain pool")
+		case <-t.C:
+		}
+	}
+}
+
+func (c *Client) load() (waiting, running int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.routers {
+		waiting += r.Queued()
+		running += r.Running()
+	}
+	return waiting, running
+}
+
+func (c *Client) waiting() int {
+	waiting, _ := c.load()
+	return waiting
+}
+
+func (c *Client) onGrant(_ context.Context, from string, params json.RawMessage) (any, error) {
+	m := &schedule.GrantMsg{}
+	if err := m.UnmarshalJSON(params); err != nil {
+		c.bad()
+		return nil, errors.WithMessagef(err, "grant from %s", from)
+	}
+	c.Grant(from, m)
+	return nil, nil
+}
+
+func (c *Client) onService(_ context.Context, from string, params json.RawMessage) (any, error) {
+	m := &schedule.ServiceMsg{}
+	if err := m.UnmarshalJSON(params); err != nil {
+		c.bad()
+		return nil, errors.WithMessagef(err, "service table from %s", from)
+	}
+	c.Service(from, m)
+	return nil, nil
+}
+
+// kick makes the sender look for messages that are due. It never blocks.
+func (c *Client) kick() {
+	select {
+	case c.flush <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/plugin/pool/ticket.go
@@ -0,0 +1,54 @@
+package pool
+
+import (
+	"sync/atomic"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/schedule"
+)
+
+// ticket implements api.Ticket.
+type ticket struct {
+	client  *Client
+	item    *schedule.Item
+	granted chan api.Grant
+	refusal atomic.Pointer[api.Refusal]
+	left    bool // counted out of the queue; guarded by the client's lock
+}
+
+// Granted implements api.Ticket.
+func (t *ticket) Granted() <-chan api.Grant { return t.granted }
+
+// Refusal implements api.Ticket.
+func (t *ticket) Refusal() *api.Refusal { return t.refusal.Load() }
+
+// Confirm implements api.Ticket.
+func (t *ticket) Confirm(w api.Warmth, boot uint64) {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routers[t.item.Demand.Pool].Confirm(t.item, w, boot, c.now())
+	c.kick()
+}
+
+// Done implements api.Ticket.
+func (t *ticket) Done(o api.Outcome) {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.item.Started() {
+		c.count(t.item.Demand.Pool).ended(o.Result)
+	}
+	c.routers[t.item.Demand.Pool].Done(t.item, o, c.now())
+	c.kick()
+}
+
+// Cancel implements api.Ticket.
+func (t *ticket) Cancel() {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routers[t.item.Demand.Pool].Cancel(t.item, c.now())
+	c.leave(t)
+	c.kick()
+}
