--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -9,7 +9,7 @@
 const (
 	// enoughSamples is the number of completions after which a learned mean
 	// replaces the caller's hint.
-	enoughSamples = 8
+	enoughSamples = 4
 	// meanWindow is the number of completions over which the mean moves.
 	meanWindow = 32
 	// hintSpread bounds a hint to this factor either side of the pool's mean.
@@ -64,16 +64,17 @@
 		return m.value
 	}
 	pool := t.means[kind]
-	if pool.count < enoughSamples {
-		pool = t.all
-	}
 	switch {
-	case hint > 0 && pool.count > 0:
+	case hint > 0 && pool.count >= enoughSamples:
 		return clampCost(math.Min(math.Max(hint, pool.value/hintSpread), pool.value*hintSpread))
 	case hint > 0:
+		// The mean of other kinds is no bound: cheap requests complete first, so
+		// early means are far below the cost of a long request.
 		return clampCost(hint)
 	case pool.count > 0:
 		return pool.value
+	case t.all.count > 0:
+		return t.all.value
 	}
 	return defaultCost
 }
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"nutmegrouter/internal/fairness"
@@ -77,8 +79,8 @@
 		fair: fairness.New(), lim: limits.NewSet(),
 		peers: make(map[string]*peer, len(instances)),
 	}
-	for name, dc := range instances {
-		p := &peer{name: name, dataCentre: dc, heard: now, requests: map[uint64]*request{}}
+	for _, name := range slices.Sorted(maps.Keys(instances)) {
+		p := &peer{name: name, dataCentre: instances[name], heard: now, requests: map[uint64]*request{}}
 		o.peers[name] = p
 		o.order = append(o.order, p)
 		o.ask(p, now)
