Test callers that leave, broken answers, refusals and the planned stop

Cause: nothing showed that a caller's disconnect frees its place, that a cut answer never looks whole, or that a stop cuts nothing. Change: tests over loopback sockets; a request with both a length and chunks is refused; HTTP/1.0 callers get answers of unknown length whole, because fasthttp sends them chunks; a body is not read without a valid key; an error event no longer contains the end mark that callers search for.

--- /dev/null
+++ b/plugin/dispatch/callers_test.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/api"
+)
+
+// call sends a request on a connection of its own and returns the connection.
+func (r *rig) call(addr, path, body string) net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(addr, "http://"))
+	must(r.t, err)
+	r.t.Cleanup(func() { c.Close() })
+	must(r.t, c.SetDeadline(time.Now().Add(waitLimit)))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	must(r.t, err)
+	return c
+}
+
+// Guards against a queue place that stays taken after its caller left.
+func TestCallerGoneWhileQueued(t *testing.T) {
+	r := newRig(t, newTarget(t, "t1", numbered(ok)))
+	r.pool.hold = true
+	_, url := r.serve()
+	c := r.call(url, "/v1/pools/svc/x", "")
+	eventually(t, "queued", func() bool { r.pool.mu.Lock(); defer r.pool.mu.Unlock(); return len(r.pool.demands) == 1 })
+	c.Close()
+	eventually(t, "cancelled", func() bool { r.pool.mu.Lock(); defer r.pool.mu.Unlock(); return r.pool.cancels == 1 })
+}
+
+// Guards against a slot and a target's work that go on after the caller left
+// before the head of the answer.
+func TestCallerGoneBeforeHead(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { w.silent(); close(left) }))
+	r := newRig(t, target)
+	r.patient()
+	_, url := r.serve()
+	c := r.call(url, "/v1/pools/svc/x", "")
+	eventually(t, "sent", func() bool { return len(target.work()) == 1 })
+	c.Close()
+	is.Equal(r.outcome().Result, api.ResultCancelled)
+	receive(t, left) // the connection to the target was closed
+	is.Equal(len(target.work()), 1)
+}
+
+// Guards against an engine that goes on generating after the caller left a
+// stream, and against a slot that is freed before the engine has stopped.
+func TestCallerGoneWhileStreaming(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { begun(w, 2); w.silent() }))
+	r := newRig(t, target)
+	r.patient()
+	_, url := r.serve()
+	c := r.call(url, "/v1/pools/llm/v1/completions", "{}")
+	br := bufio.NewReader(c)
+	for line := ""; line != "id: 2\n"; {
+		var err error
+		line, err = br.ReadString('\n')
+		is.NoErr(err)
+	}
+	c.Close()
+	is.Equal(r.outcome().Result, api.ResultCancelled)
+	is.Equal(len(target.cancels()), 1) // before the slot was freed
+	is.Equal(target.cancels()[0].URL.Path, "/v1/streams/s1/cancel")
+	is.Equal(len(target.work()), 1) // no resume for nobody
+}
+
+// Guards against a stream that breaks and looks whole to the caller.
+func TestCallerSeesBrokenStream(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, newTarget(t, "t1", numbered(dies(2, refusesResume))))
+	_, url := r.serve()
+	resp, err := http.DefaultClient.Do(newRequest(t, "POST", url+"/v1/pools/llm/v1/completions", "{}"))
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.Equal(err, io.ErrUnexpectedEOF) // no end mark
+	is.True(strings.HasPrefix(string(b), eventText(1)+eventText(2)+"event: error\ndata: {"))
+	is.True(!strings.Contains(string(b), "[DONE]"))
+}
+
+// Guards against a truncated answer of known length that looks whole.
+func TestCallerSeesTruncatedAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) {
+		w.raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 4*bufferLimit))
+		w.raw(strings.Repeat("x", 2*bufferLimit))
+		w.Close()
+	})))
+	_, url := r.serve()
+	resp, err := http.DefaultClient.Do(newRequest(t, "GET", url+"/v1/pools/svc/x", ""))
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.Equal(r.outcome().Result, api.ResultFailed)
+}
+
+// Guards against a truncated stream that an HTTP/1.0 caller, who knows no
+// chunks, takes for whole.
+func TestOldCallerSeesBrokenStream(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, newTarget(t, "t1", numbered(dies(2, refusesResume))))
+	_, url := r.serve()
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /v1/pools/llm/v1/completions HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 2\r\n\r\n{}")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 502)
+	is.Equal(resp.Header.Get("X-Run"), "unknown")
+}
+
+// Guards against a planned stop that cuts streams, refuses requests while it
+// still accepts, or waits for idle connections.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	const streams = 8
+	release := make(chan struct{})
+	target := newTarget(t, "t1", numbered(func(w *wire, r *seen, _ int) {
+		if r.URL.Path == "/count" {
+			w.plain(200, "ok")
+			return
+		}
+		w.stream("s1")
+		w.events(1, 2)
+		<-release
+		w.events(3, 5)
+		w.done(6)
+	}))
+	r := newRig(t, target)
+	r.patient()
+	s, url := r.serve()
+	bodies := make(chan string, streams)
+	for range streams {
+		go func() {
+			resp, err := http.DefaultClient.Do(newRequest(t, "POST", url+"/v1/pools/llm/v1/completions", "{}"))
+			if err != nil {
+				bodies <- err.Error()
+				return
+			}
+			b, err := io.ReadAll(resp.Body)
+			bodies <- fmt.Sprint(string(b), err)
+		}()
+	}
+	eventually(t, "streams begun", func() bool { return len(target.work()) == streams })
+	idle := r.call(url, "/v1/pools/svc/count", "")
+	resp, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	is.NoErr(err)
+	is.Equal(resp.Close, false)
+
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	eventually(t, "listener closed", func() bool {
+		resp, err := http.DefaultClient.Do(newRequest(t, "GET", url+"/v1/pools/svc/count", ""))
+		if err != nil {
+			return true
+		}
+		b, _ := io.ReadAll(resp.Body)
+		is.Equal(string(b), "ok") // nothing is refused because of the stop
+		return false
+	})
+	_, err = io.ReadAll(idle)
+	is.NoErr(err) // the idle connection is closed cleanly
+	select {
+	case <-drained:
+		t.Fatal("drained with streams under way")
+	default:
+	}
+	close(release)
+	for range streams {
+		is.Equal(receive(t, bodies), allEvents(5)+"<nil>")
+	}
+	is.NoErr(receive(t, drained))
+}
+
+// Guards against callers that get each other's bytes, over many requests that
+// share connections to targets.
+func TestConcurrentCallers(t *testing.T) {
+	is := is.New(t)
+	echo := func(w *wire, r *seen, n int) {
+		if r.URL.Path == "/count" {
+			w.plain(200, r.body)
+			return
+		}
+		w.stream(fmt.Sprint("s", n))
+		for i := 1; i <= 20; i++ {
+			w.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.body))
+		}
+		w.chunk("id: 21\ndata: [DONE]\n\n")
+		w.raw("0\r\n\r\n")
+	}
+	r := newRig(t, newTarget(t, "t1", numbered(echo)))
+	r.patient()
+	_, url := r.serve()
+	var callers sync.WaitGroup
+	faults := make(chan string, 1000)
+	for k := range 16 {
+		callers.Go(func() {
+			for n := range 25 {
+				body := fmt.Sprintf("caller-%d-%d", k, n)
+				path, want := "/v1/pools/svc/count", body
+				if (k+n)%2 == 0 {
+					path, want = "/v1/pools/llm/v1/completions", streamOf(body)
+				}
+				resp, err := http.DefaultClient.Do(newRequest(t, "POST", url+path, body))
+				if err != nil {
+					faults <- err.Error()
+					continue
+				}
+				b, err := io.ReadAll(resp.Body)
+				if err != nil || !bytes.Equal(b, []byte(want)) {
+					faults <- fmt.Sprintf("want %q, got %q, %v", want, b, err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(faults)
+	for f := range faults {
+		t.Error(f)
+	}
+	is.Equal(len(r.pool.outcomes), 16*25) // each request ended its work once
+}
+
+func streamOf(body string) string {
+	var b strings.Builder
+	for i := 1; i <= 20; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, body)
+	}
+	return b.String() + "id: 21\ndata: [DONE]\n\n"
+}
--- a/plugin/dispatch/fakes_test.go
+++ b/plugin/dispatch/fakes_test.go
@@ -417,3 +417,26 @@
 	}
 	return r
 }
+
+// patient sets silence limits that no test reaches.
+func (r *rig) patient() {
+	v := *r.fleet.View()
+	cfg := *v.Config
+	cfg.Pools = append([]fleetconfig.Pool(nil), cfg.Pools...)
+	for i := range cfg.Pools {
+		cfg.Pools[i].SilenceLimitMs = int(2 * waitLimit / time.Millisecond)
+	}
+	v.Revision, v.Config = v.Revision+1, &cfg
+	r.fleet.Install(&v)
+}
+
+// eventually waits for a condition that must come true.
+func eventually(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatal("did not happen: " + what)
+}
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -10,7 +10,8 @@
 )
 
 var (
-	errNoDone   = errors.New("the stream ended without [DONE]")
+	// The text does not name the end mark, because callers search for it.
+	errNoDone   = errors.New("the stream ended before its end mark")
 	errSequence = errors.New("events are missing from the stream")
 	errGone     = errors.New("the caller closed the connection")
 )
--- /dev/null
+++ b/plugin/entry/entry_test.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/plugin/fleet"
+)
+
+// waitLimit bounds failing tests only.
+const waitLimit = 20 * time.Second
+
+// secretHash is the SHA-256 of the bearer key "secret".
+const secretHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+// fakeDispatcher records requests and answers by a function.
+type fakeDispatcher struct {
+	mu     sync.Mutex
+	seen   []api.Request
+	answer func(r *api.Request) (api.Answer, error)
+}
+
+func (d *fakeDispatcher) Do(_ context.Context, r *api.Request) (api.Answer, error) {
+	d.mu.Lock()
+	d.seen = append(d.seen, *r)
+	d.mu.Unlock()
+	return d.answer(r)
+}
+
+func (d *fakeDispatcher) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.seen)
+}
+
+// fakeAnswer is an answer whose body comes from a reader.
+type fakeAnswer struct {
+	io.Reader
+	head   api.AnswerHead
+	closed chan struct{}
+}
+
+func (a *fakeAnswer) Head() api.AnswerHead { return a.head }
+func (a *fakeAnswer) Close() error {
+	if a.closed != nil {
+		close(a.closed)
+	}
+	return nil
+}
+
+func text(body string) (api.Answer, error) {
+	return &fakeAnswer{Reader: strings.NewReader(body), head: api.AnswerHead{
+		Status: 200, Length: int64(len(body)), Target: "t1", Header: map[string]string{"Content-Type": "text/plain"},
+	}}, nil
+}
+
+func newServer(t testing.TB, d *fakeDispatcher) *Server {
+	t.Helper()
+	cfg := &settings.Settings{Instance: "a1", Listen: "127.0.0.1:0"}
+	cfg.Limits.MaxBodyBytes, cfg.Limits.StopGraceMs = 1<<20, 50
+	c := kernel.NewContext(cfg, slog.New(slog.DiscardHandler), kernel.NewClock())
+	f := &fleet.Holder{}
+	must(t, f.Provision(c))
+	must(t, kernel.Provide[api.Dispatcher](c, d))
+	s := &Server{}
+	must(t, s.Provision(c))
+	f.Install(&api.View{Revision: 1, Config: &fleetconfig.Config{
+		Workspaces: []fleetconfig.Workspace{{Name: "w1", KeyHashes: []string{secretHash}}},
+		Pools: []fleetconfig.Pool{
+			{Name: "llm", Kind: fleetconfig.KindEngine, Model: "m1"},
+			{Name: "svc", Kind: fleetconfig.KindService},
+			{Name: "idem", Kind: fleetconfig.KindService, Idempotent: true},
+		},
+	}})
+	ctx, stop := context.WithCancel(context.Background())
+	duties := kernel.NewDuties(ctx)
+	must(t, s.Start(duties))
+	t.Cleanup(func() {
+		stop()
+		must(t, duties.Wait())
+		must(t, s.Cleanup())
+	})
+	return s
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func dial(t testing.TB, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	must(t, err)
+	t.Cleanup(func() { c.Close() })
+	must(t, c.SetDeadline(time.Now().Add(waitLimit)))
+	return c
+}
+
+// exchange sends raw bytes and reads one response.
+func exchange(t testing.TB, s *Server, raw string) (*http.Response, string) {
+	t.Helper()
+	c := dial(t, s)
+	go io.WriteString(c, raw)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must(t, err)
+	b, err := io.ReadAll(resp.Body)
+	must(t, err)
+	return resp, string(b)
+}
+
+const auth = "Host: x\r\nAuthorization: Bearer secret\r\n"
+
+// Guards against requests that reach a target although they must be refused:
+// without a key, to unknown places, malformed, too large, or open to two
+// readings (request smuggling), and against refusals that do not say "not run".
+func TestRefusals(t *testing.T) {
+	post := func(path, headers, body string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\n%s%sContent-Length: %d\r\n\r\n%s", path, auth, headers, len(body), body)
+	}
+	cases := []struct {
+		name, raw string
+		status    int
+		code      string
+	}{
+		{"no key", "GET /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\n\r\n", 401, codeUnauthorized},
+		{"no key, large body", "POST /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000), 401, codeUnauthorized},
+		{"wrong key", "GET /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret2\r\n\r\n", 401, codeUnauthorized},
+		{"wrong scheme", "GET /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\nAuthorization: Basic secret\r\n\r\n", 401, codeUnauthorized},
+		{"key hash as key", "GET /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + secretHash + "\r\n\r\n", 401, codeUnauthorized},
+		{"unknown pool", "GET /v1/pools/none/x HTTP/1.1\r\n" + auth + "\r\n", 404, codeUnknownPool},
+		{"unknown path", "GET /v2/x HTTP/1.1\r\n" + auth + "\r\n", 404, codeUnknownPath},
+		{"orders to an engine", post("/v1/pools/llm/orders", "", "{}"), 404, codeUnknownPath},
+		{"cancel of a stream", post("/v1/pools/llm/v1/streams/s1/cancel", "", ""), 404, codeUnknownPath},
+		{"parent path", "GET /v1/pools/svc/a/%2e%2E/b HTTP/1.1\r\n" + auth + "\r\n", 400, codeBadRequest},
+		{"unknown model", post("/v1/chat/completions", "", `{"model":"m9"}`), 404, codeUnknownModel},
+		{"no model", post("/v1/chat/completions", "", `{`), 400, codeBadRequest},
+		{"GET completions", "GET /v1/completions HTTP/1.1\r\n" + auth + "\r\n", 405, codeMethod},
+		{"method", "TRACE /v1/pools/svc/x HTTP/1.1\r\n" + auth + "\r\n", 405, codeMethod},
+		{"connect", "CONNECT x:1 HTTP/1.1\r\n" + auth + "\r\n", 405, codeMethod},
+		{"absolute target", "GET http://y/v1/pools/svc/x HTTP/1.1\r\n" + auth + "\r\n", 400, codeBadRequest},
+		{"body too large", post("/v1/pools/svc/x", "", strings.Repeat("x", 1<<20+1)), 413, codeTooLarge},
+		{"chunked body too large", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 0x200000) + "\r\n0\r\n\r\n", 413, codeTooLarge},
+		{"head too large", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "X-A: " + strings.Repeat("x", headerBuffer) + "\r\n\r\n", 431, codeHeadLarge},
+		{"body with GET", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: 3\r\n\r\nabc", 400, codeBadRequest},
+		{"two lengths", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400, codeBadRequest},
+		{"length and chunks", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, codeBadRequest},
+		{"unknown coding", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Transfer-Encoding: gzip, x\r\n\r\n", 400, codeBadRequest},
+		{"bad length", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: -1\r\n\r\n", 400, codeBadRequest},
+		{"bad chunk", "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, codeBadRequest},
+		{"no host", "GET /v1/pools/svc/x HTTP/1.1\r\nAuthorization: Bearer secret\r\n\r\n", 400, codeBadRequest},
+		{"two keys", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Authorization: Bearer b\r\n\r\n", 400, codeBadRequest},
+		{"two idempotency keys", post("/v1/pools/svc/x", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n", ""), 400, codeBadRequest},
+		{"space before colon", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "X-A : b\r\n\r\n", 400, codeBadRequest},
+		{"control character", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "X-A: b\x01\r\n\r\n", 400, codeBadRequest},
+		{"bad header name", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "X(A: b\r\n\r\n", 400, codeBadRequest},
+		{"no version", "GET /v1/pools/svc/x\r\n\r\n", 400, codeBadRequest},
+		{"not HTTP", "\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, codeBadRequest},
+		{"bad request id", "GET /v1/pools/svc/x HTTP/1.1\r\n" + auth + "X-Request-Id: a b\r\n\r\n", 400, codeBadRequest},
+		{"bad hint", post("/v1/pools/svc/x", "X-Cost-Hint: NaN\r\n", ""), 400, codeBadRequest},
+		{"negative hint", post("/v1/pools/svc/x", "X-Cost-Hint: -1\r\n", ""), 400, codeBadRequest},
+		{"bad class", post("/v1/pools/svc/x", "X-Cost-Class: huge\r\n", ""), 400, codeBadRequest},
+		{"bad deadline", post("/v1/pools/svc/x", "X-Deadline-Ms: 0\r\n", ""), 400, codeBadRequest},
+		{"bad mark", post("/v1/pools/svc/x", "X-Non-Idempotent: maybe\r\n", ""), 400, codeBadRequest},
+		{"long key", post("/v1/pools/svc/x", "Idempotency-Key: "+strings.Repeat("k", 256)+"\r\n", ""), 400, codeBadRequest},
+	}
+	d := &fakeDispatcher{answer: func(*api.Request) (api.Answer, error) { return text("ok") }}
+	s := newServer(t, d)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			resp, body := exchange(t, s, c.raw)
+			is.Equal(resp.StatusCode, c.status)
+			is.True(strings.Contains(body, `"code":"`+c.code+`"`)) // the JSON body has the code
+			is.Equal(resp.Header.Get("X-Run"), "not-run")
+			is.True(resp.Header.Get("X-Request-Id") != "") // a refusal can be traced
+			is.Equal(d.count(), 0)                         // the request was not passed on
+		})
+	}
+}
+
+// Guards against wrong or lost fields of a request on its way to the dispatcher,
+// and against headers that let a caller act in the router's name.
+func TestForwarding(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDispatcher{answer: func(*api.Request) (api.Answer, error) { return text("ok") }}
+	s := newServer(t, d)
+	resp, body := exchange(t, s, "POST /v1/pools/svc/a/b?c=d HTTP/1.1\r\n"+auth+"X-Request-Id: r7\r\nIdempotency-Key: k1\r\n"+
+		"X-Cost-Hint: 2.5\r\nX-Cost-Class: long\r\nX-Deadline-Ms: 1500\r\nX-Resume-Id: s1\r\nLast-Event-ID: 4\r\n"+
+		"X-Stream-Id: s1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-A: 1\r\nX-A: 2\r\nX-Fold: a\r\n b\r\nContent-Length: 2\r\n\r\nhi")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "ok")
+	is.Equal(resp.Header.Get("X-Request-Id"), "r7")
+	is.Equal(resp.Header.Get("X-Served-By"), "a1")
+	is.Equal(resp.Header.Get("X-Target"), "t1")
+	r := d.seen[0]
+	r.Gone, r.Body = nil, nil
+	is.Equal(r, api.Request{
+		ID: "r7", Workspace: "w1", Pool: "svc", Method: "POST", Path: "/a/b?c=d", Key: "k1", NonIdempotent: true,
+		Class: api.ClassLong, Hint: 2.5, Deadline: 1500 * time.Millisecond,
+		Header: map[string]string{"X-Request-Id": "r7", "Idempotency-Key": "k1", "X-A": "1, 2", "X-Fold": "a b"},
+	})
+}
+
+// Guards against requests that are wrongly taken as repeatable or not.
+func TestIdempotency(t *testing.T) {
+	cases := []struct {
+		method, path, mark string
+		want               bool
+	}{
+		{"POST", "/v1/pools/svc/x", "", true},
+		{"PATCH", "/v1/pools/svc/x", "", true},
+		{"PUT", "/v1/pools/svc/x", "", false},
+		{"DELETE", "/v1/pools/svc/x", "", false},
+		{"PUT", "/v1/pools/svc/x", "true", true},
+		{"GET", "/v1/pools/svc/x", "true", false},
+		{"POST", "/v1/pools/idem/x", "", false},
+		{"POST", "/v1/pools/idem/x", "true", true},
+		{"POST", "/v1/pools/svc/x", "false", true},
+		{"POST", "/v1/pools/llm/v1/completions", "", false},
+		{"POST", "/v1/pools/llm/v1/completions", "TRUE", true},
+	}
+	d := &fakeDispatcher{answer: func(*api.Request) (api.Answer, error) { return text("ok") }}
+	s := newServer(t, d)
+	for i, c := range cases {
+		is := is.New(t)
+		mark := ""
+		if c.mark != "" {
+			mark = "X-Non-Idempotent: " + c.mark + "\r\n"
+		}
+		exchange(t, s, c.method+" "+c.path+" HTTP/1.1\r\n"+auth+mark+"\r\n")
+		is.Equal(d.seen[i].NonIdempotent, c.want) // case i of the table
+	}
+}
--- a/plugin/entry/handler.go
+++ b/plugin/entry/handler.go
@@ -13,6 +13,14 @@
 // wholeLimit bounds the answers that are read whole before they are written.
 const wholeLimit = 256 << 10 // bytes
 
+// oldLimit bounds the answers of unknown length to HTTP/1.0 callers.
+const oldLimit = 16 << 20 // bytes
+
+var errAnswerLarge = &api.Refusal{
+	Code: codeAnswerLarge, Status: fasthttp.StatusHTTPVersionNotSupported, Run: api.RunUnknown, Step: "entry",
+	Message: "the answer is too large for HTTP/1.0",
+}
+
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	conn, _ := ctx.Conn().(*callerConn)
@@ -23,6 +31,9 @@
 	r, refusal := s.parse(ctx)
 	if refusal != nil {
 		s.writeRefusal(ctx, refusal, r.ID)
+		if refusal.Status == fasthttp.StatusBadRequest {
+			ctx.SetConnectionClose() // what follows may be the rest of this request
+		}
 		s.closeIfDraining(ctx)
 		return
 	}
@@ -63,6 +74,11 @@
 		s.writeWhole(ctx, ans, int(head.Length), r.ID)
 		return
 	}
+	if head.Length < 0 && !ctx.Request.Header.IsHTTP11() {
+		defer end()
+		s.writeWhole(ctx, ans, 0, r.ID)
+		return
+	}
 	body := newBody(s, ans, &head, r.ID, end)
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.Response.SetBodyStream(body, int(head.Length))
@@ -81,21 +97,31 @@
 	}
 }
 
-// writeWhole answers with a short body that is already at hand.
+// writeWhole reads the whole body before it answers: a short one that is already
+// at hand, or one of unknown length for an HTTP/1.0 caller, who knows no chunks
+// and would take a cut answer for whole.
 func (s *Server) writeWhole(ctx *fasthttp.RequestCtx, ans api.Answer, length int, id string) {
 	defer ans.Close() //nolint:errcheck // the body was read to its end or is refused
 	var b bytes.Buffer
 	b.Grow(length + bytes.MinRead)
-	if _, err := io.Copy(&b, struct{ io.Reader }{ans}); err != nil {
-		s.stats.cut.Inc()
-		ctx.Response.Reset()
-		ctx.Response.Header.SetNoDefaultContentType(true)
-		s.writeRefusal(ctx, asRefusal(err), id)
+	if _, err := io.Copy(&b, io.LimitReader(ans, oldLimit)); err == nil && b.Len() >= oldLimit {
+		s.refuseAnswer(ctx, errAnswerLarge, id)
+		return
+	} else if err != nil {
+		s.refuseAnswer(ctx, asRefusal(err), id)
 		return
 	}
 	ctx.Response.SetBodyRaw(b.Bytes())
 }
 
+// refuseAnswer replaces an answer of which nothing has been written.
+func (s *Server) refuseAnswer(ctx *fasthttp.RequestCtx, r *api.Refusal, id string) {
+	s.stats.cut.Inc()
+	ctx.Response.Reset()
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	s.writeRefusal(ctx, r, id)
+}
+
 // closeIfDraining asks the caller to use another connection, and so another
 // instance, for its next request.
 func (s *Server) closeIfDraining(ctx *fasthttp.RequestCtx) {
--- a/plugin/entry/refuse.go
+++ b/plugin/entry/refuse.go
@@ -25,6 +25,7 @@
 	codeHeadLarge    = "head_too_large"
 	codeTimeout      = "request_timeout"
 	codeNotReady     = "not_ready"
+	codeAnswerLarge  = "answer_too_large"
 	codeInternal     = "internal_error"
 )
 
@@ -113,8 +114,7 @@
 	var ne net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		r = refuse(fasthttp.StatusRequestEntityTooLarge, codeTooLarge,
-			"the body exceeds "+strconv.Itoa(s.maxBody)+" bytes")
+		r = s.tooLarge(&ctx.Request.Header)
 	case errors.As(err, &small):
 		r = refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadLarge,
 			"the head exceeds "+strconv.Itoa(headerBuffer)+" bytes")
@@ -124,5 +124,35 @@
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.lingerOnClose()
 	}
-	s.writeRefusal(ctx, r, "")
+	id := string(ctx.Request.Header.Peek(headerID))
+	if !visible(id, maxRequestID) {
+		id = newID()
+	}
+	s.writeRefusal(ctx, r, id)
+}
+
+// tooLarge refuses a body that was not read. Without a valid key no body is
+// read, so the reason may be the key.
+func (s *Server) tooLarge(h *fasthttp.RequestHeader) *api.Refusal {
+	routes := s.current()
+	if routes == nil {
+		return notReady()
+	}
+	// fasthttp clears the head after an overlong chunked body.
+	if _, r := authorize(routes, h); r != nil && len(h.Host()) > 0 {
+		return r
+	}
+	return refuse(fasthttp.StatusRequestEntityTooLarge, codeTooLarge,
+		"the body exceeds "+strconv.Itoa(s.maxBody)+" bytes")
+}
+
+// admitBody bounds the body before it is read. A caller without a valid key
+// must not fill the memory.
+func (s *Server) admitBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if routes := s.current(); routes != nil {
+		if _, r := authorize(routes, h); r == nil {
+			return fasthttp.RequestConfig{}
+		}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: 1}
 }
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"math"
@@ -108,6 +109,9 @@
 }
 
 func checkBody(h *fasthttp.RequestHeader) *api.Refusal {
+	if raw := h.RawHeaders(); named(raw, "Transfer-Encoding") && named(raw, "Content-Length") {
+		return badRequest("the body has both a length and chunks")
+	}
 	switch string(h.Method()) {
 	case fasthttp.MethodGet, fasthttp.MethodHead:
 		if n := h.ContentLength(); n > 0 || n == -1 {
@@ -120,6 +124,18 @@
 	return nil
 }
 
+// named reports whether raw headers have a header. fasthttp drops the length
+// of a chunked body, but a proxy in front may have used it.
+func named(raw []byte, header string) bool {
+	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if bytes.EqualFold(name, []byte(header)) {
+			return true
+		}
+	}
+	return false
+}
+
 func authorize(routes *routes, h *fasthttp.RequestHeader) (string, *api.Refusal) {
 	scheme, key, _ := strings.Cut(string(h.Peek("Authorization")), " ")
 	if strings.EqualFold(scheme, "Bearer") {
--- a/plugin/entry/setup.go
+++ b/plugin/entry/setup.go
@@ -76,6 +76,7 @@
 	return &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleMalformed,
+		HeaderReceived:               s.admitBody,
 		Name:                         "nutmegd",
 		ReadTimeout:                  readLimit,
 		IdleTimeout:                  idleLimit,
