Publish target states and load the orders plug-in

Change: the scheduler provides api.TargetStates from load reports; the daemon loads the orders plug-in, which warms cold engines of owned pools.

--- a/cmd/nutmegd/plugins.go
+++ b/cmd/nutmegd/plugins.go
@@ -9,6 +9,7 @@
 	_ "nutmegrouter/plugin/fleet"
 	_ "nutmegrouter/plugin/lease"
 	_ "nutmegrouter/plugin/mesh"
+	_ "nutmegrouter/plugin/orders"
 	_ "nutmegrouter/plugin/pool"
 	_ "nutmegrouter/plugin/scheduler"
 )
--- a/plugin/scheduler/ownership.go
+++ b/plugin/scheduler/ownership.go
@@ -66,6 +66,7 @@
 		owner:  schedule.NewOwner(pool, epoch, s.zones, now),
 		since:  now,
 		counts: newCounters(s.kernel.Metrics, pool),
+		loads:  map[string]loadState{},
 	}
 	s.kernel.Events.Record(kernel.Event{Kind: "sched", Step: "start", Pool: pool, Epoch: epoch})
 	return true
--- a/plugin/scheduler/polls.go
+++ b/plugin/scheduler/polls.go
@@ -142,6 +142,7 @@
 	}
 	switch {
 	case l.ok:
+		r.loads[l.name] = loadState{l.report.Warmth, l.report.Boot}
 		r.owner.Limits().Report(l.name, l.report, now)
 	case l.refused:
 		r.owner.Limits().Refused(l.name, now)
--- a/plugin/scheduler/setup.go
+++ b/plugin/scheduler/setup.go
@@ -1,6 +1,7 @@
 // Package scheduler runs the schedulers of the pools that this instance owns:
 // it feeds internal/schedule with the routers' messages, load reports and the
-// platform's list, and sends grants. It provides schedule.Local.
+// platform's list, and sends grants. It provides schedule.Local and
+// api.TargetStates.
 package scheduler
 
 import (
@@ -47,6 +48,7 @@
 	polls  chan struct{} // a poll of the targets is due at once
 	lists  chan struct{} // a poll of the platform's list is due at once
 	polled atomic.Pointer[pollPlan]
+	states atomic.Pointer[map[string][]api.TargetState]
 	stop   chan chan struct{}
 
 	runs      map[string]*run
@@ -90,6 +92,9 @@
 	s.mesh.Handle(schedule.MethodReport, s.onReport)
 	s.lease.OnChange(s.kick)
 	s.fleet.OnChange(func(*api.View) { s.kick() })
+	if err := kernel.Provide[api.TargetStates](c, s); err != nil {
+		return err
+	}
 	return kernel.Provide[schedule.Local](c, s)
 }
 
--- a/plugin/scheduler/worker.go
+++ b/plugin/scheduler/worker.go
@@ -22,6 +22,7 @@
 	since  time.Duration
 	ended  bool
 	counts *counters
+	loads  map[string]loadState // newest load reports by target
 }
 
 // work is the worker that owns all scheduling state.
@@ -148,6 +149,7 @@
 			s.sendService(r, false)
 			r.counts.publish(r.owner)
 		}
+		s.publishStates()
 	}
 }
 
