Speed up acceptance: ask for a reply when a peer tells of a newer view

Cause: only replies prove a peer's revision, and the next beat that would fetch one was up to 500 ms away; a change took two intervals. Change: a beat with a newer revision than the peer's last reply triggers an own beat at once.

--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -46,8 +46,11 @@
 // Beats that arrive late are ignored, because an older request must not undo a
 // newer release.
 func (n *Node) observe(now time.Duration, from string, b Beat) {
-	if from != n.cfg.Self {
-		n.peers[from].revision = b.Revision
+	if p := n.peers[from]; from != n.cfg.Self {
+		p.revision = b.Revision
+		// Only replies prove a peer's revision. A beat at once gets one now
+		// instead of at the next interval, which speeds up acceptance.
+		n.announce = n.announce || p.replied && b.Revision > p.replyRevision
 	}
 	for _, r := range b.Releases {
 		n.release(now, from, b.Boot, r)
