Serve runtime profiles to operators; run single phases of the benchmark

Change: /debug/pprof on the operators' address; nutmegbench -only. Conclusion: profiles can be taken from a running fleet.

--- a/cmd/nutmegbench/bench.go
+++ b/cmd/nutmegbench/bench.go
@@ -52,6 +52,9 @@
 		fmt.Fprintln(b.out, "SHORT PHASES: a trial of the program, the figures mean nothing")
 	}
 	for _, p := range phases() {
+		if !strings.Contains(strings.ToLower(p.title), strings.ToLower(o.only)) {
+			continue
+		}
 		fmt.Fprintf(b.out, "\n== %s ==\n", p.title)
 		if err := p.run(ctx, b); err != nil {
 			fmt.Fprintf(b.out, "not measured: %v\n", err)
--- a/cmd/nutmegbench/main.go
+++ b/cmd/nutmegbench/main.go
@@ -31,6 +31,7 @@
 	// short makes the benchmark's phases short, to try the program itself.
 	short  bool
 	out    string
+	only   string // run only phases whose title contains this
 	commit string
 }
 
@@ -45,6 +46,7 @@
 	flags.BoolVar(&o.short, "short", false, "short phases, to try the program; the figures mean nothing")
 	flags.StringVar(&o.out, "out", "", "bench: `file` for the tables")
 	flags.StringVar(&o.commit, "commit", "unknown", "bench: `commit` named in the tables")
+	flags.StringVar(&o.only, "only", "", "bench: run only the phases whose title contains this `text`")
 	flags.Usage = func() {
 		fmt.Fprintln(flags.Output(), "usage: nutmegbench [flags] demo|bench")
 		flags.PrintDefaults()
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -18,7 +18,9 @@
 	PathHistory = "/v1/history"  // GET ?limit=N, []api.HistoryEntry
 	PathChanges = "/v1/changes"  // POST api.Submission, api.SubmitResult
 	PathInForce = "/v1/in-force" // GET ?revision=N, InForce
-	PathEvents  = "/v1/events"   // GET with the fields of Filter, Timeline
+	// PathProfiles is the prefix of the runtime's profiles.
+	PathProfiles = "/debug/pprof/"
+	PathEvents   = "/v1/events" // GET with the fields of Filter, Timeline
 )
 
 // MaxChangeBytes bounds the body of a submission.
--- a/plugin/admin/http.go
+++ b/plugin/admin/http.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"nutmegrouter/internal/adminapi"
 	"nutmegrouter/internal/api"
@@ -41,6 +43,10 @@
 	case adminapi.PathEvents:
 		a.serveEvents(r)
 	default:
+		if strings.HasPrefix(path, adminapi.PathProfiles) {
+			pprofhandler.PprofHandler(r)
+			return
+		}
 		fail(r, fasthttp.StatusNotFound, "route", "no such path "+strconv.Quote(path))
 	}
 }
