--- a/internal/schedule/decode.go
+++ b/internal/schedule/decode.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"bytes"
 	"encoding/json"
 	"strconv"
 
@@ -92,12 +91,16 @@
 
 func (r *reader) token() []byte {
 	start := r.i
-	for r.i < len(r.b) && bytes.IndexByte([]byte("0123456789+-.eE"), r.b[r.i]) >= 0 {
+	for r.i < len(r.b) && isNumeric(r.b[r.i]) {
 		r.i++
 	}
 	return r.b[start:r.i]
 }
 
+func isNumeric(c byte) bool {
+	return c >= '0' && c <= '9' || c == '-' || c == '+' || c == '.' || c == 'e' || c == 'E'
+}
+
 func (r *reader) uint() uint64 {
 	if !r.more() {
 		return 0
--- a/internal/schedule/router.go
+++ b/internal/schedule/router.go
@@ -312,7 +312,8 @@
 		r.acknowledge(m.Ack)
 		r.takeGrants(m, now, env)
 	}
-	if m.Want && (m.Inc != r.inc || m.Gen >= r.gen || now-r.reported >= repeatPause) {
+	unanswered := m.Inc == r.inc && m.Gen >= r.gen
+	if m.Want && (unanswered || now-r.reported >= repeatPause) {
 		r.requireReport()
 	}
 	return r.granted
