Leave the distribution of views to the lease plug-in; resend later

Cause: plugin/lease serves view.fetch since it was merged, and the later registration by plugin/control replaced its handler with another form of parameters, so every fetch sent the whole view. The leader also sent a large entry or chunk again at each heartbeat reply while its answer was under way.

Change: plugin/control installs views on the replicas only. An unanswered message counts as lost after two heartbeats.

Conclusion: one handler per method.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -18,6 +18,7 @@
 	flow   flow
 	paused bool   // a message is under way; a reply or heartbeat reply resumes
 	heard  uint64 // tick of the last message
+	sent   uint64 // tick of the last entries or chunk sent
 	read   uint64 // newest read sequence that the peer confirmed
 	offset uint64 // bytes of the snapshot that the peer has
 	snap   uint64 // index of the snapshot being sent
@@ -26,6 +27,10 @@
 // maxInFlight bounds the entries sent to a peer without an answer.
 const maxInFlight = 4096
 
+// resendHeartbeats is the time in heartbeats after which an unanswered message
+// counts as lost.
+const resendHeartbeats = 2
+
 // transfer is a leadership transfer under way.
 type transfer struct {
 	to       string
@@ -137,6 +142,7 @@
 		return
 	}
 	entries := n.log.slice(p.next, n.log.last(), n.cfg.MaxAppendBytes)
+	p.sent = n.now
 	n.send(Message{Type: MsgAppend, To: id, Index: p.next - 1, LogTerm: t, Entries: entries, Commit: n.log.commit})
 	if p.flow == replicating {
 		p.next += uint64(len(entries))
@@ -168,6 +174,9 @@
 func (n *Node) handleHeartbeatReply(m Message, p *progress) {
 	p.read = max(p.read, m.Read)
 	n.confirmReads()
+	if n.now-p.sent < resendHeartbeats*uint64(n.cfg.HeartbeatTicks) {
+		return // the answer may be under way, and a message may be large
+	}
 	p.paused = false
 	idle := p.next > n.log.last() || p.next-p.match > maxInFlight
 	if p.match < n.log.last() && (p.flow != replicating || idle) {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -20,7 +20,7 @@
 		Type: MsgSnapshot, To: id, Index: s.Index, LogTerm: s.Term, Members: s.Members,
 		Offset: p.offset, Total: uint64(len(s.Data)), Chunk: s.Data[p.offset:end],
 	})
-	p.paused = true
+	p.paused, p.sent = true, n.now
 }
 
 // handleSnapshotReply sends the chunk after the bytes that the peer has.
--- a/plugin/control/harness_test.go
+++ b/plugin/control/harness_test.go
@@ -127,8 +127,10 @@
 			ctl.replica.tick()
 			c.is.NoErr(ctl.replica.flush())
 		}
-		if from := ctl.aheadPeer(); from != "" {
-			ctl.fetch(context.Background(), from)
+		for _, p := range inst.Peers() { // as the lease plug-in does
+			if other := inst.peer(p); other != nil {
+				fleet{inst}.Install(fleet{other}.View())
+			}
 		}
 	}
 }
--- a/plugin/control/metrics.go
+++ b/plugin/control/metrics.go
@@ -4,10 +4,10 @@
 
 // counters are the plug-in's metrics.
 type counters struct {
-	proposed, applied, syncs, snapshots    *metrics.Counter
-	sent, unsent, received, malformed      *metrics.Counter
-	elected, memberships, retries, fetches *metrics.Counter
-	conflicts, accepted                    *metrics.Counter
+	proposed, applied, syncs, snapshots *metrics.Counter
+	sent, unsent, received, malformed   *metrics.Counter
+	elected, memberships, retries       *metrics.Counter
+	conflicts, accepted                 *metrics.Counter
 }
 
 func newCounters(s *metrics.Set) counters {
@@ -17,6 +17,6 @@
 		snapshots: c("snapshots_total"), sent: c("messages_sent_total"), unsent: c("messages_unsent_total"),
 		received: c("messages_received_total"), malformed: c("messages_malformed_total"),
 		elected: c("elected_total"), memberships: c("membership_changes_total"), retries: c("call_retries_total"),
-		fetches: c("view_fetches_total"), conflicts: c("conflicts_total"), accepted: c("accepted_total"),
+		conflicts: c("conflicts_total"), accepted: c("accepted_total"),
 	}
 }
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -211,19 +211,13 @@
 	p.done(answer{result: result})
 }
 
-// install offers the view to the instance and tells the others about it.
+// install offers the view to the instance. The lease plug-in tells the others.
 func (r *replica) install() {
 	v := r.state.View()
 	if v.Revision <= r.c.fleet.View().Revision {
 		return
 	}
 	r.c.fleet.Install(v)
-	if r.node.Role() != consensus.Leader {
-		return
-	}
-	for _, p := range r.c.mesh.Peers() {
-		_ = r.c.mesh.Notify(p, methodNews, newsParams{Revision: v.Revision}) // beats tell it as well
-	}
 }
 
 // snapshot shortens the log once enough has been applied.
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -24,8 +24,6 @@
 	methodEpoch   = "control.epoch"
 	methodRead    = "control.read"
 	methodHistory = "control.history"
-	methodFetch   = "view.fetch"
-	methodNews    = "view.news"
 )
 
 // serveLimit bounds the work on one call. The caller then tries again with the
@@ -54,8 +52,6 @@
 			return c.serve(ctx, method, params), nil
 		})
 	}
-	c.mesh.Handle(methodFetch, c.handleFetch)
-	c.mesh.Handle(methodNews, c.handleNews)
 }
 
 func (c *Control) handleRaft(_ context.Context, from string, params json.RawMessage) (any, error) {
--- a/plugin/control/setup.go
+++ b/plugin/control/setup.go
@@ -46,8 +46,6 @@
 	replica  *replica // nil without a disk
 	calls    *kernel.Ring[func(*replica)]
 	inbox    *kernel.Ring[received]
-	news     *kernel.Ring[string]
-	views    viewCache
 	leader   leaderHint
 	ids      idSource
 }
@@ -67,7 +65,6 @@
 	}
 	c.metrics = newCounters(k.Metrics)
 	c.replicas = slices.Sorted(slices.Values(k.Settings.Replicas()))
-	c.news = kernel.NewRing[string](k.Metrics, "control_news", newsRing)
 	if err := c.ids.seed(); err != nil {
 		return err
 	}
@@ -118,12 +115,10 @@
 const (
 	callRing = 4096
 	raftRing = 1024
-	newsRing = 16
 )
 
 // Start implements kernel.Starter.
 func (c *Control) Start(d *kernel.Duties) error {
-	d.Go("control view", c.fetchViews)
 	if c.replica == nil {
 		return nil
 	}
