Test the pool protocol message by message; benchmark decisions

A takeover asked each router twice for its report, and a cancelled request in a lost message stayed charged.

--- /dev/null
+++ b/internal/schedule/bench_test.go
@@ -0,0 +1,92 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/limits"
+)
+
+// newBenchOwner returns an owner whose targets are warm and about full, with
+// waiting requests of all workspaces.
+func newBenchOwner(workspaces, targets int) (*Owner, *peer) {
+	o := NewOwner("p", 1, map[string]string{"r": "dc"}, 0)
+	weights := map[string]float64{}
+	for i := range workspaces {
+		weights[fmt.Sprint(i)] = float64(1 + i%7)
+	}
+	o.SetWeights(weights)
+	var cs []limits.Config
+	for i := range targets {
+		cs = append(cs, limits.Config{Name: fmt.Sprint("t", i), DataCentre: fmt.Sprint("dc", i%23), WarmCapacity: 8, ColdCapacity: 8,
+			EvidenceLife: time.Hour, ReportLag: time.Second, RequestLimit: time.Hour})
+	}
+	o.Limits().Configure(cs, 0)
+	o.Report("r", &ReportMsg{Head: Head{Epoch: 1, Inc: 1, Gen: 1}}, 0)
+	for i := range targets {
+		o.Limits().Silent(fmt.Sprint("t", i), 0)
+	}
+	p := o.peers["r"]
+	for i := range workspaces {
+		for k := range 4 {
+			o.add(p, &Add{N: uint64(4*i + k + 1), Workspace: fmt.Sprint(i), Class: api.ClassQuick}, 0)
+		}
+	}
+	return o, p
+}
+
+// BenchmarkDecision measures one full turn: a decision, its grant message, the
+// completion of the work and the announcement of the next request.
+func BenchmarkDecision(b *testing.B) {
+	for _, workspaces := range []int{16, 430, 4300} {
+		for _, targets := range []int{16, 1200, 12000} {
+			b.Run(fmt.Sprintf("workspaces=%d/targets=%d", workspaces, targets), func(b *testing.B) {
+				o, p := newBenchOwner(workspaces, targets)
+				var last Grant
+				send := func(_ string, m *GrantMsg) bool { last = m.List[len(m.List)-1]; return true }
+				turn := func(i int) {
+					if !o.decide(time.Duration(i)) {
+						b.Fatal("nothing was granted")
+					}
+					o.Flush(send)
+					ws := p.requests[last.N].queue.account.Name
+					d := Done{last.N, api.Outcome{Result: api.ResultOK, Cost: float64(50 + i%100), Warmth: api.WarmthWarm}}
+					o.done(p, &d, time.Duration(i))
+					a := Add{N: last.N, Workspace: ws, Class: api.ClassQuick}
+					o.add(p, &a, time.Duration(i))
+				}
+				for i := range 4 * targets {
+					turn(i)
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					turn(i)
+				}
+			})
+		}
+	}
+}
+
+// Guards against allocation on the steady path of a decision.
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	o, p := newBenchOwner(430, 1200)
+	var last Grant
+	send := func(_ string, m *GrantMsg) bool { last = m.List[0]; return true }
+	a := Add{Class: api.ClassQuick}
+	turn := func() {
+		o.decide(0)
+		o.Flush(send)
+		a.N, a.Workspace = last.N, p.requests[last.N].queue.account.Name
+		d := Done{last.N, api.Outcome{Result: api.ResultOK, Cost: 70}}
+		o.done(p, &d, 0)
+		o.add(p, &a, 0)
+	}
+	for range 5000 {
+		turn()
+	}
+	if n := testing.AllocsPerRun(1000, turn); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
--- a/internal/schedule/inbound.go
+++ b/internal/schedule/inbound.go
@@ -119,7 +119,7 @@
 		o.release(r)
 		return
 	}
-	// The cancel crossed the grant: the router will not start the request.
+	// Returned unused, or the cancel crossed the grant.
 	o.refund(r, now)
 }
 
@@ -137,12 +137,12 @@
 }
 
 func (o *Owner) done(p *peer, d *Done, now time.Duration) {
-	r := p.requests[d.N]
-	if r == nil || r.waiting {
+	if d.Outcome.Result == api.ResultNotStarted {
+		o.cancel(p, d.N, now)
 		return
 	}
-	if d.Outcome.Result == api.ResultNotStarted {
-		o.refund(r, now)
+	r := p.requests[d.N]
+	if r == nil || r.waiting {
 		return
 	}
 	o.Stats.Settled++
--- /dev/null
+++ b/internal/schedule/message_test.go
@@ -0,0 +1,83 @@
+package schedule
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/fairness"
+)
+
+var testHead = Head{Pool: "p", Epoch: 3, Inc: 4, Gen: 1, Seq: 7, Clock: 123456}
+
+var testMessages = []json.Marshaler{
+	&DemandMsg{},
+	&DemandMsg{Head: testHead, Done: []Done{{N: 9, Outcome: api.Outcome{Result: api.ResultFailed, Boot: 2}}}},
+	&DemandMsg{Head: testHead, Added: []Add{{N: 1, Workspace: "ä\"\\\n", Class: api.ClassLong, Hint: 1.5, Avoid: "t1"}, {N: 2}},
+		Cancelled: []uint64{5, 0}, Confirmed: []Confirm{{N: 6, Warmth: api.WarmthCold, Boot: 3}, {}}},
+	&ReportMsg{Head: testHead, Waiting: []Add{{N: 1, Workspace: "w"}},
+		Running: []Running{{N: 8, Workspace: "w", Target: "t", Class: api.ClassQuick, Estimate: 12.25, Confirmed: true, AgeMs: 5}},
+		Done:    []Done{{N: 9, Outcome: api.Outcome{Result: api.ResultOK, Cost: 0.5, Warmth: api.WarmthWarm}}},
+		Table:   ServiceMsg{Epoch: 2, Seq: 4, Virtual: 1e7, Rows: []fairness.Row{{Workspace: "w", Virtual: -3, Learned: [4]float64{0, 0, 7}}}},
+		Since:   []Usage{{"w", -2.5}}},
+	&ReportMsg{},
+	&GrantMsg{Pool: "p", Epoch: 1, Inc: 2, Gen: 3, Clock: 4, First: 5, Ack: 6, Want: true, List: []Grant{{1, "t", 100}, {}}},
+	&GrantMsg{Want: true},
+	&ServiceMsg{Pool: "p", Epoch: 9, Seq: 8, Virtual: 1234567.125, Rows: []fairness.Row{{Workspace: "w", Virtual: 2}}},
+}
+
+func emptyLike(m any) json.Unmarshaler {
+	return reflect.New(reflect.TypeOf(m).Elem()).Interface().(json.Unmarshaler)
+}
+
+// Guards against a message that does not come out as it went in, or that
+// encoding/json, which carries it, does not accept.
+func TestMessages(t *testing.T) {
+	is := is.New(t)
+	for _, m := range testMessages {
+		raw, err := json.Marshal(m)
+		is.NoErr(err)
+		got := emptyLike(m)
+		is.NoErr(json.Unmarshal(raw, got))
+		is.Equal(m, got)
+	}
+}
+
+// Guards against malformed messages being taken.
+func TestMalformed(t *testing.T) {
+	for _, text := range []string{``, `{}`, `[`, `[1]`, `["p",-1]`, `["p",1.5]`, `["p",1,]`, `["p" 1]`, `[,]`, `["p]`, `["p"]]`,
+		`["p",1,1,1,1,1,1,[[1,"w",9]]]`, `["p",1,1,1,1,1,1,[1]]`, `["p",1,1,1,1,1,1,[[1,"w",0,-1]]]`, `["p",1,1,1,1,1,1,[[1,"w",0,1e999]]]`,
+		`["p",1,1,1,1,1,1,[],[],[],[],1]`, `["\q"]`, `["p",18446744073709551616]`, `["p",1,1,1,1,1,1,[],["a"]]`} {
+		if err := new(DemandMsg).UnmarshalJSON([]byte(text)); err == nil {
+			t.Errorf("%s was taken", text)
+		}
+	}
+}
+
+// Guards against panics and against messages that change when sent on.
+func FuzzMessages(f *testing.F) {
+	for _, m := range testMessages {
+		raw, err := m.MarshalJSON()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		for _, m := range []any{&DemandMsg{}, &ReportMsg{}, &GrantMsg{}, &ServiceMsg{}} {
+			if m.(json.Unmarshaler).UnmarshalJSON(raw) != nil {
+				continue
+			}
+			again, err := json.Marshal(m)
+			if err != nil {
+				t.Fatalf("%T: %v", m, err)
+			}
+			if err := emptyLike(m).UnmarshalJSON(again); err != nil {
+				t.Fatalf("%T: %s became %s: %v", m, raw, again, err)
+			}
+		}
+	})
+}
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -132,16 +132,16 @@
 		return 0
 	}
 	count := 0
-	for o.Decide(now) {
+	for o.decide(now) {
 		count++
 	}
 	return count
 }
 
-// Decide makes one scheduling decision and reports whether it granted. It costs
+// decide makes one scheduling decision and reports whether it granted. It costs
 // at most the logarithm of the workspaces and of the targets, and allocates
 // nothing once the buffers have grown.
-func (o *Owner) Decide(now time.Duration) bool {
+func (o *Owner) decide(now time.Duration) bool {
 	w := o.fair.Min()
 	if w == nil {
 		return false
--- a/internal/schedule/rebuild.go
+++ b/internal/schedule/rebuild.go
@@ -29,7 +29,7 @@
 		o.note(Note{Step: "router back", Peer: p.name})
 	}
 	p.inc, p.gen, p.reported, p.synced, p.lost = m.Inc, m.Gen, true, true, false
-	p.sent, p.mark, p.out = 0, 0, p.out[:0]
+	p.sent, p.mark, p.out, p.want = 0, 0, p.out[:0], false
 	o.hear(p, &m.Head, now)
 	o.finished(p, m.Done, now)
 	o.reconcile(p, m, now)
--- a/internal/schedule/router.go
+++ b/internal/schedule/router.go
@@ -227,6 +227,8 @@
 	if r.inStep() {
 		r.out.Cancelled = append(r.out.Cancelled, it.N)
 	}
+	// A grant may be on its way, and the cancel may be lost.
+	r.keep(Done{it.N, api.Outcome{Result: api.ResultNotStarted}})
 }
 
 func (r *Router) dropLine(l *line) {
@@ -262,18 +264,22 @@
 	r.finish(it.N, o, now)
 }
 
-// finish keeps the outcome until the owner has acknowledged it, because a lost
-// outcome leaves an estimate in place of the true cost.
 func (r *Router) finish(n uint64, o api.Outcome, now time.Duration) {
 	r.active = now
 	d := Done{n, o}
+	r.keep(d)
+	if r.inStep() {
+		r.out.Done = append(r.out.Done, d)
+	}
+}
+
+// keep holds the outcome until the owner has acknowledged it, because a lost
+// outcome leaves an estimate in place of the true cost.
+func (r *Router) keep(d Done) {
 	if len(r.ended) == maxDone {
 		r.ended = append(r.ended[:0], r.ended[maxDone/2:]...)
 	}
 	r.ended = append(r.ended, endedWork{d, r.seq + 1})
-	if r.inStep() {
-		r.out.Done = append(r.out.Done, d)
-	}
 }
 
 // acknowledge drops the outcomes that the owner has.
