--- a/plugin/pool/fleet_test.go
+++ b/plugin/pool/fleet_test.go
@@ -117,6 +117,9 @@
 	n.changed = append(n.changed, f)
 }
 
+// platformList is the URL of the platform's list for the fleets of one test.
+var platformList string
+
 type instance struct {
 	client *pool.Client
 	sched  *scheduler.Scheduler
@@ -149,7 +152,7 @@
 }
 
 func newInstance(t testing.TB, n *network, name string, names []string) *instance {
-	s := &settings.Settings{Instance: name, DataCentre: "dc"}
+	s := &settings.Settings{Instance: name, DataCentre: "dc", PlatformList: platformList}
 	for _, p := range names {
 		s.Peers = append(s.Peers, settings.Peer{Instance: p, DataCentre: "dc"})
 	}
