--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,6 +35,15 @@
 	Reachable(peer string) bool
 }
 
+// Links tells the mesh which paths exist through other instances. Beats carry
+// the reports, so that they cost no message of their own.
+type Links interface {
+	// Unreached returns the peers without a working direct link, sorted.
+	Unreached() []string
+	// Report records the peers that a peer says it does not reach directly.
+	Report(peer string, unreached []string)
+}
+
 // Lease tells what this instance may do at this moment on the monotonic clock.
 type Lease interface {
 	// Valid reports whether this instance may dispatch work now.
@@ -324,6 +333,21 @@
 	Close() error
 }
 
+// TargetState is what the owner of a pool knows of a target.
+type TargetState struct {
+	Target  fleetconfig.Target
+	Warmth  Warmth // from the newest load report; WarmthUnknown without one
+	Boot    uint64 // boot number from the newest report, 0 if unknown
+	Leaving bool   // marked so in the platform's list
+	Out     bool   // its data centre is out of service
+}
+
+// TargetStates gives the states of the targets of the pools that this instance
+// owns. The result is empty for other pools.
+type TargetStates interface {
+	States(pool string) []TargetState
+}
+
 // Dispatcher runs a request: queue, grant, claim, send, retry, resume.
 type Dispatcher interface {
 	// Do returns the answer once its head is known, or a *Refusal.
