Report target state changes, pass repeated headers, close quiet connections

Cause: one event per retry would fill the timeline while a target is dead; several Set-Cookie values were joined into one; a planned stop closed connections on which a request could still be on its way. Change: events tell when a target starts failing, answers again, turns cold or has a new boot number; api.AnswerHead has Extra for repeated headers; a connection is closed in a stop only after 250 ms without a request; buffers of connections are used again.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -322,6 +322,9 @@
 	Target string
 	// Length is the number of body bytes, or -1 if unknown.
 	Length int64
+	// Extra holds the second and further values of repeated headers, such as
+	// Set-Cookie, whose values cannot be joined.
+	Extra [][2]string
 }
 
 // Answer is the answer to a request. Read returns io.EOF only after the whole
--- a/plugin/dispatch/call.go
+++ b/plugin/dispatch/call.go
@@ -92,7 +92,6 @@
 			return nil, c.refusal(f)
 		}
 		c.stats.retries.Inc()
-		c.d.record("retry", f.step, c, f.target, f.Error())
 		c.avoid = f.target
 		if err := c.pause(n); err != nil {
 			return nil, err
--- a/plugin/dispatch/conn.go
+++ b/plugin/dispatch/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -42,11 +43,29 @@
 
 func newTargetConn(nc net.Conn, host string) *targetConn {
 	c := &targetConn{Conn: nc, host: host}
-	c.br = bufio.NewReaderSize(c, readBuffer)
-	c.bw = bufio.NewWriterSize(c, writeBuffer)
+	c.br, c.bw = readers.Get().(*bufio.Reader), writers.Get().(*bufio.Writer)
+	c.br.Reset(c)
+	c.bw.Reset(c)
 	return c
 }
 
+// Buffers of closed connections are used again, because every non-idempotent
+// request opens a connection of its own.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+)
+
+// release closes a connection that no one reads or writes any more.
+func (c *targetConn) release() {
+	c.Close()
+	c.br.Reset(nil)
+	c.bw.Reset(nil)
+	readers.Put(c.br)
+	writers.Put(c.bw)
+	c.br, c.bw = nil, nil
+}
+
 // arm prepares the connection for one request.
 func (c *targetConn) arm(silence time.Duration, hard time.Time, check func() error) {
 	c.silence, c.hard, c.check = silence, hard, check
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -118,7 +118,7 @@
 		x.d.conns.put(x.conn)
 		return
 	}
-	x.conn.Close()
+	x.conn.release()
 }
 
 // read reads from the body. An end that only the closed connection marks is
--- a/plugin/dispatch/head.go
+++ b/plugin/dispatch/head.go
@@ -17,8 +17,7 @@
 	"X-Run": true, "X-Served-By": true, "X-Target": true, "X-Request-Id": true,
 }
 
-// answerHead copies the head of the target's answer. Values of a repeated
-// header are joined by commas.
+// answerHead copies the head of the target's answer.
 func (c *call) answerHead(s *slot, x *exchange, length int64) api.AnswerHead {
 	h := api.AnswerHead{
 		Status: x.resp.StatusCode(), Target: s.grant.Target, Length: length,
@@ -30,8 +29,8 @@
 		if !validName(name) || internalHeaders[name] || dropped[strings.ToLower(name)] {
 			continue
 		}
-		if old, ok := h.Header[name]; ok {
-			h.Header[name] = old + ", " + string(v)
+		if _, ok := h.Header[name]; ok {
+			h.Extra = append(h.Extra, [2]string{name, string(v)})
 			continue
 		}
 		h.Header[name] = string(v)
--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -165,6 +165,7 @@
 	} else {
 		a.call.stats.broken.Inc()
 		a.call.d.conns.drop(a.slot.grant.Address)
+		a.slot.detail = cause.Error()
 		a.call.d.record("answer", "broken", a.call, a.slot.grant.Target, cause.Error())
 		a.err = &api.Refusal{
 			Code: codeTruncated, Status: 502, Run: api.RunUnknown, Step: "answer",
--- a/plugin/dispatch/setup.go
+++ b/plugin/dispatch/setup.go
@@ -35,6 +35,7 @@
 	events *kernel.Events
 	stats  *stats
 	conns  *connPool
+	health *health
 	index  atomic.Pointer[index]
 
 	prefix string        // makes request ids unique across restarts
@@ -60,7 +61,8 @@
 	}
 	d.log, d.clock, d.events = c.Log, c.Clock, c.Events
 	d.stats = newStats(c.Metrics)
-	d.conns = newConnPool()
+	d.conns, d.health = newConnPool(), newHealth()
+	d.fleet.OnChange(d.health.keep)
 	var boot [6]byte
 	if _, err := rand.Read(boot[:]); err != nil {
 		return err
--- a/plugin/dispatch/slot.go
+++ b/plugin/dispatch/slot.go
@@ -14,6 +14,7 @@
 	grant  api.Grant
 	once   sync.Once
 
+	detail string // why the work failed, for the timeline
 	warmth api.Warmth
 	boot   uint64
 	sentAt time.Time // when the first byte of the request was written
@@ -31,7 +32,9 @@
 // done ends the work. Further calls have no effect.
 func (s *slot) done(result api.Result, cost float64) {
 	s.once.Do(func() {
-		s.ticket.Done(api.Outcome{Result: result, Cost: cost, Warmth: s.warmth, Boot: s.boot})
+		o := api.Outcome{Result: result, Cost: cost, Warmth: s.warmth, Boot: s.boot}
+		s.call.d.observe(s, o, s.detail)
+		s.ticket.Done(o)
 	})
 }
 
--- a/plugin/dispatch/start.go
+++ b/plugin/dispatch/start.go
@@ -77,6 +77,7 @@
 // failed ends the work on a grant after a fault.
 func (c *call) failed(s *slot, f *fault) error {
 	f.target = s.grant.Target
+	s.detail = f.Error()
 	gone := c.workContext().Err() != nil
 	switch {
 	case f.sent == 0 && (gone || f.code == codeNotStarted || localDialFault(f.cause)):
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -149,6 +149,7 @@
 		return
 	}
 	a.call.stats.broken.Inc()
+	a.slot.detail = cause.Error()
 	a.call.d.record("stream", "broken", a.call, a.slot.grant.Target, cause.Error())
 	a.end(api.ResultFailed, &api.Refusal{
 		Code: codeBroken, Status: 502, Run: api.RunUnknown, Step: "stream",
--- a/plugin/entry/conn.go
+++ b/plugin/entry/conn.go
@@ -19,9 +19,10 @@
 
 // Bounds of a connection's end after a refusal.
 const (
-	lingerTime  = time.Second // wait for the caller to read the refusal
-	lingerBytes = 64 << 20    // bytes discarded meanwhile
-	savedLimit  = 64 << 10    // bytes of pipelined requests kept while watching
+	lingerTime  = time.Second            // wait for the caller to read the refusal
+	quietTime   = 250 * time.Millisecond // an idle connection may still get a request for this long
+	lingerBytes = 64 << 20               // bytes discarded meanwhile
+	savedLimit  = 64 << 10               // bytes of pipelined requests kept while watching
 )
 
 // callerConn is a caller's connection. While a request is served it can be
@@ -32,6 +33,7 @@
 
 	mu     sync.Mutex
 	state  connState
+	since  time.Time // beginning of the idle state
 	linger bool
 	closed bool
 
@@ -70,7 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == stateServed {
-		c.state = stateIdle
+		c.state, c.since = stateIdle, time.Now()
 	}
 }
 
@@ -86,10 +88,11 @@
 	return c.state != stateIdle
 }
 
-// closeIfIdle closes a connection on which no request has begun.
+// closeIfIdle closes a connection on which no request has begun for a while. A
+// request that is on its way to a connection that closes is lost.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.state == stateIdle
+	idle := c.state == stateIdle && time.Since(c.since) >= quietTime
 	c.mu.Unlock()
 	if idle {
 		c.Close()
--- a/plugin/entry/handler.go
+++ b/plugin/entry/handler.go
@@ -90,6 +90,9 @@
 	for k, v := range head.Header {
 		h.Set(k, v)
 	}
+	for _, kv := range head.Extra {
+		h.Add(kv[0], kv[1])
+	}
 	h.Set(headerID, id)
 	h.Set("X-Served-By", s.instance)
 	if head.Target != "" {
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		if old, ok := out[name]; ok {
-			out[name] = old + ", " + string(v)
+			out[name] = old + separator(name) + string(v)
 			continue
 		}
 		out[name] = string(v)
@@ -208,6 +208,14 @@
 	return out
 }
 
+// separator returns what joins the values of a repeated header.
+func separator(name string) string {
+	if name == "Cookie" {
+		return "; "
+	}
+	return ", "
+}
+
 // listedIn reports whether a Connection header names another header, which then
 // applies to this connection only.
 func listedIn(connection, name string) bool {
--- a/plugin/entry/tracker.go
+++ b/plugin/entry/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -17,7 +18,7 @@
 func newTracker() *tracker { return &tracker{open: map[*callerConn]struct{}{}} }
 
 func (t *tracker) add(nc net.Conn) *callerConn {
-	c := &callerConn{Conn: nc, conns: t}
+	c := &callerConn{Conn: nc, conns: t, since: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[c] = struct{}{}
