--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -215,7 +216,7 @@
 		if n > 0 {
 			now := time.Now()
 			if off+n > len(want) || !bytes.Equal(buf[:n], want[off:off+n]) {
-				a.verdict, a.code = Wrong, "bytes of another response"
+				a.verdict, a.code = Wrong, differenceText(want, buf[:n], off)
 				return a
 			}
 			a.note(now, last, bytes.Count(buf[:n], []byte("\n\n")))
@@ -235,6 +236,19 @@
 	}
 }
 
+// shownBytes is how much of a difference an error shows.
+const shownBytes = 60
+
+// differenceText shows the first byte that differs, with a little context.
+func differenceText(want, got []byte, off int) string {
+	i := 0
+	for i < len(got) && off+i < len(want) && got[i] == want[off+i] {
+		i++
+	}
+	cut := func(b []byte, from int) []byte { return b[min(from, len(b)):min(from+shownBytes, len(b))] }
+	return fmt.Sprintf("wrong bytes at %d of %d: got %q, want %q", off+i, len(want), cut(got, max(0, i-20)), cut(want, max(0, off+i-20)))
+}
+
 // note records the time of a read that brought a number of events.
 func (a *attempt) note(now, last time.Time, events int) {
 	if last.IsZero() {
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -55,7 +55,7 @@
 	histMin    = 1
 	histMax    = 10 * 60 * 1000 * 1000 // µs
 	histDigits = 3
-	maxCode    = 120 // characters of an error kept in the report
+	maxCode    = 240 // characters of an error kept in the report
 )
 
 func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(histMin, histMax, histDigits) }
