Keep beats periodic when urgent beats are sent

Cause: each urgent beat moved the next periodic one by a whole interval from its old due time. A change of the configuration makes several urgent beats in a row, so the next periodic beat came seconds late, and all instances lost their leases 1.8 s after each change; queued requests were rejected with no_lease.

Change: plugin/lease puts the next periodic beat at most one interval after any beat.

--- a/plugin/lease/beat.go
+++ b/plugin/lease/beat.go
@@ -114,11 +114,18 @@
 		}
 		if now := k.clock.Now(); due || now >= next {
 			k.sendBeat(ctx)
-			next = max(next+lease.BeatInterval, now+lease.BeatInterval/2)
+			next = following(next, now)
 		}
 	}
 }
 
+// following returns when the next periodic beat is due after one sent now. An
+// urgent beat takes the place of a periodic one. It must never put the next one
+// off beyond an interval: a few urgent beats in a row would then end the lease.
+func following(due, now time.Duration) time.Duration {
+	return min(max(due+lease.BeatInterval, now+lease.BeatInterval/2), now+lease.BeatInterval)
+}
+
 func (k *Keeper) sendBeat(ctx context.Context) {
 	var b lease.Beat
 	stamp := k.events.Now()
