--- a/plugin/dispatch/head.go
+++ b/plugin/dispatch/head.go
@@ -17,8 +17,7 @@
 	"X-Run": true, "X-Served-By": true, "X-Target": true, "X-Request-Id": true,
 }
 
-// answerHead copies the head of the target's answer. Values of a repeated
-// header are joined by commas.
+// answerHead copies the head of the target's answer.
 func (c *call) answerHead(s *slot, x *exchange, length int64) api.AnswerHead {
 	h := api.AnswerHead{
 		Status: x.resp.StatusCode(), Target: s.grant.Target, Length: length,
@@ -27,11 +26,11 @@
 	dropped := connectionNames(string(x.resp.Header.Peek("Connection")))
 	for k, v := range x.resp.Header.All() {
 		name := string(k)
-		if internalHeaders[name] || dropped[strings.ToLower(name)] {
+		if !validName(name) || internalHeaders[name] || dropped[strings.ToLower(name)] {
 			continue
 		}
-		if old, ok := h.Header[name]; ok {
-			h.Header[name] = old + ", " + string(v)
+		if _, ok := h.Header[name]; ok {
+			h.Extra = append(h.Extra, [2]string{name, string(v)})
 			continue
 		}
 		h.Header[name] = string(v)
@@ -51,3 +50,14 @@
 	}
 	return out
 }
+
+// validName refuses header names with spaces and control characters, which
+// fasthttp accepts from a target.
+func validName(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] >= 0x7f || s[i] == ':' {
+			return false
+		}
+	}
+	return s != ""
+}
--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -87,9 +87,10 @@
 func (a *plainAnswer) failFirst(err error) error {
 	f := &fault{step: "body", cause: err, sent: a.x.conn.sent}
 	b := bounds{head: a.x.conn.hard, hard: a.x.conn.hard}
+	ended := a.x.conn.failure == io.EOF
 	a.x.close(false)
 	f.classify(b)
-	if errors.Is(err, io.ErrUnexpectedEOF) {
+	if ended || errors.Is(err, io.ErrUnexpectedEOF) {
 		f.code = codeTruncated
 	}
 	return a.call.failed(a.slot, f)
@@ -164,6 +165,7 @@
 	} else {
 		a.call.stats.broken.Inc()
 		a.call.d.conns.drop(a.slot.grant.Address)
+		a.slot.detail = cause.Error()
 		a.call.d.record("answer", "broken", a.call, a.slot.grant.Target, cause.Error())
 		a.err = &api.Refusal{
 			Code: codeTruncated, Status: 502, Run: api.RunUnknown, Step: "answer",
