--- a/plugin/dispatch/resume.go
+++ b/plugin/dispatch/resume.go
@@ -11,7 +11,7 @@
 
 // Bounds of resumes and cancels.
 const (
-	maxResumes    = 5                     // in a row without a delivered event
+	maxResumes    = 7                     // in a row without a delivered event; about 3 s, the time of a takeover
 	resumeBackoff = 50 * time.Millisecond // doubled for each further try
 	cancelLimit   = 2 * time.Second       // a cancel without an answer is given up
 )
--- a/plugin/entry/drain.go
+++ b/plugin/entry/drain.go
@@ -20,6 +20,9 @@
 	if err := wait(ctx, s.grace); err != nil {
 		return err
 	}
+	if err := s.listener.quiet(ctx, s.grace); err != nil {
+		return err
+	}
 	s.listener.Close()
 	s.record("drain", "listener closed")
 	for {
@@ -34,6 +37,21 @@
 	}
 }
 
+// quiet waits until no connection has arrived for a while, at most for limit. A
+// connection that the kernel has accepted but the server has not is reset when
+// the listener closes.
+func (l *listener) quiet(ctx context.Context, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if time.Since(time.Unix(0, l.last.Load())) >= quietTime {
+			return nil
+		}
+		if err := wait(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Cleanup implements kernel.Cleaner.
 func (s *Server) Cleanup() error {
 	if s.listener != nil {
--- a/plugin/entry/tracker.go
+++ b/plugin/entry/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -74,6 +75,7 @@
 type listener struct {
 	net.Listener
 	conns *tracker
+	last  atomic.Int64 // time of the newest connection, in Unix nanoseconds
 }
 
 // Accept implements net.Listener.
@@ -82,5 +84,6 @@
 	if err != nil {
 		return nil, err
 	}
+	l.last.Store(time.Now().UnixNano())
 	return l.conns.add(nc), nil
 }
