Keep the ports of refused connections bound in tests

Cause: two cases failed once in six runs at load 20: a test's listener got the port that another case expected to refuse connections. Change: the refusing address is a bound socket that does not listen; a target that dies for good closes new connections instead of its listener.

--- a/plugin/dispatch/fakes_test.go
+++ b/plugin/dispatch/fakes_test.go
@@ -93,8 +93,8 @@
 // fakeTarget records what reaches it and answers by a script.
 type fakeTarget struct {
 	name, addr string
-	ln         net.Listener
 	script     func(w *wire, r *seen)
+	gone       atomic.Bool // closes new connections at once
 
 	mu       sync.Mutex
 	requests []*seen
@@ -108,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fakeTarget{name: name, addr: ln.Addr().String(), ln: ln, script: script}
+	f := &fakeTarget{name: name, addr: ln.Addr().String(), script: script}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
@@ -138,6 +138,9 @@
 
 func (f *fakeTarget) serve(c net.Conn) {
 	defer c.Close()
+	if f.gone.Load() {
+		return
+	}
 	br := bufio.NewReader(counted{c, f})
 	for r, err := http.ReadRequest(br); err == nil; r, err = http.ReadRequest(br) {
 		body, err := io.ReadAll(r.Body)
--- a/plugin/dispatch/faults_test.go
+++ b/plugin/dispatch/faults_test.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"net"
+	"fmt"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,12 +36,16 @@
 	w.done(6)
 }
 
-// deadAddress refuses connections.
+// deadAddress refuses connections. Its port stays bound, so that no other test
+// listens on it.
 func deadAddress(t *testing.T) *fakeTarget {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	must(t, err)
-	must(t, ln.Close())
-	return &fakeTarget{name: "dead", addr: ln.Addr().String()}
+	t.Cleanup(func() { syscall.Close(fd) })
+	must(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	sa, err := syscall.Getsockname(fd)
+	must(t, err)
+	return &fakeTarget{name: "dead", addr: fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)}
 }
 
 type faultCase struct {
@@ -141,7 +146,7 @@
 	{name: "truncated event, resumes", first: breaks(2, func(w *wire, _ *seen, _ int) { w.chunk("id: 3\ndata: {\"n\""); w.raw("0\r\n\r\n") }, resumes),
 		body: allEvents(5), results: "ok", sends: "2 0"},
 	{name: "target gone after events", first: func(w *wire, _ *seen, _ int) {
-		w.t.ln.Close()
+		w.t.gone.Store(true)
 		w.stream("s1")
 		w.events(1, 2)
 		w.Close()
