Let restarted engines forget their streams; test resumed streams

Cause: the stand-in resumed any stream, even one from before its restart, which no engine with lost memory can; and the generator counted the router's explicit error event in a stream as wrong bytes.

--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	Refused
 	// Unknown means a rejection that says that the outcome is unknown.
 	Unknown
+	// Broken means a stream that ended with an explicit error event.
+	Broken
 	// Lost means no response, a truncated one or an unexplained error.
 	Lost
 	// Wrong means bytes that do not belong to the request.
@@ -194,7 +197,7 @@
 
 func readRejection(resp *fasthttp.Response) attempt {
 	text, _ := io.ReadAll(io.LimitReader(resp.BodyStream(), maxErrorBody))
-	a := attempt{verdict: Lost, code: strconv.Itoa(resp.StatusCode()) + " " + string(text)}
+	a := attempt{verdict: Lost, code: strconv.Itoa(resp.StatusCode()) + " " + errorText(text)}
 	switch string(resp.Header.Peek("X-Run")) {
 	case "not-run":
 		a.verdict = Refused
@@ -207,6 +210,21 @@
 	return a
 }
 
+// errorEvent begins the event by which a router ends a broken stream.
+var errorEvent = []byte("event: error\ndata: ")
+
+// errorText returns the code and the message of an error without the parts that
+// differ for each request.
+func errorText(raw []byte) string {
+	var e struct {
+		Error struct{ Code, Message, Step string }
+	}
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&e); err != nil || e.Error.Code == "" {
+		return string(raw)
+	}
+	return e.Error.Step + ": " + e.Error.Code + ": " + e.Error.Message
+}
+
 // checkBody compares a response with the expected bytes as they arrive.
 func checkBody(ctx context.Context, resp *fasthttp.Response, want []byte) (a attempt) {
 	buf := make([]byte, readSize)
@@ -217,6 +235,9 @@
 			now := time.Now()
 			if off+n > len(want) || !bytes.Equal(buf[:n], want[off:off+n]) {
 				a.verdict, a.code = Wrong, differenceText(want, buf[:n], off)
+				if i := bytes.Index(buf[:n], errorEvent); i >= 0 && off+i <= len(want) && bytes.Equal(buf[:i], want[off:off+i]) {
+					a.verdict, a.code = Broken, "in the stream: "+errorText(buf[i+len(errorEvent):n])
+				}
 				return a
 			}
 			a.note(now, last, bytes.Count(buf[:n], []byte("\n\n")))
@@ -273,5 +294,5 @@
 
 // String names a verdict.
 func (v Verdict) String() string {
-	return [...]string{"whole", "refused", "unknown", "lost", "wrong"}[v]
+	return [...]string{"whole", "refused", "unknown", "broken", "lost", "wrong"}[v]
 }
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -21,6 +21,7 @@
 	// them that a target did run.
 	Refused, FalselyRefused int
 	Unknown                 int
+	Broken                  int
 	Lost                    int
 	Wrong                   int
 	// Doubled counts non-idempotent requests that ran more than once.
@@ -102,6 +103,8 @@
 		}
 	case Unknown:
 		row.Unknown++
+	case Broken:
+		row.Broken++
 	case Lost:
 		row.Lost++
 	case Wrong:
@@ -118,6 +121,7 @@
 	row.Refused += o.Refused
 	row.FalselyRefused += o.FalselyRefused
 	row.Unknown += o.Unknown
+	row.Broken += o.Broken
 	row.Lost += o.Lost
 	row.Wrong += o.Wrong
 	row.Doubled += o.Doubled
@@ -150,16 +154,16 @@
 // with a false "not run".
 func (out *Report) Clean() bool {
 	t := out.Total
-	return t.Lost+t.Wrong+t.Unknown+t.Doubled+t.FalselyRefused == 0
+	return t.Lost+t.Broken+t.Wrong+t.Unknown+t.Doubled+t.FalselyRefused == 0
 }
 
 // Write prints the table of the workspaces and the histograms.
 func (out *Report) Write(w io.Writer) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "workspace\tsent\twhole\trefused\tfalse\tunknown\tlost\twrong\tdoubled\tskipped\tshare\tfair\t")
+	fmt.Fprintln(tw, "workspace\tsent\twhole\trefused\tfalse\tunknown\tbroken\tlost\twrong\tdoubled\tskipped\tshare\tfair\t")
 	for _, r := range append(append([]Row(nil), out.Rows...), out.Total) {
-		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t\n", r.Workspace, r.Sent, r.Whole, r.Refused,
-			r.FalselyRefused, r.Unknown, r.Lost, r.Wrong, r.Doubled, r.Skipped, 100*r.Share, 100*r.Fair)
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t\n", r.Workspace, r.Sent, r.Whole, r.Refused,
+			r.FalselyRefused, r.Unknown, r.Broken, r.Lost, r.Wrong, r.Doubled, r.Skipped, 100*r.Share, 100*r.Fair)
 	}
 	_ = tw.Flush()
 	fmt.Fprintln(w)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,7 +20,32 @@
 	User string `json:"user"`
 }
 
-const maxTokens = 1 << 16
+const (
+	maxTokens  = 1 << 16
+	maxStreams = 1 << 14 // streams that an engine can resume
+)
+
+// knownStreams are the streams that an engine can resume: the newest ones since
+// it started. A restart forgets them.
+type knownStreams struct {
+	boot uint64
+	seen map[string]bool
+	list []string
+}
+
+func (k *knownStreams) add(boot uint64, id string) {
+	if k.boot != boot {
+		*k = knownStreams{boot: boot, seen: map[string]bool{}}
+	}
+	if len(k.list) >= maxStreams {
+		delete(k.seen, k.list[0])
+		k.list = k.list[1:]
+	}
+	k.seen[id] = true
+	k.list = append(k.list, id)
+}
+
+func (k *knownStreams) has(boot uint64, id string) bool { return k.boot == boot && k.seen[id] }
 
 // engine is the part of a target that a model engine has.
 type engine struct {
@@ -30,6 +55,7 @@
 	mu       sync.Mutex
 	nextID   uint64
 	streams  map[string]*work
+	known    knownStreams
 	fence    uint64
 	model    string
 	version  string
@@ -82,7 +108,7 @@
 		return
 	}
 	if id == "" {
-		id = e.newID()
+		id = e.newID(w.boot)
 	}
 	e.keep(id, w)
 	e.cache.add(time.Now(), Seed(body))
@@ -114,9 +140,13 @@
 	if err != nil || n < 0 || e.t.spec.NoResume {
 		return 0, "", false
 	}
+	boot := e.t.gate.report(time.Now()).Boot
 	e.mu.Lock()
-	old := e.streams[id]
+	old, known := e.streams[id], e.known.has(boot, id)
 	e.mu.Unlock()
+	if !known {
+		return 0, "", false
+	}
 	if old != nil {
 		e.t.gate.finish(old, endAbandon)
 	}
@@ -126,11 +156,13 @@
 	return n, id, true
 }
 
-func (e *engine) newID() string {
+func (e *engine) newID(boot uint64) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextID++
-	return fmt.Sprintf("%s-%d", e.t.spec.Name, e.nextID)
+	id := fmt.Sprintf("%s-%d", e.t.spec.Name, e.nextID)
+	e.known.add(boot, id)
+	return id
 }
 
 func (e *engine) keep(id string, w *work) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -18,6 +18,8 @@
 	FaultCold FaultName = "cold"
 	// FaultRestart restarts a target cold and cuts all its streams.
 	FaultRestart FaultName = "restart"
+	// FaultCut closes the open connections; the target itself goes on.
+	FaultCut FaultName = "cut"
 	// FaultSlow multiplies the time of all work by Factor for MS.
 	FaultSlow FaultName = "slow"
 	// FaultDie restarts the target once After more events were sent (at least
@@ -147,6 +149,8 @@
 		t.gate.turnCold()
 	case FaultRestart:
 		t.restart()
+	case FaultCut:
+		t.door.cut()
 	case FaultSilentOpen:
 		t.door.silence()
 	case FaultRefuse:
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -104,6 +104,11 @@
 	tail, _, err := f.read("/v1/chat/completions", body, "X-Resume-Id", r.Header.Get("X-Stream-Id"), "Last-Event-ID", "7")
 	f.is.NoErr(err)
 	f.is.Equal(string(tail), string(whole[bytes.Index(whole, []byte("id: 8\n")):]))
+	f.fault(Fault{Fault: FaultRestart})
+	f.until("refuses to resume a stream of before its restart", func() bool {
+		_, again, err := f.read("/v1/chat/completions", body, "X-Resume-Id", r.Header.Get("X-Stream-Id"), "Last-Event-ID", "7")
+		return err == nil && again.StatusCode == 409
+	})
 	plain := strings.Replace(body, `"stream":true`, `"stream":false`, 1)
 	got, _, err = f.read("/v1/completions", plain)
 	f.is.NoErr(err)
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,7 +11,7 @@
 //	fault TARGET JSON              scripted fault; TARGET may end in *
 //	leave M TARGET                 the platform's list shows it as leaving from mark M on
 //	load NAME KEY=V ...            start load; keys: rate, for, kinds, attempts, seed, entries
-//	await NAME [KEY=MAX ...]       wait for load and bound lost, refused, unknown, ...; whole=MIN
+//	await NAME [KEY=MAX ...]       wait for load and bound lost, broken, unknown, refused; whole=MIN
 //	call NAME R KEY MS             start one keyed non-idempotent call through an instance
 //	reply NAME VERDICT...          wait for a call and check its verdict
 //	running KEY | runs KEY N       wait for a run of a key; count its runs on all targets
