Keep the admission of a request on its further attempts

Cause: scenario cold-full-load ended one of its requests with queue_full and run state unknown: its target had restarted, and the further attempt found the workspace's queue full. A planned stop would have refused it as well. Change: api.Demand.Admitted marks further attempts; a full queue and a planned stop do not refuse them, a lost lease still does. Conclusion: an admitted request is only refused for reasons of its own.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -205,6 +205,9 @@
 	Hint      float64       // cost units; 0 = none
 	Deadline  time.Duration // on the kernel clock; 0 = none
 	Avoid     string        // target to avoid if another has room, "" = none
+	// Admitted marks a further attempt of a request that was admitted before. It
+	// is refused neither by a full queue nor by a planned stop.
+	Admitted bool
 }
 
 // Grant names the target on which a request may start.
--- a/plugin/dispatch/call.go
+++ b/plugin/dispatch/call.go
@@ -77,7 +77,7 @@
 // run makes attempts until one gives an answer or no further one is allowed.
 func (c *call) run() (api.Answer, error) {
 	for n := 0; ; n++ {
-		ans, err := c.attempt()
+		ans, err := c.attempt(n > 0)
 		if err == nil {
 			return ans, nil
 		}
@@ -142,11 +142,12 @@
 	return c.req.Deadline > 0 && c.d.clock.Now() >= c.deadline()
 }
 
-// attempt queues the request, waits for a grant and runs it on the target.
-func (c *call) attempt() (api.Answer, error) {
+// attempt queues the request, waits for a grant and runs it on the target. A
+// further attempt keeps the admission of the first one.
+func (c *call) attempt(admitted bool) (api.Answer, error) {
 	ticket, err := c.d.pool.Enqueue(api.Demand{
 		ID: c.d.attemptID(c), Pool: c.req.Pool, Workspace: c.req.Workspace, Class: c.req.Class,
-		Hint: c.req.Hint, Deadline: c.deadline(), Avoid: c.avoid,
+		Hint: c.req.Hint, Deadline: c.deadline(), Avoid: c.avoid, Admitted: admitted,
 	})
 	if err != nil {
 		var r *api.Refusal
--- a/plugin/pool/client_test.go
+++ b/plugin/pool/client_test.go
@@ -87,6 +87,9 @@
 	}
 	_, err = c.Enqueue(api.Demand{Pool: "p", Workspace: "w"})
 	r := refusalOf(t, err)
+	again, err := c.Enqueue(api.Demand{Pool: "p", Workspace: "w", Admitted: true})
+	is.NoErr(err) // a further attempt keeps its admission
+	again.Cancel()
 	is.Equal(r.Code, "queue_full")
 	is.Equal(r.Run, api.NotRun)
 	is.True(r.RetryAfter > 0 && r.Status == http.StatusTooManyRequests)
--- a/plugin/pool/queue.go
+++ b/plugin/pool/queue.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -26,7 +27,10 @@
 	if !known {
 		return nil, c.refuse("", unknownPool())
 	}
-	if r := c.refusesAll(now); r != nil {
+	if d.Admitted {
+		limit = math.MaxInt
+	}
+	if r := c.refusesAll(d.Admitted, now); r != nil {
 		return nil, c.refuse(d.Pool, r)
 	}
 	it, retry := c.router(d.Pool).Enqueue(d, limit, now)
@@ -40,14 +44,15 @@
 	return t, nil
 }
 
-// refusesAll returns why no request is accepted now, or nil.
-func (c *Client) refusesAll(now time.Duration) *api.Refusal {
+// refusesAll returns why no request is accepted now, or nil. Without a lease not
+// even an admitted request can start.
+func (c *Client) refusesAll(admitted bool, now time.Duration) *api.Refusal {
 	switch {
-	case c.draining:
+	case c.draining && !admitted:
 		return refusal("stopping", "the instance is stopping", http.StatusServiceUnavailable, time.Second)
 	case c.leaseLost(now):
 		return noLease()
-	case c.queued >= c.kernel.Settings.MaxWaiting():
+	case c.queued >= c.kernel.Settings.MaxWaiting() && !admitted:
 		return refusal("instance_full", "too many requests wait on the instance", http.StatusServiceUnavailable, time.Second)
 	}
 	return nil
