Answer resends of large changes from the log; bound stored outcomes

Cause: a document of 4,300 workspaces and 12,000 targets did not get an answer within a minute under the race detector: each attempt ended after 2 s and the next one decoded, validated and proposed the document again.

Change: a resend gets the stored result, or joins the copy under way, before anything else; submissions have 6 s for one attempt.

--- a/internal/fleetstate/bench_test.go
+++ b/internal/fleetstate/bench_test.go
@@ -84,6 +84,26 @@
 	})
 }
 
+// BenchmarkSnapshotClaims takes a snapshot with as many claims and bodies as may
+// be stored.
+func BenchmarkSnapshotClaims(b *testing.B) {
+	s := New()
+	body := make([]byte, maxOutcomeBytes)
+	for i := range maxClaims {
+		key := api.ClaimKey{Workspace: "workspace", Pool: "pool", Key: fmt.Sprint("idempotency-key-", i)}
+		s.claims.claim(&Claim{key, "h"}, 1)
+		s.claims.settle(&Settle{key, "h", &api.ClaimOutcome{Status: 200, Body: body}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		raw, err := s.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(raw)), "B/snapshot")
+	}
+}
+
 func BenchmarkRestore(b *testing.B) {
 	forSizes(b, func(b *testing.B, s *State) {
 		raw, err := s.Snapshot()
--- a/internal/fleetstate/claims.go
+++ b/internal/fleetstate/claims.go
@@ -9,9 +9,13 @@
 	claimLifeMs = 24 * 60 * 60 * 1000
 	// maxOutcomeBytes bounds a stored body; longer ones are marked as truncated.
 	maxOutcomeBytes = 4 << 10
-	// maxClaims bounds the memory of claims. A claim beyond it is refused, so
-	// that no key is forgotten before its time.
-	maxClaims = 200_000
+	// maxClaims bounds the memory of claims; it is reached at 4.6 keyed requests
+	// a second for a whole day. A claim beyond it is refused, so that no key is
+	// forgotten before its time.
+	maxClaims = 400_000
+	// maxBodies bounds the bytes of all stored bodies, because they are part of
+	// every snapshot. Beyond it outcomes are stored without a body.
+	maxBodies = 32 << 20
 )
 
 // ErrClaimsFull is the refusal of a claim beyond the bound.
@@ -36,8 +40,9 @@
 
 // claims holds the claims by key and in the order of their time.
 type claims struct {
-	byKey map[api.ClaimKey]*claim
-	order []*claim
+	byKey  map[api.ClaimKey]*claim
+	order  []*claim
+	bodies int // bytes of the stored bodies
 }
 
 func newClaims() claims { return claims{byKey: map[api.ClaimKey]*claim{}} }
@@ -48,6 +53,7 @@
 		old := c.order[0]
 		c.order = c.order[1:]
 		if old.over(nowMs) {
+			c.bodies -= old.bodyBytes()
 			delete(c.byKey, old.Key)
 			continue
 		}
@@ -56,6 +62,13 @@
 	}
 }
 
+func (c *claim) bodyBytes() int {
+	if c.Outcome == nil {
+		return 0
+	}
+	return len(c.Outcome.Body)
+}
+
 func (c *claim) over(nowMs int64) bool { return nowMs-c.UnixMs >= claimLifeMs }
 
 func (c *claims) claim(cmd *Claim, nowMs int64) Result {
@@ -78,6 +91,7 @@
 		c.byKey[cmd.Key] = have
 		c.order = append(c.order, have)
 	}
+	c.bodies -= have.bodyBytes()
 	*have = claim{Key: cmd.Key, Holder: cmd.Holder, State: api.ClaimRunning, UnixMs: nowMs, QueuedMs: have.QueuedMs}
 	return Result{Claim: &api.ClaimResult{State: api.ClaimNew}}
 }
@@ -95,9 +109,10 @@
 		return Result{}
 	}
 	outcome := *cmd.Outcome
-	if len(outcome.Body) > maxOutcomeBytes {
+	if len(outcome.Body) > maxOutcomeBytes || c.bodies+len(outcome.Body) > maxBodies {
 		outcome.Body, outcome.Truncated = nil, true
 	}
 	have.State, have.Outcome = api.ClaimDone, &outcome
+	c.bodies += have.bodyBytes()
 	return Result{}
 }
--- a/internal/fleetstate/snapshot.go
+++ b/internal/fleetstate/snapshot.go
@@ -74,6 +74,7 @@
 	for _, c := range im.Claims {
 		s.claims.byKey[c.Key] = c
 		s.claims.order = append(s.claims.order, c)
+		s.claims.bodies += c.bodyBytes()
 	}
 	for _, e := range im.Epochs {
 		s.epochs[e.Pool] = e
--- a/internal/fleetstate/state_test.go
+++ b/internal/fleetstate/state_test.go
@@ -208,6 +208,32 @@
 	is.Equal(len(s.claims.byKey)+len(s.claims.order), 0)
 }
 
+// TestClaimBounds guards against claims and bodies without bound, and against a
+// bound that differs after a restart.
+func TestClaimBounds(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	truncated := 0
+	for i := range maxBodies/maxOutcomeBytes + 2 {
+		key := api.ClaimKey{Key: fmt.Sprint(i)}
+		s.claims.claim(&Claim{key, "h"}, 1)
+		s.claims.settle(&Settle{key, "h", &api.ClaimOutcome{Status: 200, Body: make([]byte, maxOutcomeBytes)}})
+		if s.claims.byKey[key].Outcome.Truncated {
+			truncated++
+		}
+	}
+	is.Equal(truncated, 2)
+	s = restored(t, s)
+	is.Equal(s.claims.bodies, maxBodies)
+	s.claims.expire(1 + claimLifeMs)
+	is.Equal(s.claims.bodies, 0)
+	for i := range maxClaims {
+		s.claims.claim(&Claim{api.ClaimKey{Key: fmt.Sprint(i)}, "h"}, 1)
+	}
+	is.Equal(s.claims.claim(&Claim{api.ClaimKey{Key: "one more"}, "h"}, 1).Error, ErrClaimsFull)
+	is.Equal(s.claims.claim(&Claim{api.ClaimKey{Key: "1"}, "i"}, 1).Claim.State, api.ClaimRunning)
+}
+
 // TestOrderEpoch guards against a fencing number that is given twice or falls.
 func TestOrderEpoch(t *testing.T) {
 	is := is.New(t)
--- a/plugin/control/client.go
+++ b/plugin/control/client.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// attemptLimit bounds one attempt at one replica. It is longer than
-	// serveLimit, so that a replica that works answers in time.
-	attemptLimit = serveLimit + 500*time.Millisecond
+	// answerMargin is added to the limit of the serving replica for one attempt,
+	// so that a replica that works answers in time. A silent replica ends an
+	// attempt earlier, because the mesh closes its link.
+	answerMargin = 500 * time.Millisecond
 	// retryPause separates attempts.
 	retryPause = 50 * time.Millisecond
 )
@@ -195,7 +196,7 @@
 	if at == c.mesh.Self() {
 		return c.serve(ctx, method, raw), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	ctx, cancel := context.WithTimeout(ctx, limitOf(method)+answerMargin)
 	defer cancel()
 	var r reply
 	err := c.mesh.Call(ctx, at, method, raw, &r)
--- a/plugin/control/fault_test.go
+++ b/plugin/control/fault_test.go
@@ -181,6 +181,38 @@
 	c.is.Equal(c.submit("i2", api.Submission{ChangeID: "out", Base: 1, DataCentre: "a", Out: true}), api.SubmitResult{Revision: 2})
 }
 
+// TestLargeDocument guards against a document of the largest planned size that
+// does not pass the log, or whose snapshot does not reach a new replica.
+func TestLargeDocument(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.waitLeader()
+	doc := document()
+	doc.Workspaces, doc.Targets = nil, nil
+	for i := range 4300 {
+		doc.Workspaces = append(doc.Workspaces, fleetconfig.Workspace{Name: fmt.Sprint("w", i), Weight: 1, KeyHashes: []string{fmt.Sprintf("%064x", i)}})
+	}
+	for i := range 12000 {
+		doc.Targets = append(doc.Targets, fleetconfig.Target{Name: fmt.Sprint("t", i), Pool: "p", DataCentre: "ab"[i%2 : i%2+1],
+			Address: fmt.Sprintf("10.%d.%d.%d:80", i/62500, i/250%250, i%250), WarmCapacity: 2, ColdCapacity: 1})
+	}
+	c.is.Equal(c.submit("i0", api.Submission{ChangeID: "doc", Config: doc}), api.SubmitResult{Revision: 1})
+	for _, name := range c.names {
+		r := c.get(name).control.replica
+		r.bytes, r.keep = 1<<30, 0
+		c.is.NoErr(r.snapshot())
+		c.is.True(r.lastBytes > chunkBytes) // several chunks
+	}
+	lost := "i2"
+	if c.leader() == lost {
+		lost = "i1"
+	}
+	c.stop(lost)
+	c.is.NoErr(os.RemoveAll(filepath.Join(c.dir, lost)))
+	c.start(lost)
+	c.until("document at the new replica", func() bool { return c.get(lost).control.replica.state.Revision() == 1 })
+	c.is.Equal(len(c.view(lost).Config.Targets), 12000)
+}
+
 // TestOldDiskReturns guards against a replica that stays outside the group when
 // its instance gets back the disk that was replaced.
 func TestOldDiskReturns(t *testing.T) {
--- a/plugin/control/harness_test.go
+++ b/plugin/control/harness_test.go
@@ -42,6 +42,8 @@
 	mu       sync.Mutex
 	handlers map[string]api.Handler
 	view     *api.View
+	ctx      context.Context // ends when the instance is killed
+	kill     context.CancelFunc
 }
 
 func newCluster(t *testing.T, disks, others int) *cluster {
@@ -77,6 +79,7 @@
 func (c *cluster) start(name string) {
 	c.t.Helper()
 	inst := &instance{cluster: c, name: name, handlers: map[string]api.Handler{}, view: &api.View{}}
+	inst.ctx, inst.kill = context.WithCancel(context.Background())
 	inst.control = &Control{}
 	c.is.NoErr(inst.control.Provision(c.context(name, inst)))
 	c.is.NoErr(inst.control.Validate())
@@ -101,9 +104,7 @@
 	delete(c.nodes, name)
 	c.mu.Unlock()
 	if inst != nil {
-		if inst.control.replica != nil {
-			inst.control.replica.failAll()
-		}
+		inst.kill()
 		c.is.NoErr(inst.control.Cleanup())
 	}
 }
@@ -259,7 +260,13 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)() // as a link breaks with its process
 	res, err := p.handlers[method](ctx, i.name, raw)
+	if p.ctx.Err() != nil {
+		return errors.Errorf("link to %s lost", to)
+	}
 	if err != nil || result == nil {
 		return err
 	}
--- a/plugin/control/propose.go
+++ b/plugin/control/propose.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/consensus"
 	"nutmegrouter/internal/fleetstate"
 	"nutmegrouter/internal/kernel"
@@ -41,8 +40,13 @@
 	}
 }
 
-// propose appends a command to the log. The time of the entry is the leader's.
+// propose appends a command to the log, unless an earlier copy of it is under
+// way. The time of the entry is the leader's.
 func (r *replica) propose(cmd fleetstate.Command, done func(answer)) {
+	if p, ok := r.proposed[cmd.ID]; ok {
+		p.done = append(p.done, done)
+		return
+	}
 	cmd.UnixMs = r.c.wall().UnixMilli()
 	data, err := cmd.Encode()
 	if err == nil && len(data) > maxCommandBytes {
@@ -59,27 +63,30 @@
 	}
 	r.c.metrics.proposed.Inc()
 	if old, ok := r.waiting[index]; ok {
-		old.done(answer{err: errRetry})
+		r.forget(index, old)
+		old.answer(answer{err: errRetry})
 	}
-	r.waiting[index] = pending{term, done}
+	p := &pending{id: cmd.ID, term: term, done: []func(answer){done}}
+	r.waiting[index], r.proposed[cmd.ID] = p, p
 }
 
-// submit proposes a change. An invalid document is refused, unless the change id
-// already has a result.
-func (r *replica) submit(cmd fleetstate.Command, invalid string, done func(answer)) {
-	if r.node.Role() != consensus.Leader {
-		done(answer{err: errRetry})
+// known answers a resend of a change that has a result, or joins it to its first
+// copy while that is under way. A stored result is committed, so no quorum needs
+// to confirm it. Otherwise it answers without a result.
+func (r *replica) known(id string, done func(answer)) {
+	if stored, ok := r.state.Change(id); ok {
+		done(answer{result: fleetstate.Result{Submit: &stored}})
 		return
 	}
-	if invalid != "" {
-		stored, ok := r.state.Change(cmd.Submit.ChangeID)
-		if !ok {
-			stored = api.SubmitResult{Error: invalid}
-		}
-		done(answer{result: fleetstate.Result{Submit: &stored}})
+	if p, ok := r.proposed[id]; ok {
+		p.done = append(p.done, done)
+		return
+	}
+	if r.node.Role() != consensus.Leader {
+		done(answer{err: errRetry})
 		return
 	}
-	r.propose(cmd, done)
+	done(answer{})
 }
 
 // read answers with the state that a quorum confirms.
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -13,17 +13,19 @@
 	"nutmegrouter/internal/wal"
 )
 
-// Bounds of messages and of the log, in bytes and entries.
+// Bounds of messages and of the log, in bytes.
 const (
 	maxAppendBytes = 1 << 20
 	chunkBytes     = 1 << 20
 	// keepBytes of entries stay in memory after a snapshot, so that a follower
 	// that lags a little needs no snapshot.
 	keepBytes = 1 << 20
-	// A snapshot is taken after this many entries or bytes, or after twice the
-	// size of the last snapshot if that is more.
-	snapshotEntries = 4096
-	snapshotBytes   = 4 << 20
+	// A snapshot is taken after this many bytes of entries, or after twice the
+	// size of the last snapshot if that is more, so that the work of snapshots
+	// stays in proportion to the work of the log.
+	snapshotBytes = 4 << 20
+	// entryBytes is counted for each entry besides its data.
+	entryBytes = 256
 )
 
 // received is a message with the instance that sent it.
@@ -48,10 +50,17 @@
 	history  []api.HistoryEntry
 }
 
-// pending is a proposal that waits to be applied.
+// pending is a proposal that waits to be applied, with the calls that wait for it.
 type pending struct {
+	id   string
 	term uint64
-	done func(answer)
+	done []func(answer)
+}
+
+func (p *pending) answer(a answer) {
+	for _, done := range p.done {
+		done(a)
+	}
 }
 
 // replica runs the consensus node on a data folder. Only one goroutine uses it,
@@ -63,8 +72,9 @@
 	state *fleetstate.State
 	id    string
 
-	instances map[string]string // identity -> instance, from received messages
-	waiting   map[uint64]pending
+	instances map[string]string   // identity -> instance, from received messages
+	waiting   map[uint64]*pending // by index
+	proposed  map[string]*pending // by command id
 	reads     map[uint64]func(answer)
 	nextRead  uint64
 	role      consensus.Role
@@ -85,7 +95,7 @@
 	}
 	r := &replica{
 		c: c, log: log, state: state, id: st.Identity,
-		instances: map[string]string{}, waiting: map[uint64]pending{}, reads: map[uint64]func(answer){},
+		instances: map[string]string{}, waiting: map[uint64]*pending{}, proposed: map[string]*pending{}, reads: map[uint64]func(answer){},
 		applied: st.Snapshot.Index, lastBytes: len(st.Snapshot.Data),
 		keep: keepBytes,
 	}
@@ -198,17 +208,24 @@
 		r.c.metrics.applied.Inc()
 	}
 	r.applied = e.Index
-	r.bytes += len(e.Data)
+	r.bytes += len(e.Data) + entryBytes
 	p, ok := r.waiting[e.Index]
 	if !ok {
 		return
 	}
-	delete(r.waiting, e.Index)
+	r.forget(e.Index, p)
 	if p.term != e.Term {
-		p.done(answer{err: errRetry})
+		p.answer(answer{err: errRetry})
 		return
 	}
-	p.done(answer{result: result})
+	p.answer(answer{result: result})
+}
+
+func (r *replica) forget(index uint64, p *pending) {
+	delete(r.waiting, index)
+	if r.proposed[p.id] == p {
+		delete(r.proposed, p.id)
+	}
 }
 
 // install offers the view to the instance. The lease plug-in tells the others.
@@ -222,8 +239,7 @@
 
 // snapshot shortens the log once enough has been applied.
 func (r *replica) snapshot() error {
-	since := r.applied - r.node.SnapshotIndex()
-	if since == 0 || (since < snapshotEntries && r.bytes < max(snapshotBytes, 2*r.lastBytes)) {
+	if r.applied == r.node.SnapshotIndex() || r.bytes < max(snapshotBytes, 2*r.lastBytes) {
 		return nil
 	}
 	data, err := r.state.Snapshot()
@@ -276,8 +292,8 @@
 // failAll makes all waiting calls try again elsewhere.
 func (r *replica) failAll() {
 	for i, p := range r.waiting {
-		delete(r.waiting, i)
-		p.done(answer{err: errRetry})
+		r.forget(i, p)
+		p.answer(answer{err: errRetry})
 	}
 	for i, done := range r.reads {
 		delete(r.reads, i)
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -26,9 +26,19 @@
 	methodHistory = "control.history"
 )
 
-// serveLimit bounds the work on one call. The caller then tries again with the
-// same id, so it may be shorter than a change takes to be accepted.
-const serveLimit = 2 * time.Second
+// Bounds of the work on one call. The caller then tries again with the same id, so
+// they may be shorter than a change takes to be accepted.
+const (
+	serveLimit  = 2 * time.Second
+	submitLimit = 6 * time.Second // a large document takes time to decode and to send
+)
+
+func limitOf(method string) time.Duration {
+	if method == methodSubmit {
+		return submitLimit
+	}
+	return serveLimit
+}
 
 // reply answers every call to the leader.
 type reply struct {
@@ -87,7 +97,7 @@
 	if c.replica == nil {
 		return reply{Retry: true}
 	}
-	ctx, cancel := context.WithTimeout(ctx, serveLimit)
+	ctx, cancel := context.WithTimeout(ctx, limitOf(method))
 	defer cancel()
 	a, err := c.dispatch(ctx, method, params)
 	if err != nil {
@@ -130,16 +140,21 @@
 	return c.inLoop(ctx, func(r *replica, done func(answer)) { r.propose(cmd, done) }), nil
 }
 
-// serveSubmit validates a document outside the replica's goroutine.
+// serveSubmit validates a new change outside the replica's goroutine and proposes
+// it. Resends skip this: a document of 12,000 targets takes its time.
 func (c *Control) serveSubmit(ctx context.Context, cmd fleetstate.Command) answer {
-	s, invalid := cmd.Submit, ""
+	s := cmd.Submit
+	a := c.inLoop(ctx, func(r *replica, done func(answer)) { r.known(s.ChangeID, done) })
+	if a.err != nil || a.result.Submit != nil {
+		return a
+	}
 	if s.Config != nil {
 		if err := fleetconfig.Validate(s.Config); err != nil {
-			invalid = err.Error()
+			return answer{result: fleetstate.Result{Submit: &api.SubmitResult{Error: err.Error()}}}
 		}
 	}
 	s.Summary = summary(c.fleet.View(), s)
-	return c.inLoop(ctx, func(r *replica, done func(answer)) { r.submit(cmd, invalid, done) })
+	return c.inLoop(ctx, func(r *replica, done func(answer)) { r.propose(cmd, done) })
 }
 
 // acceptPoll is the interval at which the views of the instances are looked at.
