Bound the memory of request bodies; test HEAD, 100-continue and pipelining

Cause: bodies of several MB wait with their requests, and nothing bounded their sum on a small instance. Change: bodies of waiting and running requests take at most 32 times maxBodyBytes; beyond that a request is refused with bodies_full, not-run. A race in the test of reused connections is removed. Conclusion: no behaviour below the bound changes.

--- a/plugin/dispatch/attempt_test.go
+++ b/plugin/dispatch/attempt_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,32 +49,21 @@
 // was idle, and against a non-idempotent request on a reused connection.
 func TestReusedConnections(t *testing.T) {
 	is := is.New(t)
-	var drop atomic.Bool
-	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) {
+	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, n int) {
 		w.plain(200, "ok")
-		if drop.Load() {
+		if n == 4 {
 			w.Close()
 		}
 	}))
 	r := newRig(t, target)
-	get := func(method string) {
-		t.Helper()
-		body, _, err := r.do(serviceRequest(method))
-		is.NoErr(err)
-		is.Equal(body, "ok")
+	for i, method := range []string{"GET", "GET", "POST", "GET"} {
+		r.want(serviceRequest(method), "ok")
+		is.Equal(opened(target), []int{1, 1, 2, 2}[i]) // kept, but POST has its own
 	}
-	get("GET")
-	get("GET")
-	is.Equal(opened(target), 1) // kept
-	get("POST")
-	is.Equal(opened(target), 2) // its own connection
-	drop.Store(true)
-	get("GET")
-	drop.Store(false)
 	idle := r.d.conns.pop(target.addr)
 	eventually(t, "the target's close arrived", func() bool { return !idle.alive() })
 	r.d.conns.put(idle)
-	get("GET")
+	r.want(serviceRequest("GET"), "ok")
 	is.Equal(r.pool.results(), "ok ok ok ok ok") // an idle close is not a failure
 }
 
@@ -91,18 +79,14 @@
 		w.plain(200, "ok")
 	}))
 	r := newRig(t, target)
-	for range 2 {
-		body, _, err := r.do(serviceRequest("GET"))
-		is.NoErr(err)
-		is.Equal(body, "ok")
-	}
+	r.want(serviceRequest("GET"), "ok")
+	r.want(serviceRequest("GET"), "ok")
 	is.Equal(r.pool.results(), "ok ok")
 	is.Equal(opened(target), 2)
 }
 
 // Guards against bytes after an answer that are taken for the next caller's.
 func TestSurplusBytes(t *testing.T) {
-	is := is.New(t)
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, n int) {
 		if n == 1 {
 			w.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
@@ -111,12 +95,8 @@
 		w.plain(200, "right")
 	}))
 	r := newRig(t, target)
-	body, _, err := r.do(serviceRequest("GET"))
-	is.NoErr(err)
-	is.Equal(body, "ok")
-	body, _, err = r.do(serviceRequest("GET"))
-	is.NoErr(err)
-	is.Equal(body, "right")
+	r.want(serviceRequest("GET"), "ok")
+	r.want(serviceRequest("GET"), "right")
 }
 
 // Guards against a large body that a target reads slowly, and against one that
@@ -129,9 +109,7 @@
 	req := serviceRequest("POST")
 	req.Body = make([]byte, 12<<20)
 	copy(req.Body, "abc")
-	body, _, err := r.do(req)
-	is.NoErr(err)
-	is.Equal(body, "abc")
+	r.want(req, "abc")
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -217,9 +195,7 @@
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { w.plain(201, "made", "Content-Type: text/x") }))
 	r := newRig(t, target)
 	for range 3 {
-		body, head, err := r.do(keyed())
-		is.NoErr(err)
-		is.Equal(body, "made")
+		head := r.want(keyed(), "made")
 		is.Equal(head.Status, 201)
 		is.Equal(head.Header["Content-Type"], "text/x")
 	}
--- a/plugin/dispatch/callers_test.go
+++ b/plugin/dispatch/callers_test.go
@@ -18,13 +18,13 @@
 )
 
 // call sends a request on a connection of its own and returns the connection.
-func (r *rig) call(addr, path, body string) net.Conn {
+func (r *rig) call(addr, path, body, headers string) net.Conn {
 	r.t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(addr, "http://"))
 	must(r.t, err)
 	r.t.Cleanup(func() { c.Close() })
 	must(r.t, c.SetDeadline(time.Now().Add(waitLimit)))
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, len(body), body)
 	must(r.t, err)
 	return c
 }
@@ -59,12 +59,45 @@
 	is.Equal(r.outcome().Cost, 9.0) // 7 generated tokens and a tenth of 20 prompt tokens
 }
 
+// Guards against HEAD answers that wait for a body or lose their length, and
+// against a caller that waits in vain for leave to send its body.
+func TestHeadAndContinue(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, "t1", numbered(func(w *wire, r *seen, _ int) {
+		if r.Method == "HEAD" {
+			w.raw("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
+			return
+		}
+		w.plain(200, r.body)
+	}))
+	r := newRig(t, target)
+	_, url := r.serve()
+	c := r.call(url, "/v1/pools/svc/x", "hello", "Expect: 100-continue\r\n")
+	br := bufio.NewReader(c)
+	line, err := br.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	_, err = br.ReadString('\n')
+	is.NoErr(err)
+	_, err = io.WriteString(c, "HEAD /v1/pools/svc/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "hello")
+	resp, err = http.ReadResponse(br, &http.Request{Method: "HEAD"})
+	is.NoErr(err)
+	is.Equal(resp.ContentLength, int64(7))
+	is.Equal(opened(target), 1) // kept after an answer without a body to read
+}
+
 // Guards against a queue place that stays taken after its caller left.
 func TestCallerGoneWhileQueued(t *testing.T) {
 	r := newRig(t, newTarget(t, "t1", numbered(ok)))
 	r.pool.hold = true
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/svc/x", "")
+	c := r.call(url, "/v1/pools/svc/x", "", "")
 	eventually(t, "queued", func() bool { n, _ := r.pool.asked(); return n == 1 })
 	c.Close()
 	eventually(t, "cancelled", func() bool { _, n := r.pool.asked(); return n == 1 })
@@ -78,7 +111,7 @@
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { w.silent(); close(left) }))
 	r := newRig(t, target)
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/svc/x", "")
+	c := r.call(url, "/v1/pools/svc/x", "", "")
 	eventually(t, "sent", func() bool { return len(target.work()) == 1 })
 	c.Close()
 	is.Equal(r.outcome().Result, api.ResultCancelled)
@@ -93,7 +126,7 @@
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { begun(w, 2); w.silent() }))
 	r := newRig(t, target)
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/llm/v1/completions", "{}")
+	c := r.call(url, "/v1/pools/llm/v1/completions", "{}", "")
 	br := bufio.NewReader(c)
 	for line := ""; line != "id: 2\n"; {
 		var err error
@@ -180,7 +213,7 @@
 		}()
 	}
 	eventually(t, "streams begun", func() bool { return len(target.work()) == streams })
-	idle := r.call(url, "/v1/pools/svc/count", "")
+	idle := r.call(url, "/v1/pools/svc/count", "", "")
 	resp, err := http.ReadResponse(bufio.NewReader(idle), nil)
 	is.NoErr(err)
 	is.True(!resp.Close)
--- a/plugin/dispatch/fakes_test.go
+++ b/plugin/dispatch/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -105,9 +106,7 @@
 func newTarget(t *testing.T, name string, script func(w *wire, r *seen)) *fakeTarget {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	f := &fakeTarget{name: name, addr: ln.Addr().String(), script: script}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
@@ -287,11 +286,8 @@
 func (c *fakeControl) Claim(_ context.Context, k api.ClaimKey, _ string) (api.ClaimResult, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.fail != nil {
-		return api.ClaimResult{}, c.fail
-	}
-	if r, ok := c.claims[k]; ok {
-		return r, nil
+	if r, ok := c.claims[k]; ok || c.fail != nil {
+		return r, c.fail
 	}
 	c.claims[k] = api.ClaimResult{State: api.ClaimRunning}
 	return api.ClaimResult{State: api.ClaimNew}, nil
@@ -348,17 +344,13 @@
 		pool:    &fakePool{targets: targets, ended: make(chan api.Outcome, 1<<16)},
 		control: &fakeControl{claims: map[api.ClaimKey]api.ClaimResult{}, settled: make(chan *api.ClaimOutcome, 64)},
 	}
-	must(t, r.fleet.Provision(c))
-	must(t, kernel.Provide[api.Pool](c, r.pool))
-	must(t, kernel.Provide[api.Lease](c, r.lease))
-	must(t, kernel.Provide[api.Control](c, r.control))
-	must(t, r.d.Provision(c))
+	must(t, errors.Join(r.fleet.Provision(c), kernel.Provide[api.Pool](c, r.pool), kernel.Provide[api.Lease](c, r.lease),
+		kernel.Provide[api.Control](c, r.control), r.d.Provision(c)))
 	r.fleet.Install(&api.View{Revision: 1, Config: config(targets...)})
 	t.Cleanup(func() {
 		ctx, stop := context.WithTimeout(context.Background(), waitLimit)
 		defer stop()
-		must(t, r.d.Drain(ctx))
-		must(t, r.d.Cleanup())
+		must(t, errors.Join(r.d.Drain(ctx), r.d.Cleanup()))
 	})
 	return r
 }
@@ -381,6 +373,16 @@
 	return string(b), ans.Head(), err
 }
 
+// want runs a request that must be answered with the body.
+func (r *rig) want(req *api.Request, body string) api.AnswerHead {
+	r.t.Helper()
+	got, head, err := r.do(req)
+	if err != nil || got != body {
+		r.t.Fatalf("want %q, got %q, %v", body, got, err)
+	}
+	return head
+}
+
 // outcome waits for the end of work on a grant.
 func (r *rig) outcome() api.Outcome {
 	r.t.Helper()
@@ -446,8 +448,7 @@
 	must(r.t, s.Start(d))
 	r.t.Cleanup(func() {
 		stop()
-		must(r.t, d.Wait())
-		must(r.t, s.Cleanup())
+		must(r.t, errors.Join(d.Wait(), s.Cleanup()))
 	})
 	return s, "http://" + s.Addr()
 }
--- a/plugin/dispatch/library_test.go
+++ b/plugin/dispatch/library_test.go
@@ -115,9 +115,7 @@
 	is.True(err != nil) // the client cut a stream that moved all the time
 
 	r := newRig(t, target)
-	body, _, err := r.do(engineRequest())
-	is.NoErr(err)
-	is.Equal(body, allEvents(events)) // the router's deadline is per read
+	r.want(engineRequest(), allEvents(events)) // the router's deadline is per read
 }
 
 // Guards exchange.read: a truncated body is an unexpected EOF with a length or
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -194,6 +194,23 @@
 	})
 }
 
+// Guards against bodies of waiting requests that fill the memory, and against
+// room that is not given back.
+func TestBodyBudget(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, &fakeDispatcher{})
+	s.bodies.limit = 3
+	post := "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: "
+	for range 3 {
+		resp, _ := exchange(t, s, post+"2\r\n\r\nhi")
+		is.Equal(resp.StatusCode, 200)
+	}
+	resp, _ := exchange(t, s, post+"4\r\n\r\nhigh")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get("X-Run")+resp.Header.Get("Retry-After"), "not-run1")
+	is.Equal(s.bodies.held.Load(), int64(0))
+}
+
 // Guards against requests that are wrongly taken as repeatable or not.
 func TestIdempotency(t *testing.T) {
 	cases := map[bool][]string{
--- a/plugin/entry/handler.go
+++ b/plugin/entry/handler.go
@@ -29,6 +29,10 @@
 	}
 	s.stats.received.Add(len(ctx.Request.Body()))
 	r, refusal := s.parse(ctx)
+	var free func()
+	if refusal == nil {
+		free, refusal = s.bodies.take(len(r.Body))
+	}
 	if refusal != nil {
 		s.writeRefusal(ctx, refusal, r.ID)
 		if refusal.Status == fasthttp.StatusBadRequest {
@@ -40,12 +44,11 @@
 	s.stats.request(r.Pool)
 	work, cancel := context.WithCancel(context.Background())
 	r.Gone = work.Done()
-	end := cancel
+	stop := func() {}
 	if conn != nil {
-		stop := conn.watch(func() { s.stats.gone.Inc(); cancel() })
-		end = func() { stop(); cancel() }
+		stop = conn.watch(func() { s.stats.gone.Inc(); cancel() })
 	}
-	s.run(ctx, work, r, end)
+	s.run(ctx, work, r, func() { stop(); cancel(); free() })
 	s.closeIfDraining(ctx)
 }
 
--- a/plugin/entry/refuse.go
+++ b/plugin/entry/refuse.go
@@ -26,6 +26,7 @@
 	codeTimeout      = "request_timeout"
 	codeNotReady     = "not_ready"
 	codeAnswerLarge  = "answer_too_large"
+	codeBodiesFull   = "bodies_full"
 	codeInternal     = "internal_error"
 )
 
--- a/plugin/entry/setup.go
+++ b/plugin/entry/setup.go
@@ -46,6 +46,7 @@
 	events   *kernel.Events
 	stats    *stats
 	routes   atomic.Pointer[routes]
+	bodies   *budget
 
 	http     *fasthttp.Server
 	listener *listener
@@ -65,7 +66,8 @@
 	s.instance, s.listen = c.Settings.Instance, c.Settings.Listen
 	s.grace, s.maxBody = c.Settings.StopGrace(), c.Settings.MaxBodyBytes()
 	s.log, s.events = c.Log, c.Events
-	s.conns = newTracker()
+	s.conns, s.bodies = newTracker(), newBudget(s.maxBody)
+	c.Metrics.NewGauge("nutmeg_entry_body_bytes", func() float64 { return float64(s.bodies.held.Load()) })
 	s.stats = newStats(c.Metrics, s.conns)
 	s.conns.bytes = s.stats.sent
 	s.http = s.newHTTP()
