--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -105,7 +105,8 @@
 
 // SubmitResult is the stored result of a submission.
 type SubmitResult struct {
-	// Revision is the revision that the change made.
+	// Revision is the revision that the change made or, with a conflict, that
+	// the change named by Conflict made; 0 with an error.
 	Revision uint64 `json:"revision"`
 	// Conflict names the change that won if this one was refused, else "".
 	Conflict string `json:"conflict,omitempty"`
@@ -204,6 +205,9 @@
 	Hint      float64       // cost units; 0 = none
 	Deadline  time.Duration // on the kernel clock; 0 = none
 	Avoid     string        // target to avoid if another has room, "" = none
+	// Admitted marks a further attempt of a request that was admitted before. It
+	// is refused neither by a full queue nor by a planned stop.
+	Admitted bool
 }
 
 // Grant names the target on which a request may start.
--- a/internal/schedule/inbound.go
+++ b/internal/schedule/inbound.go
@@ -48,12 +48,13 @@
 			o.lim.Confirm(&r.work, c.Warmth, c.Boot, now)
 		}
 	}
-	for _, n := range m.Cancelled {
-		o.cancel(p, n, now)
-	}
 	for i := range m.Added {
 		o.add(p, &m.Added[i], now)
 	}
+	// After the added ones: a request may be added and cancelled in one batch.
+	for _, n := range m.Cancelled {
+		o.cancel(p, n, now)
+	}
 }
 
 func (o *Owner) add(p *peer, a *Add, now time.Duration) {
@@ -119,7 +120,7 @@
 		o.release(r)
 		return
 	}
-	// The cancel crossed the grant: the router will not start the request.
+	// Returned unused, or the cancel crossed the grant.
 	o.refund(r, now)
 }
 
@@ -137,12 +138,12 @@
 }
 
 func (o *Owner) done(p *peer, d *Done, now time.Duration) {
-	r := p.requests[d.N]
-	if r == nil || r.waiting {
+	if d.Outcome.Result == api.ResultNotStarted {
+		o.cancel(p, d.N, now)
 		return
 	}
-	if d.Outcome.Result == api.ResultNotStarted {
-		o.refund(r, now)
+	r := p.requests[d.N]
+	if r == nil || r.waiting {
 		return
 	}
 	o.Stats.Settled++
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -73,6 +73,7 @@
 	applied   uint64
 	bytes     int // applied since the last snapshot
 	lastBytes int // size of the last snapshot
+	keep      int // bytes of entries kept in memory before a snapshot
 	ticks     uint64
 	status    atomic.Pointer[api.ControlStatus]
 }
@@ -86,6 +87,7 @@
 		c: c, log: log, state: state, id: st.Identity,
 		instances: map[string]string{}, waiting: map[uint64]pending{}, reads: map[uint64]func(answer){},
 		applied: st.Snapshot.Index, lastBytes: len(st.Snapshot.Data),
+		keep: keepBytes,
 	}
 	r.node = consensus.New(r.config(), st.Hard, st.Snapshot, st.Entries)
 	r.install()
@@ -209,19 +211,13 @@
 	p.done(answer{result: result})
 }
 
-// install offers the view to the instance and tells the others about it.
+// install offers the view to the instance. The lease plug-in tells the others.
 func (r *replica) install() {
 	v := r.state.View()
 	if v.Revision <= r.c.fleet.View().Revision {
 		return
 	}
 	r.c.fleet.Install(v)
-	if r.node.Role() != consensus.Leader {
-		return
-	}
-	for _, p := range r.c.mesh.Peers() {
-		_ = r.c.mesh.Notify(p, methodNews, newsParams{Revision: v.Revision}) // beats tell it as well
-	}
 }
 
 // snapshot shortens the log once enough has been applied.
@@ -241,7 +237,7 @@
 	if err := r.log.SaveSnapshot(s, r.node.Hard(), r.node.Entries(s.Index)); err != nil {
 		return err
 	}
-	r.node.Compact(s.Index, data, keepBytes)
+	r.node.Compact(s.Index, data, r.keep)
 	r.bytes, r.lastBytes = 0, len(data)
 	r.c.metrics.snapshots.Inc()
 	return nil
