--- a/plugin/mesh/mesh_test.go
+++ b/plugin/mesh/mesh_test.go
@@ -84,8 +84,11 @@
 	if err := n.Provision(k); err != nil {
 		w.t.Fatal(err)
 	}
-	n.Handle("note", func(_ context.Context, from string, p json.RawMessage) (any, error) {
-		n.heard <- from + " " + string(p)
+	n.Handle("note", func(ctx context.Context, from string, p json.RawMessage) (any, error) {
+		select {
+		case n.heard <- from + " " + string(p):
+		case <-ctx.Done():
+		}
 		return nil, nil
 	})
 	n.Handle("echo", func(_ context.Context, from string, p json.RawMessage) (any, error) {
