--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,6 +35,15 @@
 	Reachable(peer string) bool
 }
 
+// Links tells the mesh which paths exist through other instances. Beats carry
+// the reports, so that they cost no message of their own.
+type Links interface {
+	// Unreached returns the peers without a working direct link, sorted.
+	Unreached() []string
+	// Report records the peers that a peer says it does not reach directly.
+	Report(peer string, unreached []string)
+}
+
 // Lease tells what this instance may do at this moment on the monotonic clock.
 type Lease interface {
 	// Valid reports whether this instance may dispatch work now.
@@ -96,7 +105,8 @@
 
 // SubmitResult is the stored result of a submission.
 type SubmitResult struct {
-	// Revision is the revision that the change made.
+	// Revision is the revision that the change made or, with a conflict, that
+	// the change named by Conflict made; 0 with an error.
 	Revision uint64 `json:"revision"`
 	// Conflict names the change that won if this one was refused, else "".
 	Conflict string `json:"conflict,omitempty"`
@@ -195,6 +205,9 @@
 	Hint      float64       // cost units; 0 = none
 	Deadline  time.Duration // on the kernel clock; 0 = none
 	Avoid     string        // target to avoid if another has room, "" = none
+	// Admitted marks a further attempt of a request that was admitted before. It
+	// is refused neither by a full queue nor by a planned stop.
+	Admitted bool
 }
 
 // Grant names the target on which a request may start.
@@ -313,6 +326,9 @@
 	Target string
 	// Length is the number of body bytes, or -1 if unknown.
 	Length int64
+	// Extra holds the second and further values of repeated headers, such as
+	// Set-Cookie, whose values cannot be joined.
+	Extra [][2]string
 }
 
 // Answer is the answer to a request. Read returns io.EOF only after the whole
@@ -324,6 +340,21 @@
 	Close() error
 }
 
+// TargetState is what the owner of a pool knows of a target.
+type TargetState struct {
+	Target  fleetconfig.Target
+	Warmth  Warmth // from the newest load report; WarmthUnknown without one
+	Boot    uint64 // boot number from the newest report, 0 if unknown
+	Leaving bool   // marked so in the platform's list
+	Out     bool   // its data centre is out of service
+}
+
+// TargetStates gives the states of the targets of the pools that this instance
+// owns. The result is empty for other pools.
+type TargetStates interface {
+	States(pool string) []TargetState
+}
+
 // Dispatcher runs a request: queue, grant, claim, send, retry, resume.
 type Dispatcher interface {
 	// Do returns the answer once its head is known, or a *Refusal.
