Take over within the bound; count the age of a poll

Cause: a new owner waited for a load report from after all routers' reports, up to 1 s, which with dead routers made 3.3 s in the worst case; a load report is older than its lag by the time of its poll. Change: the wait for load reports begins with the ownership; the poll's time limit is added to the lag; targets take time steps every 50 ms instead of 10 ms.

--- a/internal/limits/set.go
+++ b/internal/limits/set.go
@@ -23,6 +23,7 @@
 	byDC    map[string]*heap // the same per data centre
 	out     map[string]bool
 	leaving map[string]bool
+	gateEnd time.Duration
 	changes []Change
 }
 
@@ -61,7 +62,7 @@
 		keep[c.Name] = true
 		t := s.byName[c.Name]
 		if t == nil {
-			t = &Target{limit: c.ColdCapacity, set: s, pos: [2]int{-1, -1}}
+			t = &Target{limit: c.ColdCapacity, set: s, pos: [2]int{-1, -1}, gated: now < s.gateEnd, gateEnd: s.gateEnd}
 			s.byName[c.Name] = t
 			s.all = append(s.all, t)
 		}
@@ -87,10 +88,11 @@
 	s.refreshAll(now)
 }
 
-// Gate keeps all targets free of new work until each has sent a load report or
-// the time has come. A new owner uses it because work of a dead router is known
-// to the targets alone.
+// Gate keeps all targets, those configured until then included, free of new work
+// until each has sent a load report or the time has come. A new owner uses it
+// because work of a dead router is known to the targets alone.
 func (s *Set) Gate(until, now time.Duration) {
+	s.gateEnd = until
 	for _, t := range s.all {
 		t.gated, t.gateEnd = true, until
 		s.refresh(t, now)
--- a/internal/schedule/fault_test.go
+++ b/internal/schedule/fault_test.go
@@ -208,6 +208,30 @@
 	}
 }
 
+// Guards against a takeover that takes longer than 3 s, with routers that die
+// along with the owner and are not heard of.
+func TestTakeoverTime(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		l := newLoad(seed)
+		l.run(8 * time.Second)
+		begin, first := l.now, time.Duration(0)
+		l.onStart = func(*simJob) {
+			if first == 0 && l.now > begin+100*ms {
+				first = l.now
+			}
+		}
+		l.routers[0].die()
+		l.routers[2].die()
+		l.takeOver()
+		l.run(5 * time.Second)
+		if first == 0 || first-begin > 3*time.Second {
+			t.Errorf("seed %d: first grant after %v", seed, first-begin)
+		}
+		t.Log(first - begin)
+	}
+}
+
 // Guards against new work on a leaving target (R8) or in a data centre that is
 // out (R4) later than 3 s, 5 s with lost messages and a takeover, and against
 // running work that does not complete.
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -28,7 +28,11 @@
 	// all: time for one request for a report and its answer. Waiting deadAfter
 	// here would prolong each takeover by a second beyond its bound of 3 s.
 	unheardAfter = askEvery
-	// gateTime bounds the wait for the first load report after a takeover.
+	// limitsEvery is the interval of time steps of the targets, each of which
+	// costs one step for each target.
+	limitsEvery = 50 * time.Millisecond
+	// gateTime bounds the wait for the first load report after a takeover. It
+	// begins with the wait for the routers' reports.
 	gateTime = time.Second
 	// spareWorkspaces is room for workspaces that routers know and the owner's
 	// view does not.
@@ -73,6 +77,7 @@
 	copies     uint64
 	emptied    bool   // the last copy had no rows
 	copied     uint64 // changes contained in the last copy
+	limTicked  time.Duration
 	forgot     time.Duration
 	notes      []Note
 	msg        GrantMsg
@@ -86,6 +91,7 @@
 		fair: fairness.New(), lim: limits.NewSet(),
 		peers: make(map[string]*peer, len(instances)),
 	}
+	o.lim.Gate(now+gateTime, now)
 	for _, name := range slices.Sorted(maps.Keys(instances)) {
 		p := &peer{name: name, dataCentre: instances[name], heard: now, requests: map[uint64]*request{}, names: map[string]uint64{}}
 		o.peers[name] = p
--- a/internal/schedule/rebuild.go
+++ b/internal/schedule/rebuild.go
@@ -174,7 +174,6 @@
 	}
 	o.open = true
 	o.rebuildAccounts()
-	o.lim.Gate(now+gateTime, now)
 	o.note(Note{Step: "open"})
 }
 
@@ -185,7 +184,10 @@
 		o.tickPeer(p, now, mayHold)
 	}
 	o.tryOpen(now)
-	o.lim.Tick(now)
+	if now-o.limTicked >= limitsEvery {
+		o.limTicked = now
+		o.lim.Tick(now)
+	}
 	if now-o.forgot >= time.Second {
 		o.forgot = now
 		o.fair.Forget()
--- a/plugin/scheduler/ownership.go
+++ b/plugin/scheduler/ownership.go
@@ -92,7 +92,9 @@
 			targets = append(targets, limits.Config{
 				Name: t.Name, DataCentre: t.DataCentre,
 				WarmCapacity: t.WarmCapacity, ColdCapacity: t.ColdCapacity,
-				EvidenceLife: p.EvidenceLife(), ReportLag: p.ReportLag(), RequestLimit: p.RequestLimit(),
+				EvidenceLife: p.EvidenceLife(), RequestLimit: p.RequestLimit(),
+				// A report is as old as its lag and the poll that fetched it.
+				ReportLag: p.ReportLag() + pollTimeout,
 			})
 		}
 	}
