Drop answers that no request asked for

Cause: fasthttp writes 408 on a new connection on which nothing arrives within the read limit; a caller that sends a request at that moment takes it for its answer. Change: a caller's connection drops bytes written before a request has begun. Conclusion: such a connection is closed without an answer.

--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -59,6 +59,9 @@
 // readAhead reads up to the buffer's limit.
 func (a *plainAnswer) readAhead() error {
 	var b bytes.Buffer
+	if a.head.Length > 0 {
+		b.Grow(int(a.head.Length) + bytes.MinRead) // one more read finds the end
+	}
 	n, err := io.CopyN(&b, readFunc(a.source), bufferLimit+1)
 	a.prefix = b.Bytes()
 	if err == io.EOF {
--- a/plugin/entry/conn.go
+++ b/plugin/entry/conn.go
@@ -56,8 +56,14 @@
 	return n, err
 }
 
-// Write implements net.Conn with a deadline for each write.
+// Write implements net.Conn with a deadline for each write. Bytes that no
+// request asked for are dropped: fasthttp answers a new connection on which
+// nothing arrives in time, and the caller could take that for the answer to the
+// request that it sends at this moment.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if !c.busy() {
+		return len(p), nil
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
 		return 0, err
 	}
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -49,7 +49,7 @@
 }
 func (fakeAnswer) Close() error { return nil }
 
-func newServer(t testing.TB, d *fakeDispatcher) *Server {
+func newServer(t testing.TB, d *fakeDispatcher, change ...func(*Server)) *Server {
 	t.Helper()
 	cfg := &settings.Settings{Instance: "a1", Listen: "127.0.0.1:0"}
 	cfg.Limits.MaxBodyBytes, cfg.Limits.StopGraceMs = 1<<20, 50
@@ -59,6 +59,9 @@
 	must(t, kernel.Provide[api.Dispatcher](c, d))
 	s := &Server{}
 	must(t, s.Provision(c))
+	for _, f := range change {
+		f(s)
+	}
 	f.Install(&api.View{Revision: 1, Config: &fleetconfig.Config{
 		Workspaces: []fleetconfig.Workspace{{Name: "w1", KeyHashes: []string{secretHash}}},
 		Pools: []fleetconfig.Pool{
@@ -194,6 +197,19 @@
 	})
 }
 
+// Guards against an answer without a request, which a caller could take for the
+// answer to its next one.
+func TestUnaskedAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, &fakeDispatcher{}, func(s *Server) { s.http.ReadTimeout = time.Millisecond })
+	c, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	is.NoErr(c.SetDeadline(time.Now().Add(waitLimit)))
+	b, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(b), "")
+}
+
 // Guards against bodies of waiting requests that fill the memory, and against
 // room that is not given back.
 func TestBodyBudget(t *testing.T) {
