Pass on the refusal of a target that did not read the whole request

Cause: a target that refuses a large body early closes the connection; the write failed and the caller got target_failed, unknown, instead of the refusal. Change: after a broken write an answer of status 400 or more is read and passed on; its connection is not kept. Conclusion: nothing changes for targets that read the whole request.

--- a/plugin/dispatch/attempt_test.go
+++ b/plugin/dispatch/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -99,6 +100,28 @@
 	r.want(serviceRequest("GET"), "right")
 }
 
+// Guards against a truthful refusal of a target that is lost because the target
+// did not read the whole request, and against another send of that request.
+func TestEarlyRefusal(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		c.Read(make([]byte, 100))
+		io.WriteString(c, "HTTP/1.1 413 X\r\nContent-Length: 2\r\n\r\nno")
+		c.Close() // with unread bytes, so it resets the connection
+	}()
+	r := newRig(t, &fakeTarget{name: "t1", addr: ln.Addr().String()})
+	req := serviceRequest("POST")
+	req.Body = make([]byte, 12<<20)
+	is.Equal(r.want(req, "no").Status, 413)
+}
+
 // Guards against a large body that a target reads slowly, and against one that
 // it stops reading.
 func TestLargeBody(t *testing.T) {
--- a/plugin/dispatch/callers_test.go
+++ b/plugin/dispatch/callers_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
 )
@@ -24,7 +26,7 @@
 	must(r.t, err)
 	r.t.Cleanup(func() { c.Close() })
 	must(r.t, c.SetDeadline(time.Now().Add(waitLimit)))
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, len(body), body)
+	_, err = fmt.Fprintf(c, "POST %s\r\nHost: x\r\nAuthorization: Bearer secret\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, len(body), body)
 	must(r.t, err)
 	return c
 }
@@ -72,7 +74,7 @@
 	}))
 	r := newRig(t, target)
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/svc/x", "hello", "Expect: 100-continue\r\n")
+	c := r.call(url, "/v1/pools/svc/x HTTP/1.1", "hello", "Expect: 100-continue\r\n")
 	br := bufio.NewReader(c)
 	line, err := br.ReadString('\n')
 	is.NoErr(err)
@@ -97,7 +99,7 @@
 	r := newRig(t, newTarget(t, "t1", numbered(ok)))
 	r.pool.hold = true
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/svc/x", "", "")
+	c := r.call(url, "/v1/pools/svc/x HTTP/1.1", "", "")
 	eventually(t, "queued", func() bool { n, _ := r.pool.asked(); return n == 1 })
 	c.Close()
 	eventually(t, "cancelled", func() bool { _, n := r.pool.asked(); return n == 1 })
@@ -111,7 +113,7 @@
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { w.silent(); close(left) }))
 	r := newRig(t, target)
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/svc/x", "", "")
+	c := r.call(url, "/v1/pools/svc/x HTTP/1.1", "", "")
 	eventually(t, "sent", func() bool { return len(target.work()) == 1 })
 	c.Close()
 	is.Equal(r.outcome().Result, api.ResultCancelled)
@@ -126,7 +128,7 @@
 	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) { begun(w, 2); w.silent() }))
 	r := newRig(t, target)
 	_, url := r.serve()
-	c := r.call(url, "/v1/pools/llm/v1/completions", "{}", "")
+	c := r.call(url, "/v1/pools/llm/v1/completions HTTP/1.1", "{}", "")
 	br := bufio.NewReader(c)
 	for line := ""; line != "id: 2\n"; {
 		var err error
@@ -174,11 +176,7 @@
 	is := is.New(t)
 	r := newRig(t, newTarget(t, "t1", numbered(dies(2, refusesResume))))
 	_, url := r.serve()
-	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
-	is.NoErr(err)
-	defer c.Close()
-	_, err = io.WriteString(c, "POST /v1/pools/llm/v1/completions HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 2\r\n\r\n{}")
-	is.NoErr(err)
+	c := r.call(url, "/v1/pools/llm/v1/completions HTTP/1.0", "{}", "")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 502)
@@ -213,7 +211,7 @@
 		}()
 	}
 	eventually(t, "streams begun", func() bool { return len(target.work()) == streams })
-	idle := r.call(url, "/v1/pools/svc/count", "", "")
+	idle := r.call(url, "/v1/pools/svc/count HTTP/1.1", "", "")
 	resp, err := http.ReadResponse(bufio.NewReader(idle), nil)
 	is.NoErr(err)
 	is.True(!resp.Close)
@@ -295,3 +293,41 @@
 	}
 	return b.String() + "id: 21\ndata: [DONE]\n\n"
 }
+
+// BenchmarkAddedDelay measures a short call straight to a target and the same
+// call through the router when nothing waits. The difference is the added delay.
+func BenchmarkAddedDelay(b *testing.B) {
+	target := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") }}
+	b.Run("direct", func(b *testing.B) {
+		addr := serveLibrary(b, target)
+		measure(b, addr, "GET", "/count")
+	})
+	for _, method := range []string{"GET", "POST"} { // POST uses a fresh connection to the target
+		b.Run("router-"+method, func(b *testing.B) {
+			addr := serveLibrary(b, target)
+			r := newRig(b, &fakeTarget{name: "t1", addr: addr})
+			s, _ := r.serve()
+			measure(b, s.Addr(), method, "/v1/pools/svc/count")
+		})
+	}
+}
+
+func measure(b *testing.B, addr, method, path string) {
+	c := &fasthttp.HostClient{Addr: addr}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.Set("Authorization", "Bearer secret")
+	took := make([]time.Duration, 0, b.N)
+	b.ReportAllocs()
+	for b.Loop() {
+		begin := time.Now()
+		if err := c.Do(req, resp); err != nil || resp.StatusCode() != 200 {
+			b.Fatal(err, resp.StatusCode())
+		}
+		took = append(took, time.Since(begin))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
@@ -18,6 +20,8 @@
 	resp *fasthttp.Response
 	body io.Reader // nil if the answer has no body
 	stop func() bool
+	// partial reports that the request was not written to its end.
+	partial bool
 }
 
 // bounds limits the time of an exchange.
@@ -45,19 +49,38 @@
 	conn.arm(b.silence, b.head, check)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	x := &exchange{d: d, conn: conn, stop: stop, resp: fasthttp.AcquireResponse()}
-	if err := x.send(m); err != nil {
-		return nil, x.fail("send", err)
-	}
 	x.resp.StreamBody = true
 	x.resp.SkipBody = m.method == fasthttp.MethodHead
-	if err := x.resp.ReadLimitBody(conn.br, 0); err != nil {
-		return nil, x.fail("head", err)
+	if step, err := x.talk(m); err != nil {
+		return nil, x.fail(step, err)
 	}
 	x.body = x.resp.BodyStream()
 	conn.hard = b.hard
 	return x, nil
 }
 
+// talk sends the message and reads the head. It returns the step that failed.
+func (x *exchange) talk(m *message) (step string, err error) {
+	if err := x.send(m); err != nil {
+		if x.early() {
+			return "", nil
+		}
+		return "send", err
+	}
+	return "head", x.resp.ReadLimitBody(x.conn.br, 0)
+}
+
+// early reads the answer of a target that refused a request before it had read
+// all of it and closed the connection. Only a refusal is taken for an answer.
+func (x *exchange) early() bool {
+	c := x.conn
+	if c.sent == 0 || (!errors.Is(c.failure, syscall.EPIPE) && !errors.Is(c.failure, syscall.ECONNRESET)) {
+		return false
+	}
+	x.partial = true
+	return x.resp.ReadLimitBody(c.br, 0) == nil && x.resp.StatusCode() >= fasthttp.StatusBadRequest
+}
+
 func (d *Dispatcher) connect(ctx context.Context, host string, fresh bool) (*targetConn, error) {
 	if !fresh {
 		if c := d.conns.take(host); c != nil {
@@ -110,7 +133,7 @@
 	x.d.stats.sent.Add(int(x.conn.sent))
 	x.d.stats.received.Add(int(x.conn.received))
 	free := x.stop()
-	keep := whole && free && !x.resp.ConnectionClose() && x.conn.br.Buffered() == 0
+	keep := whole && free && !x.partial && !x.resp.ConnectionClose() && x.conn.br.Buffered() == 0
 	x.resp.CloseBodyStream() //nolint:errcheck // a reader without resources of its own
 	fasthttp.ReleaseResponse(x.resp)
 	x.resp, x.body = nil, nil
