Pack the constant parts of frames, and test leases under faults

A beat sent out of turn delayed the next periodic one to 750 ms, and a new witness waited for the next beat before its lease counted.

Change: in frames of up to 4 KiB the constant parts of JSON-RPC are one byte each; every beat restarts the interval; a node that becomes a witness beats at once. Tests for idle traffic, an isolated owner, relayed beats, a planned handover and a restarted witness.

--- a/internal/lease/node.go
+++ b/internal/lease/node.go
@@ -41,7 +41,7 @@
 
 	owners   map[string]owner  // owners as announced by their beats
 	seen     map[string]uint64 // highest epochs told by other witnesses
-	announce bool              // ownership was gained and not yet told
+	announce bool              // the next beat must not wait: the node became a witness or an owner
 	claims   map[string]*claim
 	releases []Release // to be sent with the next beat
 	handover map[string]handover
@@ -121,12 +121,12 @@
 		return
 	}
 	if n.confirm && n.revision >= n.confirmed {
-		n.caughtUp = true
+		n.caughtUp, n.announce = true, true
 		return
 	}
 	for _, r := range n.rounds {
 		if r.sent >= n.cfg.Start+RestartTime && n.covered(r, false) >= n.majority {
-			n.caughtUp = true
+			n.caughtUp, n.announce = true, true
 			return
 		}
 	}
--- a/plugin/lease/beat.go
+++ b/plugin/lease/beat.go
@@ -114,7 +114,7 @@
 		}
 		if now := k.clock.Now(); due || now >= next {
 			k.sendBeat(ctx)
-			next = max(next+lease.BeatInterval, now+lease.BeatInterval/2)
+			next = now + lease.BeatInterval
 		}
 	}
 }
--- /dev/null
+++ b/plugin/lease/fault_test.go
@@ -0,0 +1,159 @@
+package lease
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"nutmegrouter/internal/lease"
+	"nutmegrouter/internal/standin/relay"
+)
+
+// Guards against goroutines that outlive the duties.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sentBytes returns the bytes that an instance has sent, by method.
+func sentBytes(in *instance) map[string]int {
+	var buf bytes.Buffer
+	in.ctx.Metrics.WritePrometheus(&buf)
+	out := map[string]int{}
+	for line := range strings.Lines(buf.String()) {
+		if !strings.HasPrefix(line, "nutmeg_mesh_sent_bytes_total{") {
+			continue
+		}
+		_, rest, _ := strings.Cut(line, `method="`)
+		method, value, _ := strings.Cut(rest, `"} `)
+		n := 0
+		_, _ = fmt.Sscan(value, &n)
+		out[method] += n
+		out["total"] += n
+	}
+	return out
+}
+
+// isolate cuts an instance off in both directions, or ends that.
+func (c *cluster) isolate(name string, cut bool) {
+	for _, other := range c.names {
+		for _, pair := range [][2]string{{name, other}, {other, name}} {
+			if cut {
+				c.relays[pair].Cut(relay.Both)
+			} else {
+				c.relays[pair].Heal()
+			}
+		}
+	}
+}
+
+// Guards against idle traffic of leases and links beyond the 2 KB/s of section
+// 1: seven instances, two pools, measured on the owner of both or one of them.
+func TestIdleTraffic(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 7)
+	c.setPools("matcher-llm", "counter-api")
+	c.awaitLeases()
+	owner, _ := c.awaitOwner("matcher-llm")
+	c.awaitOwner("counter-api")
+	const window = 4 * time.Second
+	before, begin := map[string]int{}, time.Now()
+	for name, in := range c.instances {
+		before[name] = sentBytes(in)["total"]
+	}
+	time.Sleep(window)
+	elapsed := time.Since(begin).Seconds()
+	for name, in := range c.instances {
+		rate := float64(sentBytes(in)["total"]-before[name]) / elapsed
+		t.Logf("%s (owner %v): %.0f bytes/s sent", name, name == owner, rate)
+		is.True(rate < 2000)
+	}
+}
+
+// Guards against an isolated instance that keeps its lease or its pools, a pool
+// without a new owner after 3 s, and an instance that does not come back.
+func TestIsolatedOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5)
+	c.setPools("p")
+	c.awaitLeases()
+	old, epoch := c.awaitOwner("p")
+	in := c.instances[old]
+	c.isolate(old, true)
+	c.await("end of the lease", func() bool { return !in.keeper.Valid() })
+	_, held := in.keeper.Holds("p")
+	is.True(!held)
+	name, next := c.awaitOwner("p")
+	is.True(name != old && next > epoch)
+	c.instances[name].fleet.Install(view(3)) // missed by the isolated instance
+	c.isolate(old, false)
+	c.awaitLeases()
+	is.Equal(in.fleet.View().Revision, uint64(3)) // no lease without the view
+}
+
+// Guards against two instances that lose their leases or their heartbeat because
+// only the link between them is cut.
+func TestRelayedBeats(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.awaitLeases()
+	i1, i2 := c.instances["i1"], c.instances["i2"]
+	c.relays[[2]string{"i1", "i2"}].Cut(relay.Both)
+	c.relays[[2]string{"i2", "i1"}].Cut(relay.Both)
+	c.await("link down", func() bool { return len(i1.mesh.Unreached()) == 1 && len(i2.mesh.Unreached()) == 1 })
+	c.await("relay", func() bool { return i1.mesh.Reachable("i2") && i2.mesh.Reachable("i1") })
+	i1.fleet.Install(view(5))
+	c.await("revision through the relay", func() bool { return i1.keeper.Revision("i2") == 5 })
+	for _, in := range c.instances {
+		is.True(in.keeper.Valid())
+	}
+	c.relays[[2]string{"i1", "i2"}].Heal()
+	c.await("direct link", func() bool { return len(i1.mesh.Unreached()) == 0 })
+}
+
+// Guards against a handover on a planned stop that waits for votes to expire,
+// and against a resigned instance that seeks a pool again.
+func TestResign(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5)
+	c.setPools("p", "q")
+	c.awaitLeases()
+	c.awaitOwner("q")
+	old, epoch := c.awaitOwner("p")
+	in := c.instances[old]
+	changes := make(chan struct{}, 100)
+	in.keeper.OnChange(func() { signal(changes) })
+	begin := time.Now()
+	is.NoErr(in.keeper.Resign(context.Background()))
+	name, next := c.owner("p")
+	t.Logf("handed over after %s", time.Since(begin))
+	is.True(name != "" && name != old && next > epoch) // Resign returns after the successor took over
+	is.True(len(changes) > 0)                          // listeners were told
+	c.await("successor known", func() bool { n, e, ok := in.keeper.Owner("p"); return ok && n == name && e == next })
+	in.keeper.SetPools([]string{"p", "q"})
+	c.stop(name)
+	next2, _ := c.awaitOwner("p")
+	is.True(next2 != old && next2 != name)
+}
+
+// Guards against a restarted instance that answers as a witness at once, and
+// against one that never does.
+func TestRestartedWitness(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.awaitLeases()
+	c.quorum.revision.Store(9) // a read confirms revision 9, which nobody has yet
+	c.stop("i2")               // i3 alone is no majority of witnesses
+	c.stop("i1")
+	in := c.start("i1")
+	c.await("link", func() bool { return in.mesh.Reachable("i3") })
+	is.True(!in.keeper.isWitness())
+	time.Sleep(lease.RestartTime + lease.BeatInterval)
+	is.True(!in.keeper.isWitness()) // its view is behind the confirmed revision
+	in.fleet.Install(view(9))
+	c.await("witness", in.keeper.isWitness)
+	c.awaitLeases() // i1 and i3 are a majority again
+}
--- a/plugin/lease/setup.go
+++ b/plugin/lease/setup.go
@@ -35,6 +35,7 @@
 	control api.Control // nil if no plug-in provides it
 	context *kernel.Context
 	clock   kernel.Clock
+	started time.Duration
 	events  *kernel.Events
 	log     *slog.Logger
 
@@ -75,12 +76,12 @@
 	}
 	k.context, k.clock, k.events, k.log = c, c.Clock, c.Events, c.Log.With("plugin", "lease")
 	k.kick, k.fetch = make(chan struct{}, 1), make(chan struct{}, 1)
-	k.known = map[string]ownership{}
+	k.known, k.started = map[string]ownership{}, c.Clock.Now()
 	k.node = lease.New(lease.Config{
 		Self:      k.mesh.Self(),
 		Instances: append(k.mesh.Peers(), k.mesh.Self()),
 		Boot:      uint64(rand.Uint32()), // short, because every beat carries it
-		Start:     c.Clock.Now(),
+		Start:     k.started,
 	})
 	k.setMetrics(c.Metrics)
 	k.mesh.Handle(beatMethod, k.handleBeat)
--- a/plugin/lease/view.go
+++ b/plugin/lease/view.go
@@ -16,7 +16,7 @@
 	fetchLimit   = time.Second            // for one peer's answer
 	fetchPause   = 100 * time.Millisecond // after a failed attempt on all peers ahead
 	confirmLimit = 2 * time.Second        // for one read by the control quorum
-	confirmPause = 500 * time.Millisecond
+	confirmPause = 100 * time.Millisecond
 )
 
 // fetchRequest asks for a view newer than the known one.
@@ -107,7 +107,9 @@
 		if k.isWitness() {
 			return nil
 		}
-		k.confirm(ctx)
+		if k.clock.Now() >= k.started+lease.RestartTime { // earlier reads do not count
+			k.confirm(ctx)
+		}
 	}
 	return nil
 }
--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -292,6 +292,7 @@
 func FuzzReadFrame(f *testing.F) {
 	f.Add([]byte{3, '{', '}', ' '})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add(appendFrame(nil, pack([]byte(`{"id":1,"jsonrpc":"2.0","method":"beat","params":["\u0001"]}`))))
 	f.Add(appendFrame(nil, []byte(`{"id":1,"result":null,"jsonrpc":"2.0"}`)))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		body, size, err := readFrame(bufio.NewReader(bytes.NewReader(raw)))
@@ -305,7 +306,13 @@
 		if err != nil || !bytes.Equal(again, body) {
 			t.Fatalf("round trip: %v", err)
 		}
-		var v json.RawMessage
-		_ = json.Unmarshal(body, &v)
+		var v, same json.RawMessage
+		if json.Unmarshal(unpack(body), &v) != nil {
+			return
+		}
+		text, err := json.Marshal(v)
+		if err != nil || json.Unmarshal(unpack(pack(text)), &same) != nil || !bytes.Equal(same, text) {
+			t.Fatalf("%q does not survive packing", text)
+		}
 	})
 }
--- a/plugin/mesh/stream.go
+++ b/plugin/mesh/stream.go
@@ -78,7 +78,7 @@
 	body, size, err := readFrame(s.r)
 	s.received = size
 	if err == nil {
-		if jerr := json.Unmarshal(body, v); jerr != nil {
+		if jerr := json.Unmarshal(unpack(body), v); jerr != nil {
 			err = errors.WithMessage(ErrMalformed, jerr.Error())
 		}
 	}
@@ -103,7 +103,7 @@
 		s.count.Load().oversized.Inc()
 		return ErrOversized
 	}
-	return s.push(frame{appendFrame(nil, body), method})
+	return s.push(frame{appendFrame(nil, pack(body)), method})
 }
 
 func (s *stream) push(f frame) error {
