Refuse beats without a pool name, and test recovery after faults

Cause: the fuzz target found that a request with an empty pool and epoch 0 was decoded but could not be encoded again.

Generated sequences now end with 10 s without faults, after which every instance must have a lease, the newest view and a known owner of each pool.

--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -107,6 +107,9 @@
 		if err := fields(raw, 2, &r.Pool, &r.Epoch, &seeks, &r.After); err != nil {
 			return errors.WithMessage(err, "beat request")
 		}
+		if r.Pool == "" || r.Epoch == 0 {
+			return errors.New("beat request: no pool or no epoch")
+		}
 		r.Held = seeks == 0
 		out.Requests = append(out.Requests, r)
 	}
@@ -115,6 +118,9 @@
 		if err := fields(raw, 2, &r.Pool, &r.Epoch, &r.To); err != nil {
 			return errors.WithMessage(err, "beat release")
 		}
+		if r.Pool == "" || r.Epoch == 0 {
+			return errors.New("beat release: no pool or no epoch")
+		}
 		out.Releases = append(out.Releases, r)
 	}
 	*b = out
@@ -159,8 +165,8 @@
 		if err := fields(raw, 2, &q.Peer, &q.Ms); err != nil {
 			return errors.WithMessage(err, "reply quiet")
 		}
-		if q.Ms > math.MaxInt32 {
-			return errors.New("reply quiet: time out of range")
+		if q.Peer == "" || q.Ms > math.MaxInt32 {
+			return errors.New("reply quiet: no peer or time out of range")
 		}
 		out.Quiet = append(out.Quiet, q)
 	}
--- a/internal/lease/sequence_test.go
+++ b/internal/lease/sequence_test.go
@@ -37,11 +37,54 @@
 	case "deaf":
 		do = func() { s.isolate(name, true, false); s.after(long, func() { s.isolate(name, false, false) }) }
 	case "resign":
-		do = func() { n := s.nodes[name]; n.Resign(s.clock(n)); s.after(long, func() { s.restarts++; s.boot(name) }) }
+		do = func() { n := s.nodes[name]; n.Resign(s.clock(n)); s.after(long, s.unresign(name)) }
 	case "commit":
 		do = func() { s.commit(name) }
 	}
-	s.after(at, do)
+	s.after(at, func() {
+		if !s.calm {
+			do()
+		}
+	})
+}
+
+// settle ends all faults and reports whether every instance has a lease and
+// every pool an owner some time later.
+func (s *sim) settle(within time.Duration) string {
+	s.calm, s.loss, s.double, s.delay, s.cut = true, 0, 0, 5*time.Millisecond, map[[2]string]bool{}
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.frozen = 0
+		if n.resigned {
+			s.restarts++
+			s.boot(name)
+		}
+	}
+	s.runUntil(s.now + within)
+	for _, name := range s.names {
+		n := s.nodes[name]
+		if !n.Valid(s.clock(n)) {
+			return name + " has no lease"
+		}
+		if n.revision != s.committed {
+			return name + " has an old view"
+		}
+		for _, pool := range s.pools {
+			if _, _, ok := n.Owner(s.clock(n), pool); !ok {
+				return name + " knows no owner of " + pool
+			}
+		}
+	}
+	return ""
+}
+
+func (s *sim) unresign(name string) func() {
+	return func() {
+		if s.nodes[name].resigned {
+			s.restarts++
+			s.boot(name)
+		}
+	}
 }
 
 func (s *sim) setCut(from, to string, cut bool) { s.cut[[2]string{from, to}] = cut }
@@ -73,9 +116,9 @@
 	}
 }
 
-// Guards against two valid owners of a pool, against an epoch used by two owners
-// and against a lease with a view that was superseded more than a lease time
-// ago, whatever messages are lost, delayed, doubled or reordered, and whichever
+// Guards against two valid owners of a pool, an epoch used by two owners, a lease
+// with a view that was superseded more than a lease time ago, and a fleet that
+// does not recover once the faults end, whatever messages are lost, delayed, doubled or reordered, and whichever
 // instances restart, freeze or are cut off, with clocks that drift by 5%.
 func TestSequences(t *testing.T) {
 	var leased, held, accepted, resets int
@@ -94,6 +137,9 @@
 		if s.fault != "" {
 			t.Fatal(s.fault)
 		}
+		if stuck := s.settle(10 * time.Second); stuck != "" || s.fault != "" {
+			t.Fatal("after the faults: ", stuck, s.fault)
+		}
 		leased, held = leased+int(s.leaseTime/time.Second), held+int(s.heldTime/time.Second)
 		accepted, resets = accepted+int(s.accepted), resets+s.restarts
 	})
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -56,6 +56,7 @@
 	delay    time.Duration      // longest
 	cut      map[[2]string]bool // by from and to
 	restarts int
+	calm     bool // no further faults
 
 	committed  uint64
 	accepted   uint64
