Check for goroutines that outlive their request

Cause: watches, cancels and claims run in goroutines of their own. Change: goleak checks the end of plugin/dispatch's tests.

--- a/plugin/dispatch/fakes_test.go
+++ b/plugin/dispatch/fakes_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
@@ -28,6 +30,23 @@
 // failures only; no passing test takes this long.
 const waitLimit = 20 * time.Second
 
+// TestMain guards against goroutines that outlive their request. fasthttp's own
+// housekeeping ends some seconds later.
+func TestMain(m *testing.M) {
+	const lib = "github.com/valyala/fasthttp."
+	goleak.VerifyTestMain(quietClient{m}, goleak.IgnoreAnyFunction(lib+"(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction(lib+"(*HostClient).connsCleaner"), goleak.IgnoreAnyFunction(lib+"(*TCPDialer).tcpAddrsClean"),
+		goleak.IgnoreAnyFunction(lib+"(*Client).mCleaner"), goleak.IgnoreAnyFunction(lib+"updateServerDate.func1"))
+}
+
+// quietClient closes the connections that the tests' HTTP client keeps.
+type quietClient struct{ m *testing.M }
+
+func (q quietClient) Run() int {
+	defer http.DefaultClient.CloseIdleConnections()
+	return q.m.Run()
+}
+
 // farMs is a silence limit that no test reaches.
 const farMs = 40000
 
