Cancel answers that are not streamed at the engine as well

Cause: an engine writes nothing before the end of such an answer, so a closed connection did not stop its work; and a stream that failed before its first event freed its slot before the cancel was answered. Change: every answer with X-Stream-Id is cancelled when it is given up, and its slot is freed after that. Conclusion: no target gets new work for a slot that its engine still uses.

--- a/plugin/dispatch/callers_test.go
+++ b/plugin/dispatch/callers_test.go
@@ -142,6 +142,23 @@
 	is.Equal(len(target.work()), 1) // no resume for nobody
 }
 
+// Guards against an engine that goes on with an answer that is not streamed. It
+// writes nothing before the end, so a closed connection tells it nothing.
+func TestCallerGoneWhileEngineComputes(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, "t1", numbered(func(w *wire, _ *seen, _ int) {
+		w.raw("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Stream-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		w.silent()
+	}))
+	r := newRig(t, target)
+	_, url := r.serve()
+	c := r.call(url, "/v1/pools/llm/v1/completions HTTP/1.1", "{}", "")
+	eventually(t, "confirmed", func() bool { return r.pool.confirmed.Load() != nil })
+	c.Close()
+	is.Equal(r.outcome().Result, api.ResultCancelled)
+	is.Equal(len(target.cancels()), 1) // before the slot was freed
+}
+
 // Guards against a stream that breaks and looks whole to the caller.
 func TestCallerSeesBrokenStream(t *testing.T) {
 	is := is.New(t)
--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -19,6 +19,7 @@
 	call   *call
 	slot   *slot
 	x      *exchange
+	id     string // under which an engine can cancel the work, "" = none
 	head   api.AnswerHead
 	prefix []byte // bytes read before Do returned
 	sample []byte // start of the body, kept for usage and claims
@@ -27,12 +28,12 @@
 }
 
 // openPlain reads a short answer whole and passes a long one through.
-func (c *call) openPlain(s *slot, x *exchange) (api.Answer, error) {
+func (c *call) openPlain(s *slot, x *exchange, st headState) (api.Answer, error) {
 	length := int64(x.resp.Header.ContentLength())
 	if length < 0 {
 		length = -1
 	}
-	a := &plainAnswer{call: c, slot: s, x: x, head: c.answerHead(s, x, length)}
+	a := &plainAnswer{call: c, slot: s, x: x, id: st.streamID, head: c.answerHead(s, x, length)}
 	if x.body == nil {
 		a.head.Length = length
 		a.finish()
@@ -96,7 +97,8 @@
 	if ended || errors.Is(err, io.ErrUnexpectedEOF) {
 		f.code = codeTruncated
 	}
-	return a.call.failed(a.slot, f)
+	a.call.cancelStream(a.slot.grant.Address, a.id, a.call.ending(a.slot, f))
+	return f
 }
 
 // Head implements api.Answer.
@@ -176,7 +178,8 @@
 		}
 	}
 	a.x.close(false)
-	a.slot.done(result, a.call.serviceCost(a.slot))
+	cost := a.call.serviceCost(a.slot)
+	a.call.cancelStream(a.slot.grant.Address, a.id, func() { a.slot.done(result, cost) })
 	a.call.cancel()
 }
 
--- a/plugin/dispatch/resume.go
+++ b/plugin/dispatch/resume.go
@@ -109,17 +109,9 @@
 	}
 }
 
-// cancelAtEngine stops the engine's work on the stream and then calls done.
-func (a *eventAnswer) cancelAtEngine(done func()) {
-	if a.streamID == "" {
-		done()
-		return
-	}
-	a.call.cancelStream(a.slot.grant.Address, a.streamID, done)
-}
-
 // cancelStream sends the cancel in the background. The slot is freed by done
 // only after the engine answered, because until then it may still be working.
+// Without an id the closed connection has to do.
 func (c *call) cancelStream(host, id string, done func()) {
 	if !validStreamID(id) {
 		done()
--- a/plugin/dispatch/start.go
+++ b/plugin/dispatch/start.go
@@ -33,7 +33,7 @@
 	if isEvents(x) && c.pool.Kind == fleetconfig.KindEngine {
 		return c.openEvents(s, x, st)
 	}
-	return c.openPlain(s, x)
+	return c.openPlain(s, x, st)
 }
 
 // exchange sends the request, once more on a fresh connection if a reused one
@@ -76,19 +76,25 @@
 
 // failed ends the work on a grant after a fault.
 func (c *call) failed(s *slot, f *fault) error {
+	c.ending(s, f)()
+	return f
+}
+
+// ending returns the function that ends the work on a grant after a fault.
+func (c *call) ending(s *slot, f *fault) (done func()) {
 	f.target = s.grant.Target
 	s.detail = f.Error()
 	gone := c.workContext().Err() != nil
+	result, cost := api.ResultFailed, c.serviceCost(s)
 	switch {
 	case f.sent == 0 && (gone || f.code == codeNotStarted || localDialFault(f.cause)):
-		s.done(api.ResultNotStarted, 0)
+		result, cost = api.ResultNotStarted, 0
 	case gone:
-		s.done(api.ResultCancelled, c.serviceCost(s))
+		result = api.ResultCancelled
 	default:
 		c.d.conns.drop(s.grant.Address)
-		s.done(api.ResultFailed, c.serviceCost(s))
 	}
-	return f
+	return func() { s.done(result, cost) }
 }
 
 // serviceCost returns the cost of a plain service's work; the cost of an
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -58,10 +58,11 @@
 
 // failFirst gives up a stream that delivered nothing.
 func (a *eventAnswer) failFirst(err error) error {
-	sent := a.x.conn.sent
-	a.abandon()
-	f := &fault{step: "first event", cause: err, sent: sent}
-	return a.call.failed(a.slot, f.classify(bounds{head: a.hard, hard: a.hard}))
+	f := &fault{step: "first event", cause: err, sent: a.x.conn.sent}
+	a.closeExchange()
+	done := a.call.ending(a.slot, f.classify(bounds{head: a.hard, hard: a.hard}))
+	a.call.cancelStream(a.slot.grant.Address, a.streamID, done)
+	return f
 }
 
 // Head implements api.Answer.
@@ -168,13 +169,7 @@
 	if result == api.ResultFailed {
 		a.call.d.conns.drop(a.slot.grant.Address)
 	}
-	a.cancelAtEngine(func() { a.slot.done(result, a.cost) })
-}
-
-// abandon gives up a stream before it delivered anything.
-func (a *eventAnswer) abandon() {
-	a.closeExchange()
-	a.cancelAtEngine(func() {})
+	a.call.cancelStream(a.slot.grant.Address, a.streamID, func() { a.slot.done(result, a.cost) })
 }
 
 func (a *eventAnswer) closeExchange() {
