--- a/cmd/nutmegctl/main_test.go
+++ b/cmd/nutmegctl/main_test.go
@@ -145,3 +145,17 @@
 	code, _, _ = runTool("", "-admin", "127.0.0.1:1", "status")
 	is.Equal(code, exitFailure)
 }
+
+// Guards against a frozen instance, which accepts connections and never answers,
+// using up the time of the whole command.
+func TestFrozenInstance(t *testing.T) {
+	is := is.New(t)
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer frozen.Close()
+	f := startFake(t)
+	code, _, errOut := runTool("", "-admin", frozen.Addr().String()+","+f.address, "-timeout", "8s", "out", "a")
+	is.Equal(errOut, "")
+	is.Equal(code, exitOK)
+	is.Equal(len(f.changes), 1)
+}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -20,13 +20,20 @@
 type Client struct {
 	// Addresses are IP:port of the instances, in the order of preference.
 	Addresses []string
-	// Timeout bounds one attempt; 0 = 10 s.
+	// Timeout bounds one attempt; 0 = 2 s, and 4 s for a change, which waits for
+	// the control log. It must be short against the whole command: an instance
+	// that is frozen accepts a connection and never answers.
 	Timeout time.Duration
 
 	http fasthttp.Client
+	// first is the address tried first: the one that answered last.
+	first int
 }
 
-const defaultTimeout = 10 * time.Second
+const (
+	readTimeout   = 2 * time.Second
+	changeTimeout = 4 * time.Second
+)
 
 // StatusError is an error answer of an instance.
 type StatusError struct {
@@ -107,15 +114,16 @@
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
 	last := errors.New("no address given")
-	for _, addr := range c.Addresses {
+	for range c.Addresses {
 		if ctx.Err() != nil {
 			return errors.WithMessage(ctx.Err(), last.Error())
 		}
-		err := c.once(ctx, addr, method, path, body, out)
+		err := c.once(ctx, c.Addresses[c.first], method, path, body, out)
 		if err == nil {
 			return nil
 		}
 		last = err
+		c.first = (c.first + 1) % len(c.Addresses)
 		var se *StatusError
 		if errors.As(err, &se) && se.Code != fasthttp.StatusServiceUnavailable {
 			return err
@@ -131,7 +139,7 @@
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
-	if err := c.http.DoDeadline(req, resp, c.deadline(ctx)); err != nil {
+	if err := c.http.DoDeadline(req, resp, c.deadline(ctx, method)); err != nil {
 		return errors.Wrapf(err, "%s %s (peer %s)", method, path, addr)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -144,10 +152,13 @@
 	return errors.Wrapf(json.Unmarshal(resp.Body(), out), "decode %s (peer %s)", path, addr)
 }
 
-func (c *Client) deadline(ctx context.Context) time.Time {
+func (c *Client) deadline(ctx context.Context, method string) time.Time {
 	timeout := c.Timeout
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout = readTimeout
+		if method == fasthttp.MethodPost {
+			timeout = changeTimeout
+		}
 	}
 	end := time.Now().Add(timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
--- a/plugin/admin/timeline.go
+++ b/plugin/admin/timeline.go
@@ -18,8 +18,8 @@
 	// methodEvents reads the events of a peer.
 	methodEvents = "events.read"
 	// eventsLimit bounds the wait for a peer's events. A peer that is slower
-	// is reported as missing.
-	eventsLimit = 2 * time.Second
+	// is reported as missing. It is shorter than the client's wait for an answer.
+	eventsLimit = time.Second
 )
 
 // handleEvents answers a peer that merges the time line.
