Refuse beats without boot or sequence

Cause: the fuzz target found that [0,0] was accepted as a beat; such a beat has no identity and cannot be ordered against others.

Change: the decoder refuses it; the boot identity of a process is never 0.

--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -101,6 +101,9 @@
 	if err != nil {
 		return errors.WithMessage(err, "beat")
 	}
+	if out.Boot == 0 || out.Seq == 0 {
+		return errors.New("beat: no boot or no sequence")
+	}
 	for _, raw := range reqs {
 		var r Request
 		seeks := 0
--- a/plugin/lease/setup.go
+++ b/plugin/lease/setup.go
@@ -80,7 +80,7 @@
 	k.node = lease.New(lease.Config{
 		Self:      k.mesh.Self(),
 		Instances: append(k.mesh.Peers(), k.mesh.Self()),
-		Boot:      uint64(rand.Uint32()), // short, because every beat carries it
+		Boot:      1 + uint64(rand.Uint32()), // not 0; short, because every beat carries it
 		Start:     k.started,
 	})
 	k.setMetrics(c.Metrics)
