--- a/plugin/lease/cluster_test.go
+++ b/plugin/lease/cluster_test.go
@@ -54,26 +54,24 @@
 type cluster struct {
 	t         *testing.T
 	names     []string
-	relays    map[[2]string]*relay.Relay // by from and to
+	grid      *relay.Grid
 	quorum    *quorum
 	instances map[string]*instance
 }
 
+// newCluster starts instances named i1, i2 and so on. The test runs in parallel
+// with others, because most of its time is waiting for leases.
 func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{t: t, relays: map[[2]string]*relay.Relay{}, quorum: &quorum{}, instances: map[string]*instance{}}
+	t.Parallel()
+	c := &cluster{t: t, quorum: &quorum{}, instances: map[string]*instance{}}
 	for i := range size {
 		c.names = append(c.names, fmt.Sprintf("i%d", i+1))
 	}
-	for _, a := range c.names {
-		for _, b := range c.names {
-			r, err := relay.New("127.0.0.1:1")
-			if err != nil {
-				t.Fatal(err)
-			}
-			c.relays[[2]string{a, b}] = r
-			t.Cleanup(r.Close)
-		}
+	var err error
+	if c.grid, err = relay.NewGrid(c.names...); err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(c.grid.Close)
 	t.Cleanup(func() {
 		for _, in := range c.instances {
 			in.stop()
@@ -89,7 +87,7 @@
 func (c *cluster) start(name string) *instance {
 	s := &settings.Settings{Instance: name, Mesh: "127.0.0.1:0"}
 	for _, p := range c.names {
-		s.Peers = append(s.Peers, settings.Peer{Instance: p, Mesh: c.relays[[2]string{name, p}].Addr()})
+		s.Peers = append(s.Peers, settings.Peer{Instance: p, Mesh: c.grid.Address(name, p)})
 	}
 	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
 	in := &instance{name: name, keeper: &Keeper{}, mesh: &mesh.Mesh{}, fleet: &fleet.Holder{}, ctx: k}
@@ -106,9 +104,7 @@
 	check(kernel.Provide[api.Control](k, c.quorum))
 	check(in.mesh.Start(in.duties))
 	check(in.keeper.Start(in.duties))
-	for _, p := range c.names {
-		c.relays[[2]string{p, name}].SetTarget(in.mesh.Addr().String())
-	}
+	c.grid.Listen(name, in.mesh.Addr().String())
 	c.instances[name] = in
 	return in
 }
--- a/plugin/lease/fault_test.go
+++ b/plugin/lease/fault_test.go
@@ -12,7 +12,6 @@
 	"go.uber.org/goleak"
 
 	"nutmegrouter/internal/lease"
-	"nutmegrouter/internal/standin/relay"
 )
 
 // Guards against goroutines that outlive the duties.
@@ -37,19 +36,6 @@
 	return out
 }
 
-// isolate cuts an instance off in both directions, or ends that.
-func (c *cluster) isolate(name string, cut bool) {
-	for _, other := range c.names {
-		for _, pair := range [][2]string{{name, other}, {other, name}} {
-			if cut {
-				c.relays[pair].Cut(relay.Both)
-			} else {
-				c.relays[pair].Heal()
-			}
-		}
-	}
-}
-
 // Guards against idle traffic of leases and links beyond the 2 KB/s of section
 // 1: seven instances, two pools, measured on the owner of both or one of them.
 func TestIdleTraffic(t *testing.T) {
@@ -82,14 +68,14 @@
 	c.awaitLeases()
 	old, epoch := c.awaitOwner("p")
 	in := c.instances[old]
-	c.isolate(old, true)
+	c.grid.Isolate(old)
 	c.await("end of the lease", func() bool { return !in.keeper.Valid() })
 	_, held := in.keeper.Holds("p")
 	is.True(!held)
 	name, next := c.awaitOwner("p")
 	is.True(name != old && next > epoch)
 	c.instances[name].fleet.Install(view(3)) // missed by the isolated instance
-	c.isolate(old, false)
+	c.grid.Rejoin(old)
 	c.awaitLeases()
 	is.Equal(in.fleet.View().Revision, uint64(3)) // no lease without the view
 }
@@ -101,8 +87,7 @@
 	c := newCluster(t, 3)
 	c.awaitLeases()
 	i1, i2 := c.instances["i1"], c.instances["i2"]
-	c.relays[[2]string{"i1", "i2"}].Cut(relay.Both)
-	c.relays[[2]string{"i2", "i1"}].Cut(relay.Both)
+	c.grid.Separate("i1", "i2")
 	c.await("link down", func() bool { return len(i1.mesh.Unreached()) == 1 && len(i2.mesh.Unreached()) == 1 })
 	c.await("relay", func() bool { return i1.mesh.Reachable("i2") && i2.mesh.Reachable("i1") })
 	i1.fleet.Install(view(5))
@@ -110,7 +95,7 @@
 	for _, in := range c.instances {
 		is.True(in.keeper.Valid())
 	}
-	c.relays[[2]string{"i1", "i2"}].Heal()
+	c.grid.Link("i1", "i2").Heal()
 	c.await("direct link", func() bool { return len(i1.mesh.Unreached()) == 0 })
 }
 
--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -75,7 +75,7 @@
 	first := a.links["b"].up()
 	time.Sleep(silenceLimit + time.Second) // a healthy link must survive this
 	is.Equal(a.links["b"].up(), first)
-	w.relays["a>b"].Silence()
+	w.grid.Link("a", "b").Silence()
 	begin := time.Now()
 	for range 100 {
 		_ = a.Notify("b", "note", 1) // would block until the write deadline if it wrote by itself
@@ -115,9 +115,9 @@
 			is := is.New(t)
 			w := newNetwork(t, "a", "b", "c")
 			a, b := w.nodes["a"], w.nodes["b"]
-			w.relays["a>b"].Down()
+			w.grid.Link("a", "b").Down()
 			if both {
-				w.relays["b>a"].Down()
+				w.grid.Link("b", "a").Down()
 			}
 			w.await("link down", func() bool { return len(a.Unreached()) == 1 })
 			is.True(!a.Reachable("b"))               // no report yet
@@ -139,7 +139,7 @@
 			is.Equal(got, "b 2")
 			a.Report("c", []string{"b"})
 			is.True(!a.Reachable("b")) // c has lost b, too
-			w.relays["a>b"].Heal()
+			w.grid.Link("a", "b").Heal()
 			w.await("direct link", func() bool { return len(a.Unreached()) == 0 })
 		})
 	}
@@ -151,8 +151,8 @@
 	is := is.New(t)
 	w := newNetwork(t, "a", "b", "c")
 	a := w.nodes["a"]
-	w.relays["a>b"].Down()
-	w.relays["c>b"].Down()
+	w.grid.Link("a", "b").Down()
+	w.grid.Link("c", "b").Down()
 	w.await("links down", func() bool { return len(a.Unreached()) == 1 && len(w.nodes["c"].Unreached()) == 1 })
 	a.Report("c", nil) // c no longer reaches b
 	w.nodes["c"].Report("a", nil)
@@ -160,7 +160,7 @@
 	err := a.Call(short(t), "b", "echo", 1, nil)
 	is.True(asRPC(err, &e))
 	is.Equal(e.Code, int64(codeNoPath))
-	w.relays["c>b"].Heal()
+	w.grid.Link("c", "b").Heal()
 	w.await("link", func() bool { return len(w.nodes["c"].Unreached()) == 0 })
 	is.True(asRPC(a.Call(short(t), "b", "nothing", 1, nil), &e))
 	is.Equal(e.Code, int64(jsonrpc2.CodeMethodNotFound))
--- a/plugin/mesh/mesh_test.go
+++ b/plugin/mesh/mesh_test.go
@@ -37,24 +37,19 @@
 
 // net is a set of meshes whose links go through relays.
 type network struct {
-	t      *testing.T
-	names  []string
-	relays map[string]*relay.Relay // by "from>to"
-	nodes  map[string]*node
+	t     *testing.T
+	names []string
+	grid  *relay.Grid
+	nodes map[string]*node
 }
 
 func newNetwork(t *testing.T, names ...string) *network {
-	w := &network{t: t, names: names, relays: map[string]*relay.Relay{}, nodes: map[string]*node{}}
-	for _, a := range names {
-		for _, b := range names {
-			r, err := relay.New("127.0.0.1:1")
-			if err != nil {
-				t.Fatal(err)
-			}
-			w.relays[a+">"+b] = r
-			t.Cleanup(r.Close)
-		}
+	w := &network{t: t, names: names, nodes: map[string]*node{}}
+	var err error
+	if w.grid, err = relay.NewGrid(names...); err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(w.grid.Close)
 	t.Cleanup(func() {
 		for _, n := range w.nodes {
 			n.stop()
@@ -77,7 +72,7 @@
 func (w *network) start(name string) *node {
 	s := &settings.Settings{Instance: name, Mesh: "127.0.0.1:0"}
 	for _, p := range w.names {
-		s.Peers = append(s.Peers, settings.Peer{Instance: p, Mesh: w.relays[name+">"+p].Addr()})
+		s.Peers = append(s.Peers, settings.Peer{Instance: p, Mesh: w.grid.Address(name, p)})
 	}
 	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
 	n := &node{Mesh: &Mesh{}, ctx: k, heard: make(chan string, 10000)}
@@ -104,9 +99,7 @@
 	if err := n.Start(n.duties); err != nil {
 		w.t.Fatal(err)
 	}
-	for _, p := range w.names {
-		w.relays[p+">"+name].SetTarget(n.Addr().String())
-	}
+	w.grid.Listen(name, n.Addr().String())
 	w.nodes[name] = n
 	return n
 }
