Prompt a peer once for each new revision

Cause: a beat with a newer revision than the last reply proved was answered by a beat at once, every time. While replies are lost in both directions, two instances would answer each other's beats without end until the silence limit.

Change: one prompted beat for each peer, boot and revision.

Conclusion: the number of beats is bounded by the revisions and the interval.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -166,6 +166,22 @@
 	is.Equal(n.Revision(10*sec, "b"), uint64(0))
 }
 
+// Guards against a revision that is proved only half a second later, and against
+// instances that answer beats with beats while replies are lost.
+func TestNewRevisionPrompts(t *testing.T) {
+	is := is.New(t)
+	n := ready("e")
+	n.Beat(10 * sec)
+	n.OnReply(10*sec, "a", Reply{Seq: 1, Revision: 4})
+	n.Tick(10 * sec)
+	for i, want := range []bool{true, false, false} {
+		n.OnBeat(10*sec, "a", Beat{Boot: 1, Seq: uint64(i + 1), Revision: 5})
+		is.Equal(n.Tick(10*sec), want)
+	}
+	n.OnBeat(10*sec, "a", Beat{Boot: 2, Seq: 1, Revision: 5}) // restarted meanwhile
+	is.True(n.Tick(10 * sec))
+}
+
 // Guards against a dead peer that blocks a new owner, and against a living one
 // declared dead because a minority has lost contact with it.
 func TestMayHoldLease(t *testing.T) {
--- a/internal/lease/node.go
+++ b/internal/lease/node.go
@@ -52,6 +52,7 @@
 type peer struct {
 	boot, seq uint64        // newest beat received
 	revision  uint64        // newest revision seen in a beat or reply
+	prompted  uint64        // newest revision of its beats for which a beat was sent at once
 	answered  time.Duration // last answer that counts towards the peer's lease, or the start
 
 	// From the newest reply to one of the own beats.
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -24,6 +24,9 @@
 		return Reply{Revision: n.revision, Abstains: true}
 	}
 	fresh := b.Boot != p.boot || b.Seq > p.seq
+	if b.Boot != p.boot {
+		p.prompted = 0
+	}
 	if fresh {
 		p.boot, p.seq = b.Boot, b.Seq
 		n.observe(now, from, b)
@@ -49,8 +52,12 @@
 	if p := n.peers[from]; from != n.cfg.Self {
 		p.revision = b.Revision
 		// Only replies prove a peer's revision. A beat at once gets one now
-		// instead of at the next interval, which speeds up acceptance.
-		n.announce = n.announce || p.replied && b.Revision > p.replyRevision
+		// instead of at the next interval, which speeds up acceptance. It is
+		// done once for each revision: two instances whose replies are lost
+		// would otherwise answer each other's beats with beats without end.
+		if p.replied && b.Revision > max(p.replyRevision, p.prompted) {
+			n.announce, p.prompted = true, b.Revision
+		}
 	}
 	for _, r := range b.Releases {
 		n.release(now, from, b.Boot, r)
