Shorten the test harnesses of mesh and lease

Change: the event queue of the simulation is a sorted slice; one loop sends the beats of the silence test; counters are summed in one place. No check changed.

--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -1,9 +1,10 @@
 package lease
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 )
 
@@ -12,23 +13,8 @@
 
 // event is something that happens at a moment of real time.
 type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 // simNode is an instance with a drifting clock.
@@ -45,8 +31,7 @@
 // sim runs nodes over a network with faults. Its clock is real time.
 type sim struct {
 	now      time.Duration
-	queue    eventQueue
-	seq      int
+	queue    []event // by time
 	rand     *rand.Rand
 	names    []string
 	pools    []string
@@ -87,8 +72,9 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now + d, s.seq, do})
+	at := s.now + d
+	i := sort.Search(len(s.queue), func(i int) bool { return s.queue[i].at > at })
+	s.queue = slices.Insert(s.queue, i, event{at, do})
 }
 
 // clock is the node's own time. It starts far from zero and goes on while the
@@ -231,7 +217,8 @@
 // runUntil runs events and checks the invariants after each.
 func (s *sim) runUntil(end time.Duration) {
 	for s.fault == "" && len(s.queue) > 0 && s.queue[0].at <= end {
-		e := heap.Pop(&s.queue).(event)
+		e := s.queue[0]
+		s.queue = s.queue[1:]
 		s.now = e.at
 		s.check() // a lease can outlive its bound only between events
 		e.do()
--- a/plugin/lease/fault_test.go
+++ b/plugin/lease/fault_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -17,23 +17,17 @@
 // Guards against goroutines that outlive the duties.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// sentBytes returns the bytes that an instance has sent, by method.
-func sentBytes(in *instance) map[string]int {
+// sentBytes returns the bytes that an instance has sent to all peers.
+func sentBytes(in *instance) (total int) {
 	var buf bytes.Buffer
 	in.ctx.Metrics.WritePrometheus(&buf)
-	out := map[string]int{}
 	for line := range strings.Lines(buf.String()) {
-		if !strings.HasPrefix(line, "nutmeg_mesh_sent_bytes_total{") {
-			continue
+		if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); strings.HasPrefix(name, "nutmeg_mesh_sent_bytes_total{") {
+			n, _ := strconv.Atoi(value)
+			total += n
 		}
-		_, rest, _ := strings.Cut(line, `method="`)
-		method, value, _ := strings.Cut(rest, `"} `)
-		n := 0
-		_, _ = fmt.Sscan(value, &n)
-		out[method] += n
-		out["total"] += n
 	}
-	return out
+	return total
 }
 
 // Guards against idle traffic of leases and links beyond the 2 KB/s of section
@@ -48,12 +42,12 @@
 	const window = 4 * time.Second
 	before, begin := map[string]int{}, time.Now()
 	for name, in := range c.instances {
-		before[name] = sentBytes(in)["total"]
+		before[name] = sentBytes(in)
 	}
 	time.Sleep(window)
 	elapsed := time.Since(begin).Seconds()
 	for name, in := range c.instances {
-		rate := float64(sentBytes(in)["total"]-before[name]) / elapsed
+		rate := float64(sentBytes(in)-before[name]) / elapsed
 		t.Logf("%s (owner %v): %.0f bytes/s sent", name, name == owner, rate)
 		is.True(rate < 2000)
 	}
--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,30 +25,18 @@
 // Guards against goroutines that outlive the duties.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// beats sends beats from every node to every peer until the test ends, as
-// plugin/lease does.
-func (w *network) beats() {
+// beat sends beats from one node to another until the test ends.
+func (w *network) beat(from, to string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	w.t.Cleanup(func() { cancel(); <-done })
-	go func() {
-		defer close(done)
+	w.t.Cleanup(cancel)
+	w.nodes[from].running.Go(func() {
 		for ctx.Err() == nil {
-			for _, n := range w.nodes {
-				for _, p := range n.Peers() {
-					n.running.Go(func() {
-						limited, stop := context.WithTimeout(ctx, time.Second)
-						defer stop()
-						_ = n.Call(limited, p, beatMethod, 1, nil)
-					})
-				}
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(500 * time.Millisecond):
-			}
+			limited, stop := context.WithTimeout(ctx, time.Second)
+			_ = w.nodes[from].Call(limited, to, beatMethod, 1, nil)
+			stop()
+			time.Sleep(500 * time.Millisecond)
 		}
-	}()
+	})
 }
 
 func (w *network) total(node, metric string) int {
@@ -55,10 +44,8 @@
 	w.nodes[node].ctx.Metrics.WritePrometheus(&buf)
 	sum := 0
 	for line := range strings.Lines(buf.String()) {
-		var n int
-		name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if strings.HasPrefix(name, metric) {
-			_, _ = fmt.Sscan(value, &n)
+		if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); strings.HasPrefix(name, metric) {
+			n, _ := strconv.Atoi(value)
 			sum += n
 		}
 	}
@@ -70,7 +57,7 @@
 func TestSilentLink(t *testing.T) {
 	is := is.New(t)
 	w := newNetwork(t, "a", "b")
-	w.beats()
+	w.beat("a", "b")
 	a := w.nodes["a"]
 	first := a.links["b"].up()
 	time.Sleep(silenceLimit + time.Second) // a healthy link must survive this
