--- a/cmd/nutmegbench/bench.go
+++ b/cmd/nutmegbench/bench.go
@@ -37,6 +37,7 @@
 		{"Throughput of short calls through 7 instances", throughput},
 		{"Fairness and utilisation under overload", fairness},
 		{"Pool owner killed under overload", ownerKilled},
+		{"Another router killed under overload", otherKilled},
 		{"Control traffic", traffic},
 		{"Service while a data centre leaves and returns", moveService},
 	}
@@ -55,7 +56,7 @@
 		if !strings.Contains(strings.ToLower(p.title), strings.ToLower(o.only)) {
 			continue
 		}
-		fmt.Fprintf(b.out, "\n== %s ==\n", p.title)
+		fmt.Fprintf(b.out, "\n== %s ==\nload average of the machine before: %s\n", p.title, loadAverage())
 		if err := p.run(ctx, b); err != nil {
 			fmt.Fprintf(b.out, "not measured: %v\n", err)
 			b.dirty = true
@@ -81,6 +82,16 @@
 	return errors.Wrap(os.WriteFile(b.options.out, text, 0o644), "save tables")
 }
 
+// loadAverage tells what else kept the machine busy; figures of a busy machine
+// say little.
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(raw))[:3], " ")
+}
+
 // length shortens a phase on trial.
 func (b *benchRun) length(d time.Duration) time.Duration {
 	if b.short {
--- a/cmd/nutmegbench/phases.go
+++ b/cmd/nutmegbench/phases.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/fleetrun"
 	"nutmegrouter/internal/loadgen"
 	"nutmegrouter/internal/standin"
@@ -89,77 +90,93 @@
 	return nil
 }
 
+// shortQueues bounds the wait in overload to seconds, so that callers do not
+// time out before their turn.
+func shortQueues(p *fleetconfig.Pool) { p.QueueLimit = 16 }
+
+// overload is a plan that offers the engines far more than they can serve.
+func overload(f *fleetrun.Fleet, seed uint64, length time.Duration) *loadgen.Plan {
+	p := plan(f, seed, 700, length)
+	p.Kinds = p.Kinds[:3] // the engines' kinds
+	return p
+}
+
 // fairness overloads the engines with a few large workspaces and watches the
 // gap of service between backlogged ones, with first-in-first-out as baseline.
 func fairness(ctx context.Context, b *benchRun) error {
-	f, err := b.fleet(ctx, "fairness", fleetrun.Options{Engines: 6})
+	f, err := b.fleet(ctx, "fairness", fleetrun.Options{Engines: 6, Pool: shortQueues})
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	p := plan(f, b.seed, 700, b.length(66*time.Second))
-	p.Kinds = p.Kinds[:3]
-	half := make(chan *loadgen.Evidence, 2)
+	p := overload(f, b.seed, b.length(66*time.Second))
+	seen := make(chan *loadgen.Evidence, 2)
 	for _, at := range []time.Duration{p.Duration / 3, p.Duration} {
 		time.AfterFunc(at, func() {
 			ev, _ := loadgen.Collect(ctx, f.TargetAddresses("", ""))
-			half <- ev
+			seen <- ev
 		})
 	}
 	r, rep, ev, err := load(ctx, f, p)
 	if err != nil {
 		return err
 	}
-	from, to := <-half, <-half
 	fmt.Fprintln(b.out, "through routers:")
 	rep.Write(b.out)
-	b.gapTable(r, rep, true)
-	if from != nil && to != nil {
+	who := backlogged(r, rep)
+	b.gapTable(r, who, true)
+	if from, to := <-seen, <-seen; from != nil && to != nil {
 		u := to.Utilisation(standin.KindEngine, from)
 		b.line(u >= boundUtilisation, "utilisation of engine slots while work waits: %.1f%% (bound %.0f%%)", 100*u, 100*boundUtilisation)
 	}
 	b.line(ev.Breaches() == 0, "breaches of targets' capacity: %d (bound 0)", ev.Breaches())
+	b.line(rep.Clean(), "lost %d, unknown %d, broken %d, wrong %d", rep.Total.Lost, rep.Total.Unknown, rep.Total.Broken, rep.Total.Wrong)
 	q := direct(f, p, b.seed+1, f.Engine.WarmCapacity)
 	q.Duration = b.length(40 * time.Second)
-	r, rep, _, err = load(ctx, f, q)
+	r, _, _, err = load(ctx, f, q)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(b.out, "baseline, first in first out over the targets in turn:")
-	b.gapTable(r, rep, false)
+	fmt.Fprintln(b.out, "baseline without routers, first in first out over the targets in turn, the same workspaces:")
+	b.gapTable(r, who, false)
 	return nil
 }
 
-// gapTable prints the gap over time between the workspaces that are backlogged:
-// those that offer at least a tenth more than their fair share.
-func (b *benchRun) gapTable(r *loadgen.Run, rep *loadgen.Report, bounded bool) {
-	pool := fleetrun.EnginePool
-	backlogged, weight := []int{}, []float64{}
-	total := rep.Total.Share
-	sum, largest := 0.0, 0.0
+// backlogged returns the workspaces that offer at least a tenth more than their
+// fair share of the service given.
+func backlogged(r *loadgen.Run, rep *loadgen.Report) (out []int) {
+	sum := 0.0
 	for _, row := range rep.Rows {
-		sum += row.Service[pool]
+		sum += row.Service[fleetrun.EnginePool]
 	}
 	for i, row := range rep.Rows {
-		weight = append(weight, r.Plan.Workspaces[i].Weight)
-		if total > 0 && row.Offered[pool] > 1.1*row.Fair*sum {
-			backlogged = append(backlogged, i)
+		if row.Offered[fleetrun.EnginePool] > 1.1*row.Fair*sum {
+			out = append(out, i)
 		}
 	}
+	return out
+}
+
+// gapTable prints the gap over time between the workspaces.
+func (b *benchRun) gapTable(r *loadgen.Run, who []int, bounded bool) {
+	if len(who) < 2 {
+		b.line(false, "fewer than two backlogged workspaces: no gap")
+		return
+	}
+	weight, largest := []float64{}, 0.0
+	for _, w := range r.Plan.Workspaces {
+		weight = append(weight, w.Weight)
+	}
 	for i := range r.Records {
 		largest = max(largest, r.Records[i].Job.Cost())
 	}
-	if len(backlogged) < 2 {
-		fmt.Fprintln(b.out, "fewer than two backlogged workspaces: no gap")
-		return
-	}
-	series := r.Service(time.Second, pool)
-	last := int(r.Plan.Duration / time.Second) // later responses come from the queue's end
-	series.Values = series.Values[:min(last, len(series.Values))]
-	gap, least := series.Gap(backlogged, weight)
-	fmt.Fprintf(b.out, "gap of service per weight between %d backlogged workspaces, every 5 s:\n  s  gap  least  gap/least\n", len(backlogged))
+	series := r.Service(time.Second, fleetrun.EnginePool)
+	end := int(r.Plan.Duration / time.Second) // later responses come from the rest of the queue
+	series.Values = series.Values[:min(end, len(series.Values))]
+	gap, least := series.Gap(who, weight)
+	fmt.Fprintf(b.out, "gap of service per weight between %d backlogged workspaces:\n  s    gap   least  gap/least\n", len(who))
 	for i := 4; i < len(gap); i += 5 {
-		fmt.Fprintf(b.out, "%3d %5.0f %6.0f %6.1f%%\n", i+1, gap[i], least[i], 100*gap[i]/max(1, least[i]))
+		fmt.Fprintf(b.out, "%3d %6.0f %7.0f %7.1f%%\n", i+1, gap[i], least[i], 100*gap[i]/max(1, least[i]))
 	}
 	if !bounded {
 		return
@@ -171,58 +188,6 @@
 	b.line(worst <= 1, "largest gap after %v: %.2f of the bound (5%% of the fair service or two of the largest requests)", backlogTime, worst)
 }
 
-// ownerKilled measures the takeover and the utilisation around it.
-func ownerKilled(ctx context.Context, b *benchRun) error {
-	f, err := b.fleet(ctx, "owner", fleetrun.Options{Engines: 6})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	p := plan(f, b.seed, 700, 24*time.Second)
-	p.Kinds, p.Attempts = p.Kinds[:3], 5
-	addresses := f.TargetAddresses(fleetrun.EnginePool, "")
-	var killed time.Time
-	var from, to *loadgen.Evidence
-	watch := make(chan error, 1)
-	go func() {
-		watch <- func() error {
-			if err := pause(ctx, time.Now().Add(10*time.Second)); err != nil {
-				return err
-			}
-			owner, err := f.Owner(ctx, fleetrun.EnginePool)
-			if err != nil {
-				return err
-			}
-			if from, err = loadgen.Collect(ctx, addresses); err != nil {
-				return err
-			}
-			killed = time.Now()
-			if err := f.Kill(owner); err != nil {
-				return err
-			}
-			if err := pause(ctx, killed.Add(12*time.Second)); err != nil {
-				return err
-			}
-			to, err = loadgen.Collect(ctx, addresses)
-			return err
-		}()
-	}()
-	_, rep, ev, err := load(ctx, f, p)
-	if err == nil {
-		err = <-watch
-	}
-	if err != nil {
-		return err
-	}
-	gap, n := to.LongestPause(addresses, killed, killed.Add(12*time.Second))
-	b.line(n > 0 && gap <= boundTakeover, "longest time without new work after the owner was killed: %v (bound %v)", gap, boundTakeover)
-	u := to.Utilisation(standin.KindEngine, from)
-	b.line(u >= boundUtilKilled, "utilisation over 12 s with the kill: %.1f%% (bound %.0f%%)", 100*u, 100*boundUtilKilled)
-	b.line(ev.Breaches() == 0, "breaches of targets' capacity: %d (bound 0)", ev.Breaches())
-	b.line(rep.Clean(), "lost %d, unknown %d, doubled %d after resends by the callers", rep.Total.Lost, rep.Total.Unknown, rep.Total.Doubled)
-	return nil
-}
-
 // traffic measures the bytes between instances, idle and under light load.
 func traffic(ctx context.Context, b *benchRun) error {
 	f, err := b.fleet(ctx, "traffic", fleetrun.Options{})
@@ -246,11 +211,21 @@
 		}
 		seconds := time.Since(begin).Seconds()
 		var rates []float64
+		most := ""
+		rate := func(name string) float64 { return (after[name].Total() - before[name].Total()) / seconds / 1000 }
 		for name := range after {
-			rates = append(rates, (after[name]-before[name])/seconds/1000)
+			rates = append(rates, rate(name))
+			if most == "" || rate(name) > rate(most) {
+				most = name
+			}
 		}
 		slices.Sort(rates)
-		b.line(rates[len(rates)-1] <= bound, "%s: sent per instance, least %.2f KB/s, most %.2f KB/s (bound %.0f)", what, rates[0], rates[len(rates)-1], bound)
+		b.line(rate(most) <= bound, "%s: sent per instance, median %.2f KB/s, most %.2f KB/s by %s (bound %.0f)", what, rates[len(rates)/2], rate(most), most, bound)
+		for method, bytes := range after[most] {
+			if kbs := (bytes - before[most][method]) / seconds / 1000; kbs >= 0.1 {
+				fmt.Fprintf(b.out, "          %-16s %6.2f KB/s\n", method, kbs)
+			}
+		}
 		return nil
 	}
 	length := b.length(12 * time.Second)
--- a/internal/fleetrun/fleetrun_test.go
+++ b/internal/fleetrun/fleetrun_test.go
@@ -71,8 +71,9 @@
 }
 
 // Guards against control traffic summed over the wrong lines of the metrics.
-func TestSumMetric(t *testing.T) {
+func TestSumByMethod(t *testing.T) {
 	is := is.New(t)
-	text := "a{x=\"1\"} 2\na{x=\"2\"} 3.5\nab{x=\"1\"} 100\n# a{ 7\n"
-	is.Equal(sumMetric(text, "a{"), 5.5)
+	text := "a{peer=\"1\",method=\"x\"} 2\na{peer=\"2\",method=\"x\"} 3.5\na{peer=\"2\",method=\"y\"} 1\nab{method=\"x\"} 100\n# a{ 7\n"
+	is.Equal(sumByMethod(text, "a{"), Traffic{"x": 5.5, "y": 1})
+	is.Equal(sumByMethod(text, "a{").Total(), 6.5)
 }
--- a/internal/fleetrun/observe.go
+++ b/internal/fleetrun/observe.go
@@ -45,9 +45,20 @@
 	return owner, err
 }
 
-// MeshBytes returns the bytes that each running router has sent to others.
-func (f *Fleet) MeshBytes(ctx context.Context) (map[string]float64, error) {
-	out := map[string]float64{}
+// Traffic is the number of bytes sent to other routers by method.
+type Traffic map[string]float64
+
+// Total sums all methods.
+func (t Traffic) Total() (sum float64) {
+	for _, v := range t {
+		sum += v
+	}
+	return sum
+}
+
+// MeshBytes returns what each running router has sent to others.
+func (f *Fleet) MeshBytes(ctx context.Context) (map[string]Traffic, error) {
+	out := map[string]Traffic{}
 	for _, r := range f.Routers {
 		if !f.Running(r.Instance) {
 			continue
@@ -56,7 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out[r.Instance] = sumMetric(text, sentBytesPrefix)
+		out[r.Instance] = sumByMethod(text, sentBytesPrefix)
 	}
 	return out, nil
 }
@@ -77,15 +88,19 @@
 	return string(text), errors.Wrap(err, "get")
 }
 
-// sumMetric sums the values of the lines that begin with a prefix.
-func sumMetric(text, prefix string) (sum float64) {
+// sumByMethod sums the values of the lines that begin with a prefix by their
+// label "method".
+func sumByMethod(text, prefix string) Traffic {
+	out := Traffic{}
 	for _, line := range strings.Split(text, "\n") {
 		if !strings.HasPrefix(line, prefix) {
 			continue
 		}
+		_, rest, _ := strings.Cut(line, `method="`)
+		method, _, _ := strings.Cut(rest, `"`)
 		if v, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64); err == nil {
-			sum += v
+			out[method] += v
 		}
 	}
-	return sum
+	return out
 }
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -74,7 +74,19 @@
 			}
 			return differ(nil, "breaches", fmt.Sprint(ev.Breaches()), a[0])
 		}),
-		"owner":  command(2, (*world).owner),
+		"owner": command(2, (*world).owner),
+		"bystander": command(2, func(w *world, ts script, a []string) error {
+			if err := w.owner(ts, a); err != nil {
+				return err
+			}
+			owner := ts.Getenv(a[1])
+			for _, r := range w.fleet.Routers[3:] { // those without a disk
+				if r.Instance != owner {
+					ts.Setenv(a[1], r.Instance)
+				}
+			}
+			return nil
+		}),
 		"leader": command(1, (*world).leader),
 		"voter": each(func(w *world, name string) error {
 			return w.until(name+" votes", func() bool {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -20,5 +20,6 @@
 //	maxgap POOL FROM LIMIT         the longest time without new work in a pool
 //	breaches N                     breaches in the targets' own counters
 //	owner POOL VAR | leader VAR    set a variable to an instance name
+//	bystander POOL VAR             set a variable to an instance that does not own the pool
 //	voter R                        wait until the instance's control replica votes
 package scenario
