--- a/internal/loadgen/fair.go
+++ b/internal/loadgen/fair.go
@@ -111,3 +111,22 @@
 	}
 	return gap, least
 }
+
+// Waiting returns how many requests of a workspace wait for the start of their
+// response at each step between two times.
+func (r *Run) Waiting(workspace int, from, to, step time.Duration) []int {
+	out := make([]int, (to-from)/step)
+	for i := range r.Records {
+		rec := &r.Records[i]
+		if rec.Job.Workspace != workspace || rec.Skipped || rec.Verdict != Whole {
+			continue
+		}
+		for n := max(0, (rec.Job.At-from+step-1)/step); n < time.Duration(len(out)); n++ {
+			if from+n*step >= rec.Job.At+rec.FirstToken {
+				break
+			}
+			out[n]++
+		}
+	}
+	return out
+}
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -106,3 +106,13 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a workspace that counts as backlogged while nothing waits.
+func TestWaiting(t *testing.T) {
+	is := is.New(t)
+	r := &Run{Records: []Record{
+		{Job: &Job{At: 2 * time.Second}, FirstToken: 2 * time.Second},
+		{Job: &Job{At: 3 * time.Second, Workspace: 1}, FirstToken: time.Minute},
+	}}
+	is.Equal(r.Waiting(0, time.Second, 6*time.Second, time.Second), []int{0, 1, 1, 0, 0})
+}
