--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -171,7 +171,7 @@
 		if to == "" {
 			to = r.instances[m.To]
 		}
-		if to == "" || r.c.mesh.Notify(to, methodRaft, consensus.EncodeMessage(m)) != nil {
+		if to == "" || r.c.mesh.Notify(to, methodRaft, pack(consensus.EncodeMessage(m))) != nil {
 			r.c.metrics.unsent.Inc() // consensus sends again
 			continue
 		}
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -70,6 +70,9 @@
 	}
 	var raw []byte
 	err := json.Unmarshal(params, &raw)
+	if err == nil {
+		raw, err = unpack(raw)
+	}
 	if err == nil {
 		var m consensus.Message
 		if m, err = consensus.DecodeMessage(raw); err == nil {
