Strengthen the tests of the control plug-in

Cause: trials with seeded defects showed that nothing failed when an old learner of an instance stayed, when the calls of a deposed leader waited on, when a planned stop did not hand leadership over, when a move counted targets in a data centre that is out, and when the time of the log ran back.

Change: cases for each of these; the two tests wait for all replicas first.

Conclusion: the tests do not depend on which replica applies first.

--- a/internal/fleetstate/state_test.go
+++ b/internal/fleetstate/state_test.go
@@ -155,8 +155,10 @@
 	}
 	is := is.New(t)
 	s := New()
-	submit(t, s, api.Submission{ChangeID: "doc", Config: config()})
+	submit(t, s, api.Submission{ChangeID: "doc", Config: config(move("a"))})
 	is.Equal(apply(t, s, Command{UnixMs: at, Move: &MoveStep{Move: "gone", Out: true}}).Move, MoveNone)
+	submit(t, s, api.Submission{ChangeID: "out", Base: 1, DataCentre: "b", Out: true}) // the other targets of the pool
+	is.Equal(apply(t, s, Command{UnixMs: at, Move: &MoveStep{Move: MoveID(move("a")), Out: true}}).Move, MoveSkipped)
 }
 
 // TestClaims guards against a key that runs twice, a late copy of a command that
@@ -204,6 +206,7 @@
 		}
 		s = restored(t, s)
 	}
+	is.Equal(s.nowMs, int64(7+day))
 	apply(t, s, Command{UnixMs: 3 * day, Epoch: &OrderEpoch{"p"}})
 	is.Equal(len(s.claims.byKey)+len(s.claims.order), 0)
 }
--- a/plugin/control/fault_test.go
+++ b/plugin/control/fault_test.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/consensus"
 )
 
 // TestLeaderKilled guards against a change that is lost, applied twice or
@@ -94,6 +95,7 @@
 			c.submitNow("i1", api.Submission{ChangeID: fmt.Sprint(i), Base: uint64(i + 1), DataCentre: "a", Out: i%2 == 0})
 		}
 	})
+	c.until("changes at every replica", func() bool { return c.applied(301) })
 	for _, name := range c.names {
 		r := c.get(name).control.replica
 		r.bytes = 1 << 30 // a snapshot is due
@@ -113,12 +115,16 @@
 	old := c.waitLeader()
 	c.submit("i3", api.Submission{ChangeID: "doc", Config: document()})
 	c.isolate(old, false)
+	lost := c.background(old, api.Submission{ChangeID: "isolated", Base: 1, DataCentre: "b", Out: true})
+	r := c.get(old).control.replica
+	c.until("proposal without a quorum", func() bool { return len(r.waiting) > 0 })
 	c.until("another leader", func() bool { return c.leader() != "" && c.get(old).control.Status().Role != "leader" })
+	c.is.Equal(len(r.waiting), 0) // the call tries elsewhere
 	for i := range 20 {
 		c.submit("i3", api.Submission{ChangeID: fmt.Sprint(i), Base: uint64(i + 1), DataCentre: "a", Out: i%2 == 0})
 	}
 	l := c.leader()
-	r := c.get(l).control.replica
+	r = c.get(l).control.replica
 	r.bytes, r.keep = 1<<30, 0
 	c.is.NoErr(r.snapshot())
 	for range 500 {
@@ -130,6 +136,7 @@
 	c.is.True(c.get(old).control.replica.node.SnapshotIndex() > 20) // by the snapshot
 	c.is.Equal(c.leader(), l)
 	c.is.Equal(c.get(l).control.Status().Term, term)
+	c.is.Equal(c.await(lost), api.SubmitResult{Conflict: "0", Revision: 2}) // another change won meanwhile
 }
 
 // TestDisksLost guards against a group that does not replace a lost disk by
@@ -160,6 +167,48 @@
 	c.until("view after restart", func() bool { return c.holders(4) == 4 })
 }
 
+// TestDiskLostTwice guards against learners that pile up when a disk is lost
+// again before its replica votes.
+func TestDiskLostTwice(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.waitLeader()
+	c.until("two followers", func() bool { return c.holdersOfLog() == 3 })
+	name := "i2"
+	if c.leader() == name {
+		name = "i1"
+	}
+	members := func() consensus.Membership { return c.get(c.leader()).control.replica.node.Members() }
+	r := c.get(c.leader()).control.replica
+	r.join(joinParams{Identity: "first", Instance: name}, func(answer) {}) // of the disk that is lost again
+	c.is.Equal(len(members().Learners), 1)
+	c.stop(name)
+	c.is.NoErr(os.RemoveAll(filepath.Join(c.dir, name)))
+	c.start(name)
+	id := c.get(name).control.replica.id
+	c.until("replacement", func() bool { return c.leader() != "" && members().Voter(id) })
+	c.is.Equal(len(members().Voters), 3)
+	c.is.Equal(len(members().Learners), 0)
+}
+
+// applied reports whether every replica's state has a revision.
+func (c *cluster) applied(revision uint64) bool {
+	for _, name := range c.names[:c.disks] {
+		if c.get(name).control.replica.state.Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) holdersOfLog() (n int) {
+	for _, name := range c.names {
+		if !c.get(name).control.replica.node.Empty() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestGrow guards against instances that get a disk later and stay outside the
 // group.
 func TestGrow(t *testing.T) {
@@ -196,6 +245,7 @@
 			Address: fmt.Sprintf("10.%d.%d.%d:80", i/62500, i/250%250, i%250), WarmCapacity: 2, ColdCapacity: 1})
 	}
 	c.is.Equal(c.submit("i0", api.Submission{ChangeID: "doc", Config: doc}), api.SubmitResult{Revision: 1})
+	c.until("document at every replica", func() bool { return c.applied(1) })
 	for _, name := range c.names {
 		r := c.get(name).control.replica
 		r.bytes, r.keep = 1<<30, 0
@@ -343,8 +393,7 @@
 	c := newCluster(t, 3, 0)
 	l := c.waitLeader()
 	c.during(func() { c.is.NoErr(c.get(l).control.Drain(context.Background())) })
-	c.stop(l)
-	c.until("new leader at once", func() bool { return c.leader() != "" && c.leader() != l })
+	c.until("the new leader", func() bool { return c.leader() != "" && c.leader() != l }) // while the old one runs
 }
 
 // TestDamagedDisk guards against a start on a log that has lost entries.
