Poll targets with work of a dead router every 250 ms

Change: urgent polls; a router with waiting requests acknowledges grants within 10 ms, and grants unacknowledged for 100 ms end further ones.

--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -23,7 +23,7 @@
 	// no more of them and is asked for a full report. Routers with waiting
 	// requests acknowledge within ackDelay. Each grant to a dead router blocks a
 	// slot until the target has reported, so the limit is short.
-	ackLimit = 120 * time.Millisecond
+	ackLimit = 100 * time.Millisecond
 	// suspectAfter is the silence after which a router with requests is suspected
 	// to be dead: it should have sent twice.
 	suspectAfter = 600 * time.Millisecond
--- a/internal/schedule/router.go
+++ b/internal/schedule/router.go
@@ -14,7 +14,7 @@
 	heartbeatBusy = 250 * time.Millisecond
 	// ackDelay bounds the time until a router with waiting requests acknowledges
 	// a grant.
-	ackDelay = 20 * time.Millisecond
+	ackDelay = 10 * time.Millisecond
 	// heartbeatIdle is the same for a router that has had requests within
 	// heartbeatTail.
 	heartbeatIdle = time.Second
--- a/internal/schedule/sim_test.go
+++ b/internal/schedule/sim_test.go
@@ -119,6 +119,7 @@
 	}
 	s.every(10*ms, s.tickOwner)
 	s.every(time.Second, s.poll)
+	s.every(250*ms, s.pollOrphans)
 	return s
 }
 
@@ -268,8 +269,15 @@
 	s.after(delay, func() { receive(b) })
 }
 
-func (s *sim) poll() {
+func (s *sim) poll() { s.pollSome(func(*limits.Target) bool { return true }) }
+
+func (s *sim) pollOrphans() { s.pollSome(func(t *limits.Target) bool { return t.Orphans() > 0 }) }
+
+func (s *sim) pollSome(want func(*limits.Target) bool) {
 	for _, t := range s.targets {
+		if s.owner == nil || !want(s.owner.Limits().Target(t.name)) {
+			continue
+		}
 		lag := min(s.rng.IntN(int(simLag/(100*ms))), len(t.history))
 		if s.owner != nil && lag > 0 {
 			s.owner.Limits().Report(t.name, t.history[len(t.history)-lag], s.now)
--- a/plugin/scheduler/polls.go
+++ b/plugin/scheduler/polls.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	pollEvery   = time.Second
+	pollEvery = time.Second
+	// urgentEvery is the interval of polls of targets that carry work of a dead
+	// router, because only their reports free its slots.
+	urgentEvery = 250 * time.Millisecond
 	pollTimeout = 500 * time.Millisecond
 	pollersMost = 128 // polls under way at once
 	// idleListEvery is the interval of list polls on an instance without a pool:
@@ -69,19 +72,40 @@
 }
 
 // pollLoads polls the targets of the owned pools once a second, and at once when
-// the plan has changed.
+// the plan has changed; urgent ones more often.
 func (s *Scheduler) pollLoads(ctx context.Context) error {
-	t := time.NewTicker(pollEvery)
-	defer t.Stop()
+	all, urgent := time.NewTicker(pollEvery), time.NewTicker(urgentEvery)
+	defer all.Stop()
+	defer urgent.Stop()
+	targets := s.polled.Load().targets
 	for {
-		s.pollRound(ctx, s.polled.Load().targets)
+		s.pollRound(ctx, targets)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-t.C:
+		case <-all.C:
+			targets = s.polled.Load().targets
 		case <-s.polls:
+			targets = s.polled.Load().targets
+		case <-urgent.C:
+			targets = *s.urgent.Load()
+		}
+	}
+}
+
+// planUrgent lists the targets that carry work of dead routers.
+func (s *Scheduler) planUrgent() {
+	var out []pollTarget
+	for _, p := range s.polled.Load().targets {
+		r := s.runs[p.pool]
+		if r == nil {
+			continue
+		}
+		if t := r.owner.Limits().Target(p.name); t != nil && t.Orphans() > 0 {
+			out = append(out, p)
 		}
 	}
+	s.urgent.Store(&out)
 }
 
 func (s *Scheduler) pollRound(ctx context.Context, targets []pollTarget) {
--- a/plugin/scheduler/setup.go
+++ b/plugin/scheduler/setup.go
@@ -43,13 +43,15 @@
 	client schedule.Client
 	http   *fasthttp.Client
 
-	in     *kernel.Ring[input]
-	wake   chan struct{} // ownership or view may have changed
-	polls  chan struct{} // a poll of the targets is due at once
-	lists  chan struct{} // a poll of the platform's list is due at once
-	polled atomic.Pointer[pollPlan]
-	states atomic.Pointer[map[string][]api.TargetState]
-	stop   chan chan struct{}
+	in       *kernel.Ring[input]
+	wake     chan struct{} // ownership or view may have changed
+	polls    chan struct{} // a poll of the targets is due at once
+	lists    chan struct{} // a poll of the platform's list is due at once
+	polled   atomic.Pointer[pollPlan]
+	urgent   atomic.Pointer[[]pollTarget]
+	urgentAt time.Duration
+	states   atomic.Pointer[map[string][]api.TargetState]
+	stop     chan chan struct{}
 
 	runs      map[string]*run
 	revision  uint64
@@ -88,6 +90,7 @@
 		s.zones[p.Instance] = p.DataCentre
 	}
 	s.polled.Store(&pollPlan{})
+	s.urgent.Store(&[]pollTarget{})
 	s.mesh.Handle(schedule.MethodDemand, s.onDemand)
 	s.mesh.Handle(schedule.MethodReport, s.onReport)
 	s.lease.OnChange(s.kick)
--- a/plugin/scheduler/worker.go
+++ b/plugin/scheduler/worker.go
@@ -143,6 +143,10 @@
 		r.owner.Tick(now, s.mayHold)
 		s.record(pool, r)
 	}
+	if now-s.urgentAt >= urgentEvery {
+		s.urgentAt = now
+		s.planUrgent()
+	}
 	if now-s.served >= second {
 		s.served = now
 		for _, r := range s.runs {
