--- a/internal/lease/node.go
+++ b/internal/lease/node.go
@@ -41,7 +41,7 @@
 
 	owners   map[string]owner  // owners as announced by their beats
 	seen     map[string]uint64 // highest epochs told by other witnesses
-	announce bool              // ownership was gained and not yet told
+	announce bool              // the next beat must not wait: the node became a witness or an owner
 	claims   map[string]*claim
 	releases []Release // to be sent with the next beat
 	handover map[string]handover
@@ -52,6 +52,7 @@
 type peer struct {
 	boot, seq uint64        // newest beat received
 	revision  uint64        // newest revision seen in a beat or reply
+	prompted  uint64        // newest revision of its beats for which a beat was sent at once
 	answered  time.Duration // last answer that counts towards the peer's lease, or the start
 
 	// From the newest reply to one of the own beats.
@@ -121,12 +122,12 @@
 		return
 	}
 	if n.confirm && n.revision >= n.confirmed {
-		n.caughtUp = true
+		n.caughtUp, n.announce = true, true
 		return
 	}
 	for _, r := range n.rounds {
 		if r.sent >= n.cfg.Start+RestartTime && n.covered(r, false) >= n.majority {
-			n.caughtUp = true
+			n.caughtUp, n.announce = true, true
 			return
 		}
 	}
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
@@ -49,7 +51,7 @@
 }
 func (fakeAnswer) Close() error { return nil }
 
-func newServer(t testing.TB, d *fakeDispatcher) *Server {
+func newServer(t testing.TB, d *fakeDispatcher, change ...func(*Server)) *Server {
 	t.Helper()
 	cfg := &settings.Settings{Instance: "a1", Listen: "127.0.0.1:0"}
 	cfg.Limits.MaxBodyBytes, cfg.Limits.StopGraceMs = 1<<20, 50
@@ -59,6 +61,9 @@
 	must(t, kernel.Provide[api.Dispatcher](c, d))
 	s := &Server{}
 	must(t, s.Provision(c))
+	for _, f := range change {
+		f(s)
+	}
 	f.Install(&api.View{Revision: 1, Config: &fleetconfig.Config{
 		Workspaces: []fleetconfig.Workspace{{Name: "w1", KeyHashes: []string{secretHash}}},
 		Pools: []fleetconfig.Pool{
@@ -194,6 +199,19 @@
 	})
 }
 
+// Guards against an answer without a request, which a caller could take for the
+// answer to its next one.
+func TestUnaskedAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, &fakeDispatcher{}, func(s *Server) { s.http.ReadTimeout = time.Millisecond })
+	c, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	is.NoErr(c.SetDeadline(time.Now().Add(waitLimit)))
+	b, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(b), "")
+}
+
 // Guards against bodies of waiting requests that fill the memory, and against
 // room that is not given back.
 func TestBodyBudget(t *testing.T) {
@@ -229,3 +247,37 @@
 		}
 	}
 }
+
+// Guards against panics on arbitrary requests, and against accepted requests
+// that leave their pool, carry line breaks, or act in the router's name.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("POST /v1/pools/svc/a?b HTTP/1.1\r\n" + auth + "X-Cost-Hint: 2\r\nContent-Length: 1\r\n\r\nx"))
+	f.Add([]byte("POST /v1/completions HTTP/1.1\r\n" + auth + "X-Resume-Id: s\r\nContent-Length: 14\r\n\r\n{\"model\":\"m1\"}"))
+	f.Add([]byte("GET /v1/pools/idem//%2e%2e/x HTTP/1.0\r\n" + auth + "Connection: close, x-a\r\nX-A: 1\r\n\r\n"))
+	f.Add([]byte("DELETE /v1/pools/svc HTTP/1.1\r\n" + auth + "X-Deadline-Ms: 9\r\nX-Non-Idempotent: true\r\nIdempotency-Key: k\r\n\r\n"))
+	s := newServer(f, &fakeDispatcher{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var ctx fasthttp.RequestCtx
+		if ctx.Request.Read(bufio.NewReader(bytes.NewReader(raw))) != nil {
+			return
+		}
+		r, refusal := s.parse(&ctx)
+		if refusal != nil {
+			if refusal.Run != api.NotRun || refusal.Status < 400 || r == nil || !visible(r.ID, maxRequestID) {
+				t.Fatalf("bad refusal %+v", refusal)
+			}
+			return
+		}
+		if r.Workspace != "w1" || s.current().pools[r.Pool].Name == "" || !strings.HasPrefix(r.Path, "/") {
+			t.Fatalf("accepted %+v", r)
+		}
+		if r.Pool == "llm" && !strings.HasPrefix(r.Path, "/v1/c") {
+			t.Fatalf("path %q reaches an engine", r.Path)
+		}
+		for k, v := range r.Header {
+			if consumed[k] || strings.ContainsAny(k+v+r.Path, "\r\n\x00") {
+				t.Fatalf("passed on: %q: %q", k, v)
+			}
+		}
+	})
+}
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -8,6 +8,9 @@
 //	ready R... | notready R...     wait for readiness or its end
 //	cut|cutone|heal|silence A B    links between instances, both ways but for cutone; B may be all
 //	submit [-mark M] ARGS          nutmegctl -no-wait ARGS; M is the time of acceptance
+//	plan M DC OUT BACK             apply a planned move; out at mark M, back at mark M-back
+//	reach MARK                     wait for the time of a mark
+//	story KIND/STEP...             the merged timeline shows these events in this order
 //	fault TARGET JSON              scripted fault; TARGET may end in *
 //	leave M TARGET                 the platform's list shows it as leaving from mark M on
 //	load NAME KEY=V ...            start load; keys: rate, for, kinds, attempts, seed, entries
@@ -20,5 +23,6 @@
 //	maxgap POOL FROM LIMIT         the longest time without new work in a pool
 //	breaches N                     breaches in the targets' own counters
 //	owner POOL VAR | leader VAR    set a variable to an instance name
+//	bystander POOL VAR             set a variable to an instance that does not own the pool
 //	voter R                        wait until the instance's control replica votes
 package scenario
