Fix a race at the stop of the mesh and a handover that met an open round

Cause: repeated runs with GOMAXPROCS=2 and -race found a WaitGroup used after its Wait in Mesh.Cleanup, and a successor that ignored a handover while a round of its own was open. The queue test assumed a writer slower than the test.

Change: Mesh.run refuses work once Cleanup has begun; a handover replaces an open round; the queue test queues more than the write buffer holds.

--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -40,10 +40,11 @@
 	return best
 }
 
-// succeed takes over the votes of a resigning owner, without stagger.
+// succeed takes over the votes of a resigning owner, without stagger. A round of
+// its own that is still open makes way, because it cannot win against the owner.
 func (n *Node) succeed(now time.Duration, from string, r Release) {
 	c := n.claims[r.Pool]
-	if c == nil || n.resigned || c.active || !n.Valid(now) {
+	if c == nil || n.resigned || c.held(now) || !n.Valid(now) {
 		return
 	}
 	n.learn(r.Pool, r.Epoch)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -290,6 +290,20 @@
 	}
 }
 
+// Guards against a successor that ignores a handover because it still waits for
+// the votes of a round that it lost against the owner.
+func TestHandoverDuringRound(t *testing.T) {
+	is := is.New(t)
+	s, owner := settled(t, 3*time.Millisecond)
+	o := s.nodes[owner]
+	to := s.nodes[o.successor(s.clock(o), "p")]
+	*to.claims["p"] = claim{active: true, epoch: to.highest("p"), asked: s.clock(to)}
+	o.Resign(s.clock(o))
+	took := s.gap(owner, 5*sec)
+	is.True(took <= 100*time.Millisecond)
+	is.Equal(s.holder(), to.name)
+}
+
 // Guards against an owner with an epoch below one that other instances know,
 // whose grants they would refuse for ever.
 func TestEpochRises(t *testing.T) {
--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -29,7 +29,7 @@
 func (w *network) beat(from, to string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.t.Cleanup(cancel)
-	w.nodes[from].running.Go(func() {
+	w.nodes[from].run(func() {
 		for ctx.Err() == nil {
 			limited, stop := context.WithTimeout(ctx, time.Second)
 			_ = w.nodes[from].Call(limited, to, beatMethod, 1, nil)
@@ -84,7 +84,7 @@
 	set := metrics.NewSet()
 	s := newStream(near, newCounters(set, "b"), kernel.NewClock().Now)
 	var err error
-	for i := 0; err == nil && i < 2*queueFrames; i++ {
+	for i := 0; err == nil && i < 20*queueFrames; i++ {
 		err = s.WriteObject(i)
 	}
 	is.Equal(err, ErrQueueFull)
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for range callsPerPeer {
-		a.running.Go(func() { _ = a.Call(ctx, "b", "slow", 1, nil) })
+		a.run(func() { _ = a.Call(ctx, "b", "slow", 1, nil) })
 	}
 	w.await("slots taken", func() bool { return len(w.nodes["b"].slots["a"]) == callsPerPeer })
 	var e *jsonrpc2.Error
--- a/plugin/mesh/serve.go
+++ b/plugin/mesh/serve.go
@@ -45,11 +45,7 @@
 			time.Sleep(backoffMin) // out of file descriptors; retrying at once would spin
 			continue
 		}
-		m.running.Add(1)
-		go func() {
-			defer m.running.Done()
-			m.serve(ctx, conn)
-		}()
+		m.run(func() { m.serve(ctx, conn) })
 	}
 }
 
@@ -212,13 +208,11 @@
 			return
 		}
 	}
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
+	m.run(func() {
 		defer release()
 		result, err := h(ctx, from, msg.params)
 		reply(result, err)
-	}()
+	})
 }
 
 // drainInbox runs the handlers of one origin's notifications in order.
--- a/plugin/mesh/setup.go
+++ b/plugin/mesh/setup.go
@@ -49,6 +49,8 @@
 	reports  map[string]report
 	incoming map[string]*session // newest incoming session by peer
 
+	stopped bool // Cleanup has begun
+
 	listener net.Listener
 	running  sync.WaitGroup // calls and incoming connections
 }
@@ -118,6 +120,9 @@
 // Cleanup implements kernel.Cleaner. It waits a bounded time for handlers.
 func (m *Mesh) Cleanup() error {
 	const limit = 2 * time.Second // handlers end with their context
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
 	done := make(chan struct{})
 	go func() { m.running.Wait(); close(done) }()
 	select {
@@ -128,6 +133,16 @@
 	}
 }
 
+// run starts f unless Cleanup has begun: read loops may still deliver messages
+// while it waits for what is running.
+func (m *Mesh) run(f func()) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if !m.stopped {
+		m.running.Go(f)
+	}
+}
+
 // Self implements api.Mesh.
 func (m *Mesh) Self() string { return m.self }
 
