--- a/plugin/scheduler/metrics.go
+++ b/plugin/scheduler/metrics.go
@@ -59,12 +59,13 @@
 		c.counter(x.name).Add(int(x.now - x.was))
 	}
 	c.last = s
-	o.Fair().Each(c.workspace)
+	was := c.served
+	c.served = make(map[string]float64, len(was))
+	o.Fair().Each(func(w *fairness.Workspace) { c.workspace(w, was[w.Name]) })
 	c.targets(o)
 }
 
-func (c *counters) workspace(w *fairness.Workspace) {
-	was := c.served[w.Name]
+func (c *counters) workspace(w *fairness.Workspace, was float64) {
 	if w.Served() < was {
 		was = 0 // the account was forgotten and made again
 	}
