Wake idle instances less often

Cause: an idle instance spent 2.13 to 2.60% of a core (bound at the size to design for: 1.3%); half of the profile was the runtime waking for timers of 10 to 50 ms. Change: scheduler and pool tick every 200 ms while nothing is owned, waits or runs, and are woken by changes; silence of links is checked every 200 ms, the stagger of candidates every 50 ms. Tests of pool, mesh and lease pass under the race detector.

--- a/plugin/lease/beat.go
+++ b/plugin/lease/beat.go
@@ -14,7 +14,7 @@
 	// callLimit ends a beat's call when its reply can no longer be of use.
 	callLimit = 1500 * time.Millisecond
 	// tickInterval is the resolution of the stagger between candidates.
-	tickInterval = 25 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// handoverPoll is the interval at which Resign looks for the successor.
 	handoverPoll = 10 * time.Millisecond
 )
--- a/plugin/mesh/link.go
+++ b/plugin/mesh/link.go
@@ -18,7 +18,7 @@
 	dialLimit     = time.Second             // connect and hello, each
 	silenceLimit  = 1500 * time.Millisecond // without a received byte while a beat waits
 	beatWait      = time.Second             // a beat must have waited this long before its link counts as silent
-	silenceCheck  = 50 * time.Millisecond
+	silenceCheck  = 200 * time.Millisecond  // silence is noticed within 1.7 s
 	backoffMin    = 50 * time.Millisecond
 	backoffMax    = time.Second            // short, because a healed partition must rejoin within a lease time
 	freezeAllowed = 500 * time.Millisecond // a checker that ran later than this was itself frozen
--- a/plugin/pool/setup.go
+++ b/plugin/pool/setup.go
@@ -17,6 +17,7 @@
 
 const (
 	tickEvery = 20 * time.Millisecond
+	idleEvery = 200 * time.Millisecond
 	// flushEvery is the shortest time between two batches of messages. The
 	// first message after a pause of this length goes out at once.
 	flushEvery = time.Millisecond
@@ -42,6 +43,7 @@
 	owner  schedule.Local
 	bad    func()
 	flush  chan struct{} // something may be due
+	wake   chan struct{} // the clock must tick at once
 
 	mu       sync.Mutex
 	routers  map[string]*schedule.Router
@@ -69,7 +71,7 @@
 		return err
 	}
 	c.kernel = k
-	c.flush = make(chan struct{}, 1)
+	c.flush, c.wake = make(chan struct{}, 1), make(chan struct{}, 1)
 	c.routers, c.counts = map[string]*schedule.Router{}, map[string]*counters{}
 	c.byInc = map[uint64]*schedule.Router{}
 	bad := k.Metrics.GetOrCreateCounter(`nutmeg_sched_bad_messages_total{at="router"}`)
@@ -77,7 +79,7 @@
 	k.Metrics.NewGauge("nutmeg_pool_waiting", func() float64 { return float64(c.waiting()) })
 	c.mesh.Handle(schedule.MethodGrant, c.onGrant)
 	c.mesh.Handle(schedule.MethodService, c.onService)
-	c.lease.OnChange(c.kick)
+	c.lease.OnChange(func() { c.kick(); signal(c.wake) })
 	c.owner.Attach(c)
 	return kernel.Provide[api.Pool](k, c)
 }
@@ -85,10 +87,31 @@
 // Start implements kernel.Starter.
 func (c *Client) Start(d *kernel.Duties) error {
 	d.Go("pool messages", c.send)
-	d.Every("pool clock", tickEvery, func(context.Context) { c.tick() })
+	d.Go("pool clock", c.clock)
 	return nil
 }
 
+// clock ticks often while requests wait or run and seldom at rest, because idle
+// wakeups made up most of the processor time of an idle instance.
+func (c *Client) clock(ctx context.Context) error {
+	t := time.NewTimer(idleEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.wake:
+		case <-t.C:
+		}
+		c.tick()
+		if waiting, running := c.load(); waiting+running > 0 {
+			t.Reset(tickEvery)
+		} else {
+			t.Reset(idleEvery)
+		}
+	}
+}
+
 // Drain implements api.Pool and kernel.Drainer: it refuses new requests and
 // waits until no request waits or runs.
 func (c *Client) Drain(ctx context.Context) error {
@@ -145,9 +168,11 @@
 }
 
 // kick makes the sender look for messages that are due. It never blocks.
-func (c *Client) kick() {
+func (c *Client) kick() { signal(c.flush) }
+
+func signal(c chan struct{}) {
 	select {
-	case c.flush <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/plugin/scheduler/setup.go
+++ b/plugin/scheduler/setup.go
@@ -21,6 +21,7 @@
 const (
 	inputSize  = 8192 // messages that may wait for the worker
 	tickEvery  = 10 * time.Millisecond
+	idleEvery  = 200 * time.Millisecond
 	flushEvery = time.Millisecond // shortest time between two batches of grants
 	second     = time.Second
 )
--- a/plugin/scheduler/worker.go
+++ b/plugin/scheduler/worker.go
@@ -27,7 +27,8 @@
 
 // work is the worker that owns all scheduling state.
 func (s *Scheduler) work(ctx context.Context) error {
-	tick := time.NewTicker(tickEvery)
+	owning := false
+	tick := time.NewTicker(tickInterval(owning))
 	defer tick.Stop()
 	flush := time.NewTimer(time.Hour)
 	defer flush.Stop()
@@ -50,7 +51,20 @@
 		if wait := s.round(s.now()); wait > 0 {
 			flush.Reset(wait)
 		}
+		if owning != (len(s.runs) > 0) {
+			owning = !owning
+			tick.Reset(tickInterval(owning))
+		}
+	}
+}
+
+// tickInterval is long without a pool: changes of ownership wake the worker, and
+// idle wakeups cost processor time on every instance.
+func tickInterval(owning bool) time.Duration {
+	if owning {
+		return tickEvery
 	}
+	return idleEvery
 }
 
 func (s *Scheduler) now() time.Duration { return s.kernel.Clock.Now() }
