Let candidates pause longer after each lost round

A witness also granted epochs below one that it had heard of while it abstained.

Change: the pause after a lost round grows with the rank and the lost rounds; a witness refuses epochs below an announced one, which makes the owner rise.

--- a/internal/lease/claim.go
+++ b/internal/lease/claim.go
@@ -10,6 +10,9 @@
 // handoverTries bounds the rounds in which a successor asks for handed-over votes.
 const handoverTries = 4
 
+// maxLosses bounds the growth of the pause after lost rounds.
+const maxLosses = 4
+
 // owner is a pool's owner as announced by its own beats.
 type owner struct {
 	instance string
@@ -31,6 +34,7 @@
 	eligible  bool          // nothing but the stagger keeps it from asking
 	since     time.Duration // since when
 	notBefore time.Duration // end of the pause after a lost round
+	losses    int           // rounds lost in a row
 }
 
 // handover waits for the successor to take over the votes of a resigned owner.
@@ -122,7 +126,7 @@
 	}
 	if grants >= n.majority {
 		n.announce = n.announce || c.heldEpoch != req.Epoch
-		c.heldEpoch, c.after = req.Epoch, 0
+		c.heldEpoch, c.after, c.losses = req.Epoch, 0, 0
 		c.heldUntil = max(c.heldUntil, r.sent+HolderTime)
 	}
 }
@@ -191,11 +195,17 @@
 	return n.consider(now, pool, c)
 }
 
-// lose gives up a lost round or an expired ownership and frees its votes.
+// lose gives up a lost round or an expired ownership and frees its votes. The
+// pause grows with the lost rounds and the rank: with equal pauses candidates
+// can keep splitting the votes in the same rhythm.
 func (n *Node) lose(now time.Duration, pool string, c *claim) {
 	n.drop(pool, c)
-	epoch := c.epoch
-	*c = claim{epoch: epoch, notBefore: now + RoundTime}
+	losses := 0
+	if c.heldUntil == 0 {
+		losses = min(c.losses+1, maxLosses)
+	}
+	pause := RoundTime * time.Duration(1+losses*n.rank(now, pool))
+	*c = claim{epoch: c.epoch, losses: losses, notBefore: now + pause}
 }
 
 // drop releases the votes of a claim.
@@ -222,7 +232,7 @@
 	if now < c.since+time.Duration(n.rank(now, pool))*Stagger {
 		return false
 	}
-	*c = claim{active: true, epoch: n.highest(pool) + 1, asked: now}
+	*c = claim{active: true, epoch: n.highest(pool) + 1, asked: now, losses: c.losses}
 	return true
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -290,6 +290,21 @@
 	}
 }
 
+// Guards against a witness that helps an owner to an epoch below one that it
+// heard of while it abstained, and then never believes that owner.
+func TestAnnouncedEpoch(t *testing.T) {
+	is := is.New(t)
+	n := New(Config{Self: "e", Instances: []string{"a", "b", "c", "d", "e"}, Boot: 1})
+	n.OnBeat(sec, "a", Beat{Boot: 1, Seq: 1, Requests: []Request{{Pool: "p", Epoch: 5, Held: true}}})
+	n.Confirm(3*sec, 3*sec, 0)
+	ask := func(from string, seq, epoch uint64) Vote {
+		return n.OnBeat(9*sec, from, Beat{Boot: 1, Seq: seq, Requests: []Request{{Pool: "p", Epoch: epoch}}}).Votes[0]
+	}
+	is.Equal(ask("b", 1, 4), Vote{Epoch: 5})
+	is.Equal(ask("b", 2, 5), Vote{Epoch: 5})
+	is.True(ask("a", 2, 5).Granted)
+}
+
 // Guards against a successor that ignores a handover because it still waits for
 // the votes of a round that it lost against the owner.
 func TestHandoverDuringRound(t *testing.T) {
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -86,6 +86,12 @@
 	if req.Epoch < v.epoch || (req.Epoch == v.epoch && !same) {
 		return Vote{Epoch: v.epoch}
 	}
+	// An epoch that an owner has announced may be unknown to the votes, if it
+	// was announced while this witness abstained. A lower one must rise.
+	o := n.owners[req.Pool]
+	if req.Epoch < o.epoch || (req.Epoch == o.epoch && o.instance != from) {
+		return Vote{Epoch: o.epoch}
+	}
 	*v = vote{from, boot, req.Epoch, now + LeaseTime}
 	return Vote{Granted: true}
 }
