--- a/cmd/nutmegbench/bench.go
+++ b/cmd/nutmegbench/bench.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"nutmegrouter/fleetconfig"
+	"nutmegrouter/internal/chart"
 	"nutmegrouter/internal/fleetrun"
 	"nutmegrouter/internal/loadgen"
 )
@@ -23,6 +24,7 @@
 	options
 	out   io.Writer
 	dirty bool
+	gaps  []chart.Series // gap over time in per cent, with routers and without
 }
 
 // phase measures one of the figures of section 1.
@@ -82,6 +84,20 @@
 	return errors.Wrap(os.WriteFile(b.options.out, text, 0o644), "save tables")
 }
 
+// picture saves a chart beside the tables.
+func (b *benchRun) picture(name string, c *chart.Chart) error {
+	if b.options.out == "" {
+		return nil
+	}
+	var text bytes.Buffer
+	c.Write(&text)
+	path := strings.TrimSuffix(b.options.out, filepath.Ext(b.options.out)) + "-" + name + ".svg"
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return errors.Wrap(err, "save picture")
+	}
+	return errors.Wrap(os.WriteFile(path, text.Bytes(), 0o644), "save picture")
+}
+
 // loadAverage tells what else kept the machine busy; figures of a busy machine
 // say little.
 func loadAverage() string {
--- a/cmd/nutmegbench/movephase.go
+++ b/cmd/nutmegbench/movephase.go
@@ -48,12 +48,17 @@
 	s := r.Responses(step)
 	first, last := 0, len(r.Plan.Workspaces)-1
 	fmt.Fprintf(b.out, "responses per second (out at %v, back at %v)\n  s    all  %s  %s\n", outAt, backAt, r.Plan.Workspaces[first].Name, r.Plan.Workspaces[last].Name)
+	c := moveChart(r, step, outAt, backAt)
 	for i, v := range s.Values {
 		sum := 0.0
 		for _, x := range v {
 			sum += x
 		}
 		fmt.Fprintf(b.out, "%3d %6.1f %6.1f %6.1f\n", (i+1)*int(step/time.Second), sum/step.Seconds(), v[first]/step.Seconds(), v[last]/step.Seconds())
+		c.add(sum/step.Seconds(), v[first]/step.Seconds(), v[last]/step.Seconds())
+	}
+	if err := b.picture("move", &c.Chart); err != nil {
+		fmt.Fprintln(b.out, err)
 	}
 	sent := func(w int, from, to time.Duration) (whole, offered float64) {
 		for i := range r.Records {
--- a/cmd/nutmegbench/phases.go
+++ b/cmd/nutmegbench/phases.go
@@ -143,7 +143,7 @@
 	}
 	fmt.Fprintln(b.out, "baseline without routers, first in first out over the targets in turn, the same workspaces:")
 	b.gapTable(r, who, false)
-	return nil
+	return b.picture("gap", b.gapChart())
 }
 
 // backlogged returns the workspaces that have work waiting at every moment from
@@ -179,6 +179,7 @@
 	for i := 4; i < len(gap); i += 5 {
 		fmt.Fprintf(b.out, "%3d %6.0f %7.0f %7.1f%%\n", i+1, gap[i], least[i], 100*gap[i]/max(1, least[i]))
 	}
+	b.gaps = append(b.gaps, gapPercent(gap, least, bounded))
 	if !bounded {
 		return
 	}
--- /dev/null
+++ b/internal/chart/chart_test.go
@@ -0,0 +1,33 @@
+package chart
+
+import (
+	"bytes"
+	"encoding/xml"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a picture that is no well-formed SVG or lacks a series, also
+// with no value at all.
+func TestWrite(t *testing.T) {
+	for _, values := range [][]float64{{1, 2, 30}, {0}, nil} {
+		is := is.New(t)
+		var out bytes.Buffer
+		c := Chart{Title: "a < b", Step: 1, Series: []Series{{"first", values}}, Marks: []Mark{{1, "out"}}}
+		c.Write(&out)
+		text := out.String()
+		is.True(strings.Contains(text, "first") && strings.Contains(text, "out"))
+		is.True(!strings.Contains(text, "NaN"))
+		dec := xml.NewDecoder(&out)
+		for {
+			_, err := dec.Token()
+			if err == io.EOF {
+				break
+			}
+			is.NoErr(err)
+		}
+	}
+}
