--- a/internal/fleetstate/claims.go
+++ b/internal/fleetstate/claims.go
@@ -43,9 +43,13 @@
 	byKey  map[api.ClaimKey]*claim
 	order  []*claim
 	bodies int // bytes of the stored bodies
+
+	maxClaims, maxBodies int
 }
 
-func newClaims() claims { return claims{byKey: map[api.ClaimKey]*claim{}} }
+func newClaims() claims {
+	return claims{byKey: map[api.ClaimKey]*claim{}, maxClaims: maxClaims, maxBodies: maxBodies}
+}
 
 // expire drops the claims whose life is over.
 func (c *claims) expire(nowMs int64) {
@@ -83,7 +87,7 @@
 		return Result{Claim: &api.ClaimResult{State: api.ClaimNew}} // a resend of the claim that made it
 	case ok && have.State == api.ClaimRunning:
 		return Result{Claim: &api.ClaimResult{State: api.ClaimRunning}}
-	case !ok && len(c.order) >= maxClaims:
+	case !ok && len(c.order) >= c.maxClaims:
 		return Result{Error: ErrClaimsFull}
 	}
 	if !ok {
@@ -109,7 +113,7 @@
 		return Result{}
 	}
 	outcome := *cmd.Outcome
-	if len(outcome.Body) > maxOutcomeBytes || c.bodies+len(outcome.Body) > maxBodies {
+	if len(outcome.Body) > maxOutcomeBytes || c.bodies+len(outcome.Body) > c.maxBodies {
 		outcome.Body, outcome.Truncated = nil, true
 	}
 	have.State, have.Outcome = api.ClaimDone, &outcome
