Measure the slopes of an instance's use

Cause: the capacity page needs measured slopes of processor time, memory and traffic against instances and requests.

--- a/cmd/nutmegbench/bench.go
+++ b/cmd/nutmegbench/bench.go
@@ -42,6 +42,7 @@
 		{"Another router killed under overload", otherKilled},
 		{"Control traffic", traffic},
 		{"Service while a data centre leaves and returns", moveService},
+		{"Slopes of an instance's use", slopes},
 	}
 }
 
