Repeat the releases of a handover until it ends

Cause: TestResign failed in 1 of 6 runs of plugin/lease with GOMAXPROCS=2 and -race. Beats are sent concurrently, so a later beat can overtake the one that told the handover, which is then ignored as old; the handover ended by its 500 ms limit. That the overtaking was the cause is inferred, not traced.

Change: each beat repeats the releases of handovers under way.

Conclusion: one lost or overtaken beat no longer delays a handover.

--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -18,7 +18,7 @@
 		c := n.claims[pool]
 		to := n.successor(now, pool)
 		if c.held(now) && to != "" {
-			n.releases = append(n.releases, Release{Pool: pool, Epoch: c.heldEpoch, To: to})
+			n.announce = true
 			n.handover[pool] = handover{to, c.heldEpoch, now + HandoverTime}
 			c.active = false
 		}
@@ -27,6 +27,17 @@
 	n.claims = map[string]*claim{}
 }
 
+// handoverReleases repeats the releases of handovers under way on every beat,
+// because a beat that a later one overtakes is ignored.
+func (n *Node) handoverReleases() []Release {
+	out := n.releases
+	for _, pool := range n.handingOver() {
+		h := n.handover[pool]
+		out = append(out, Release{Pool: pool, Epoch: h.epoch, To: h.to})
+	}
+	return out
+}
+
 // HandingOver reports whether a successor has not yet taken over a pool.
 func (n *Node) HandingOver() bool { return len(n.handover) > 0 }
 
@@ -44,7 +55,7 @@
 // its own that is still open makes way, because it cannot win against the owner.
 func (n *Node) succeed(now time.Duration, from string, r Release) {
 	c := n.claims[r.Pool]
-	if c == nil || n.resigned || c.held(now) || !n.Valid(now) {
+	if c == nil || n.resigned || c.held(now) || !n.Valid(now) || (c.active && c.after == r.Epoch) {
 		return
 	}
 	n.learn(r.Pool, r.Epoch)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -305,6 +305,19 @@
 	is.True(ask("a", 2, 5).Granted)
 }
 
+// Guards against a handover that is lost with the one beat that told it.
+func TestHandoverRepeats(t *testing.T) {
+	is := is.New(t)
+	s, owner := settled(t, 3*time.Millisecond)
+	o := s.nodes[owner]
+	o.Resign(s.clock(o))
+	for range 3 {
+		is.True(o.Tick(s.clock(o)) || o.HandingOver())
+		is.Equal(len(o.Beat(s.clock(o)).Releases), 1) // none of them is delivered
+	}
+	is.True(s.gap(owner, 5*sec) < 600*time.Millisecond) // by a periodic beat
+}
+
 // Guards against a successor that ignores a handover because it still waits for
 // the votes of a round that it lost against the owner.
 func TestHandoverDuringRound(t *testing.T) {
--- a/internal/lease/node.go
+++ b/internal/lease/node.go
@@ -149,7 +149,7 @@
 // once, because leases count from now.
 func (n *Node) Beat(now time.Duration) Beat {
 	n.seq++
-	b := Beat{Boot: n.cfg.Boot, Seq: n.seq, Revision: n.revision, Requests: n.requests(now), Releases: n.releases}
+	b := Beat{Boot: n.cfg.Boot, Seq: n.seq, Revision: n.revision, Requests: n.requests(now), Releases: n.handoverReleases()}
 	n.releases = nil
 	n.rounds = append(n.rounds, &round{seq: n.seq, sent: now, requests: b.Requests, replies: map[string]Reply{}})
 	if len(n.rounds) > keptRounds {
