--- a/plugin/scheduler/ownership.go
+++ b/plugin/scheduler/ownership.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	s.runs[pool] = &run{
-		owner:  schedule.NewOwner(pool, epoch, s.zones, now),
+		owner:  schedule.NewOwner(pool, epoch, s.dataCentres, now),
 		since:  now,
 		counts: newCounters(s.kernel.Metrics, pool),
 		loads:  map[string]loadState{},
--- a/plugin/scheduler/setup.go
+++ b/plugin/scheduler/setup.go
@@ -54,16 +54,16 @@
 	states   atomic.Pointer[map[string][]api.TargetState]
 	stop     chan chan struct{}
 
-	runs      map[string]*run
-	revision  uint64
-	zones     map[string]string // data centre of each instance
-	leaving   map[string]bool
-	listed    time.Duration // when the platform's list was last answered
-	flushed   time.Duration
-	served    time.Duration
-	resigning bool
-	service   schedule.ServiceMsg
-	decode    *decodeCounters
+	runs        map[string]*run
+	revision    uint64
+	dataCentres map[string]string // data centre of each instance
+	leaving     map[string]bool
+	listed      time.Duration // when the platform's list was last answered
+	flushed     time.Duration
+	served      time.Duration
+	resigning   bool
+	service     schedule.ServiceMsg
+	decode      *decodeCounters
 }
 
 // input is one message to the worker. Exactly one pointer is set.
@@ -85,10 +85,10 @@
 	s.in = kernel.NewRing[input](c.Metrics, "scheduler", inputSize)
 	s.wake, s.polls, s.lists = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	s.stop = make(chan chan struct{})
-	s.runs, s.zones = map[string]*run{}, map[string]string{}
+	s.runs, s.dataCentres = map[string]*run{}, map[string]string{}
 	s.decode = newDecodeCounters(c.Metrics)
 	for _, p := range c.Settings.Peers {
-		s.zones[p.Instance] = p.DataCentre
+		s.dataCentres[p.Instance] = p.DataCentre
 	}
 	s.polled.Store(&pollPlan{})
 	s.urgent.Store(&[]pollTarget{})
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -10,7 +10,7 @@
 //	submit [-mark M] ARGS          nutmegctl -no-wait ARGS; M is the time of acceptance
 //	plan M DC OUT BACK             apply a planned move; out at mark M, back at mark M-back
 //	reach MARK                     wait for the time of a mark
-//	story KIND/STEP...             the merged timeline shows these events in this order
+//	timeline KIND/STEP...             the merged timeline shows these events in this order
 //	fault TARGET JSON              scripted fault; TARGET may end in *
 //	leave M TARGET                 the platform's list shows it as leaving from mark M on
 //	load NAME KEY=V ...            start load; keys: rate, for, kinds, attempts, seed, entries
--- a/scenario/move_test.go
+++ b/scenario/move_test.go
@@ -47,8 +47,8 @@
 	return err
 }
 
-// story checks that the merged timeline shows the events in this order.
-func (w *world) story(ts script, args []string) error {
+// timeline checks that the merged timeline shows the events in this order.
+func (w *world) timeline(ts script, args []string) error {
 	ctx, cancel := context.WithTimeout(w.ctx, patience)
 	defer cancel()
 	text, err := w.fleet.Ctl(ctx, "timeline")
