Show the slots held by work of dead routers

Cause: the utilisation after a killed router missed its bound in one run and nothing showed which slots were held. Change: gauge nutmeg_sched_orphans.

--- a/plugin/scheduler/metrics.go
+++ b/plugin/scheduler/metrics.go
@@ -75,13 +75,15 @@
 }
 
 func (c *counters) targets(o *schedule.Owner) {
-	limit, used := 0, 0
+	limit, used, orphans := 0, 0, 0
 	for _, t := range o.Limits().Targets() {
 		limit += t.Limit()
 		used += t.Used()
+		orphans += t.Orphans()
 	}
 	c.gauge("nutmeg_sched_limit", limit)
 	c.gauge("nutmeg_sched_used", used)
+	c.gauge("nutmeg_sched_orphans", orphans)
 	c.gauge("nutmeg_sched_waiting", o.Waiting())
 }
 
