--- a/cmd/nutmegbench/phases.go
+++ b/cmd/nutmegbench/phases.go
@@ -95,8 +95,10 @@
 }
 
 // shortQueues bounds the wait in overload to seconds, so that callers do not
-// time out before their turn.
-func shortQueues(p *fleetconfig.Pool) { p.QueueLimit = 16 }
+// time out before their turn. It also states the largest lag of the stand-ins'
+// load reports, which is 500 ms; the default of 2 s holds slots of a dead router
+// for longer than these targets need.
+func shortQueues(p *fleetconfig.Pool) { p.QueueLimit, p.ReportLagMs = 16, 1000 }
 
 // overload is a plan that offers the engines far more than they can serve.
 func overload(f *fleetrun.Fleet, seed uint64, length time.Duration) *loadgen.Plan {
--- a/internal/fleetrun/observe.go
+++ b/internal/fleetrun/observe.go
@@ -59,17 +59,8 @@
 // MeshBytes returns what each running router has sent to others.
 func (f *Fleet) MeshBytes(ctx context.Context) (map[string]Traffic, error) {
 	out := map[string]Traffic{}
-	for _, r := range f.Routers {
-		if !f.Running(r.Instance) {
-			continue
-		}
-		text, err := get(ctx, "http://"+r.Admin+"/metrics")
-		if err != nil {
-			return nil, err
-		}
-		out[r.Instance] = sumByMethod(text, sentBytesPrefix)
-	}
-	return out, nil
+	err := f.eachMetrics(ctx, func(name, text string) { out[name] = sumByMethod(text, sentBytesPrefix) })
+	return out, err
 }
 
 func get(ctx context.Context, url string) (string, error) {
--- a/internal/fleetrun/usage.go
+++ b/internal/fleetrun/usage.go
@@ -17,22 +17,30 @@
 // Usages returns the usage of each running router.
 func (f *Fleet) Usages(ctx context.Context) (map[string]Usage, error) {
 	out := map[string]Usage{}
+	err := f.eachMetrics(ctx, func(name, text string) {
+		out[name] = Usage{
+			CPU:    value(text, "process_cpu_seconds_total"),
+			Heap:   value(text, "go_memstats_heap_inuse_bytes"),
+			Memory: value(text, "process_resident_memory_bytes"),
+			Sent:   sumByMethod(text, sentBytesPrefix).Total(),
+		}
+	})
+	return out, err
+}
+
+// eachMetrics reads the metrics of each running router.
+func (f *Fleet) eachMetrics(ctx context.Context, use func(name, text string)) error {
 	for _, r := range f.Routers {
 		if !f.Running(r.Instance) {
 			continue
 		}
 		text, err := get(ctx, "http://"+r.Admin+"/metrics")
 		if err != nil {
-			return nil, err
-		}
-		out[r.Instance] = Usage{
-			CPU:    value(text, "process_cpu_seconds_total"),
-			Heap:   value(text, "go_memstats_heap_inuse_bytes"),
-			Memory: value(text, "process_resident_memory_bytes"),
-			Sent:   sumByMethod(text, sentBytesPrefix).Total(),
+			return err
 		}
+		use(r.Instance, text)
 	}
-	return out, nil
+	return nil
 }
 
 // value returns the value of the metric without labels, or 0.
