--- a/internal/kernel/context.go
+++ b/internal/kernel/context.go
@@ -29,7 +29,7 @@
 		Log:      log,
 		Metrics:  metrics.NewSet(),
 		Clock:    clock,
-		Events:   NewEvents(s.Instance, s.Limits.Events, clock),
+		Events:   NewEvents(s.Instance, s.Limits.Events),
 		services: map[reflect.Type]any{},
 	}
 }
--- a/internal/kernel/events.go
+++ b/internal/kernel/events.go
@@ -50,7 +50,7 @@
 }
 
 // NewEvents returns a ring for size events; size < 1 keeps 4096.
-func NewEvents(instance string, size int, _ Clock) *Events {
+func NewEvents(instance string, size int) *Events {
 	if size < 1 {
 		size = 4096
 	}
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -130,7 +130,7 @@
 func TestEventsCausalOrder(t *testing.T) {
 	is := is.New(t)
 	wall := time.UnixMilli(1000)
-	e := NewEvents("i", 4, nil)
+	e := NewEvents("i", 4)
 	e.wall = func() time.Time { return wall }
 	e.Observe(Stamp{UnixMs: 5000, Count: 7})
 	first := e.Now()
@@ -142,7 +142,7 @@
 // Guards against a ring of events that grows or returns them out of order.
 func TestEventsBounded(t *testing.T) {
 	is := is.New(t)
-	e := NewEvents("i", 3, nil)
+	e := NewEvents("i", 3)
 	for _, k := range []string{"a", "b", "c", "d", "e"} {
 		e.Record(Event{Kind: k})
 	}
