Wait for the majority's view in TestIsolatedOwner

Cause: the test failed once: the rejoined instance held a lease at revision 0, although one other had just been given revision 3. The test rejoined it before the others had fetched that view; a lease with the older view is allowed while no majority has the newer one (design 9.1, 9.2). Change: the test waits until all others have the view, then rejoins. The assertion that there is no lease without the view stays as it was.

--- a/plugin/lease/fault_test.go
+++ b/plugin/lease/fault_test.go
@@ -70,6 +70,14 @@
 	name, next := c.awaitOwner("p")
 	is.True(name != old && next > epoch)
 	c.instances[name].fleet.Install(view(3)) // missed by the isolated instance
+	c.await("the view in all others", func() bool {
+		for other, x := range c.instances {
+			if other != old && x.fleet.View().Revision != 3 {
+				return false
+			}
+		}
+		return true
+	})
 	c.grid.Rejoin(old)
 	c.awaitLeases()
 	is.Equal(in.fleet.View().Revision, uint64(3)) // no lease without the view
