Propose before time passes in TestLongIsolation

Cause: the test submits from another goroutine while its loop runs ticks at full speed. After 20 ticks without a quorum the isolated leader has stepped down and refuses the change, so the proposal that the test waits for never comes and the test ends after 4000 ticks. Ruled out: a fault of the replica. Change: no tick passes until the proposal is there. All later checks stay. Conclusion: a race of the test.

--- a/plugin/control/fault_test.go
+++ b/plugin/control/fault_test.go
@@ -117,7 +117,9 @@
 	c.isolate(old, false)
 	lost := c.background(old, api.Submission{ChangeID: "isolated", Base: 1, DataCentre: "b", Out: true})
 	r := c.get(old).control.replica
-	c.until("proposal without a quorum", func() bool { return len(r.waiting) > 0 })
+	// No tick passes meanwhile: the call comes from another goroutine, and after
+	// 20 ticks without a quorum the old leader would refuse it.
+	c.serveUntil("proposal without a quorum", func() bool { return len(r.waiting) > 0 })
 	c.until("another leader", func() bool { return c.leader() != "" && c.get(old).control.Status().Role != "leader" })
 	c.is.Equal(len(r.waiting), 0) // the call tries elsewhere
 	for i := range 20 {
--- a/plugin/control/harness_test.go
+++ b/plugin/control/harness_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// serveUntil lets the replicas handle calls and messages while no tick passes,
+// until the condition holds, for at most 10 s.
+func (c *cluster) serveUntil(what string, cond func() bool) {
+	c.t.Helper()
+	for begin := time.Now(); !cond(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			c.t.Fatalf("not reached: %s", what)
+		}
+		for _, name := range c.names {
+			if inst := c.get(name); inst != nil && inst.control.replica != nil {
+				inst.control.drainRings(inst.control.replica)
+				c.is.NoErr(inst.control.replica.flush())
+			}
+		}
+	}
+}
+
 // join runs the joining of groups, which asks other instances, beside pump.
 func (c *cluster) join() {
 	for _, name := range c.names[:c.disks] {
