--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -44,6 +44,37 @@
 	Report(peer string, unreached []string)
 }
 
+// LinkChange tells that a link with an instance has begun or ended.
+type LinkChange struct {
+	Peer       string
+	Boot       string // identity of the peer's process
+	DataCentre string // "" when the link ends
+	Control    bool   // the peer holds a control replica
+	Up         bool
+}
+
+// Roster sets the links of a mesh whose members come and go.
+type Roster interface {
+	// Dial keeps links to exactly these addresses, each IP:port. It may be
+	// called once the duties have started.
+	Dial(addresses []string)
+	// OnLink registers a function called after a link was made or lost. It must
+	// not block. Register from Provision.
+	OnLink(f func(LinkChange))
+}
+
+// Topology tells which control instances there are. It is provided with the
+// profile "routes", whose instances are discovered.
+type Topology interface {
+	// Controls returns the known control instances, sorted.
+	Controls() []string
+	// Leader returns the control leader with the highest term that is known, or "".
+	Leader() (instance string, term uint64)
+	// OnLeader registers a function called after the known leader has changed.
+	// It must not block. Register from Provision.
+	OnLeader(f func(instance string, term uint64))
+}
+
 // Lease tells what this instance may do at this moment on the monotonic clock.
 type Lease interface {
 	// Valid reports whether this instance may dispatch work now.
@@ -74,6 +105,11 @@
 	Config *fleetconfig.Config `json:"config"`
 	// Out names the data centres that are out of service.
 	Out map[string]bool `json:"out,omitempty"`
+	// Version is the operators' number of Document; 0 without one.
+	Version uint64 `json:"version,omitempty"`
+	// Document is the compressed configuration of a fleet with the profile
+	// "routes", as the operator sent it.
+	Document []byte `json:"document,omitempty"`
 }
 
 // Fleet gives access to the view of the configuration on this instance.
@@ -101,6 +137,13 @@
 	// DataCentre and Out take one data centre out (true) or back (false).
 	DataCentre string `json:"data_centre,omitempty"`
 	Out        bool   `json:"out,omitempty"`
+	// Newest applies the change to the newest revision whatever Base says. A
+	// change that has no effect any more is accepted and makes no revision.
+	Newest bool `json:"newest,omitempty"`
+	// Version and Document replace the document of the profile "routes" if the
+	// version is above the stored one.
+	Version  uint64 `json:"version,omitempty"`
+	Document []byte `json:"document,omitempty"`
 }
 
 // SubmitResult is the stored result of a submission.
@@ -171,8 +214,13 @@
 	// ReadRevision returns the newest accepted view revision, confirmed by the
 	// leader's quorum at some moment after the call began.
 	ReadRevision(ctx context.Context) (uint64, error)
+	// ReadView returns the newest accepted view, confirmed like ReadRevision.
+	ReadView(ctx context.Context) (*View, error)
 	// Status describes the local replica, or its absence, for operators.
 	Status() ControlStatus
+	// OnStatus registers a function called after the role, the known leader or
+	// the members have changed. It must not block.
+	OnStatus(f func(ControlStatus))
 }
 
 // ControlStatus describes the control log as seen from one instance.
@@ -183,6 +231,8 @@
 	Term    uint64   `json:"term"`
 	Commit  uint64   `json:"commit"`
 	Voters  []string `json:"voters,omitempty"`
+	// Members names the instances of voters and learners.
+	Members []string `json:"members,omitempty"`
 }
 
 // CostClass is the caller's rough class of a request.
--- a/internal/fleetstate/snapshot.go
+++ b/internal/fleetstate/snapshot.go
@@ -21,6 +21,8 @@
 	NowMs    int64                 `json:"now_ms"`
 	Revision uint64                `json:"revision"`
 	Config   *fleetconfig.Config   `json:"config,omitempty"`
+	Version  uint64                `json:"version,omitempty"`
+	Document []byte                `json:"document,omitempty"`
 	Out      map[string]string     `json:"out,omitempty"`
 	Moves    map[string]MoveResult `json:"moves,omitempty"`
 	Changes  []storedChange        `json:"changes,omitempty"`
@@ -38,6 +40,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	im := image{
 		Format: format, NowMs: s.nowMs, Revision: s.revision, Config: s.config,
+		Version: s.version, Document: s.document,
 		Out: s.out, Moves: s.moves, History: s.history,
 	}
 	for _, id := range s.order {
@@ -65,6 +68,7 @@
 		return nil, errors.Errorf("fleetstate: snapshot has format %d, this program reads %d", im.Format, format)
 	}
 	s.nowMs, s.revision, s.config, s.history = im.NowMs, im.Revision, im.Config, im.History
+	s.version, s.document = im.Version, im.Document
 	maps.Copy(s.out, im.Out)
 	maps.Copy(s.moves, im.Moves)
 	for _, c := range im.Changes {
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -16,6 +16,8 @@
 	nowMs    int64
 	revision uint64
 	config   *fleetconfig.Config
+	version  uint64 // of the document
+	document []byte
 	out      map[string]string     // data centre -> change id or move that took it out
 	moves    map[string]MoveResult // steps already decided, by move identity
 	changes  map[string]api.SubmitResult
@@ -86,7 +88,7 @@
 }
 
 func (s *State) rebuildView() {
-	v := &api.View{Revision: s.revision, Config: s.config}
+	v := &api.View{Revision: s.revision, Config: s.config, Version: s.version, Document: s.document}
 	if len(s.out) > 0 {
 		v.Out = make(map[string]bool, len(s.out))
 		for dc := range s.out {
--- a/internal/fleetstate/submit.go
+++ b/internal/fleetstate/submit.go
@@ -26,6 +26,9 @@
 }
 
 func (s *State) decide(c *Submit) api.SubmitResult {
+	if c.Newest {
+		return s.decideNewest(c)
+	}
 	switch {
 	case c.Base > s.revision:
 		return api.SubmitResult{Error: fmt.Sprintf("base revision %d does not exist, the newest is %d", c.Base, s.revision)}
@@ -48,6 +51,23 @@
 	return api.SubmitResult{Revision: s.revision}
 }
 
+// decideNewest decides on a change without a base: the document with the highest
+// version wins, and a data centre is out or not.
+func (s *State) decideNewest(c *Submit) api.SubmitResult {
+	_, out := s.out[c.DataCentre]
+	newer := c.Document != nil && c.Version > s.version
+	toggles := c.DataCentre != "" && out != c.Out
+	if !newer && !toggles {
+		return api.SubmitResult{Revision: s.revision}
+	}
+	if newer {
+		s.version, s.document = c.Version, c.Document
+	}
+	s.setOut(c.DataCentre, c.Out, c.ChangeID)
+	s.accept(c.ChangeID, c.Author, c.Summary)
+	return api.SubmitResult{Revision: s.revision}
+}
+
 // lost names the change that made a revision, or the oldest one still known
 // after it.
 func (s *State) lost(revision uint64) api.SubmitResult {
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sort"
 	"sync"
+
+	"nutmegrouter/internal/settings"
 )
 
 // Plugin is a unit of the daemon. The optional interfaces Validator, Starter,
@@ -38,14 +40,42 @@
 	Order int
 	// New makes an instance with useful zero values.
 	New func() Plugin
+	// Wanted reports whether an instance with these settings runs the plug-in;
+	// nil = with the profile "pools".
+	Wanted func(*settings.Settings) bool
+}
+
+// Everywhere wants a plug-in with every profile.
+func Everywhere(*settings.Settings) bool { return true }
+
+// Routed wants a plug-in with the profile "routes".
+func Routed(s *settings.Settings) bool { return s.Routed() }
+
+// RoutedEntry wants a plug-in with the profile "routes" on instances that serve callers.
+func RoutedEntry(s *settings.Settings) bool { return s.Routed() && s.ServesCallers() }
+
+// RoutedControl wants a plug-in with the profile "routes" on control instances.
+func RoutedControl(s *settings.Settings) bool { return s.Routed() && !s.ServesCallers() }
+
+// RoutedControlOrPools wants a plug-in with the profile "pools" and on control
+// instances of the profile "routes".
+func RoutedControlOrPools(s *settings.Settings) bool { return !s.Routed() || RoutedControl(s) }
+
+func (r Registration) wanted(s *settings.Settings) bool {
+	if r.Wanted != nil {
+		return r.Wanted(s)
+	}
+	return !s.Routed()
 }
 
 // Orders of the standard plug-ins.
 const (
 	OrderTimeline  = 10
+	OrderDialect   = 15
 	OrderMesh      = 20
 	OrderFleet     = 30
 	OrderLease     = 40
+	OrderMembers   = 45
 	OrderControl   = 50
 	OrderScheduler = 60
 	OrderOrders    = 65
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -46,6 +46,9 @@
 func provision(c *Context) ([]loaded, error) {
 	var out []loaded
 	for _, r := range Registered() {
+		if !r.wanted(c.Settings) {
+			continue
+		}
 		p := r.New()
 		if err := p.Provision(c); err != nil {
 			return nil, errors.WithMessage(err, "provision "+r.Name)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -174,6 +174,19 @@
 func (p *parser) check(s *Settings) {
 	p.require("instance", s.Instance)
 	p.require("dataCentre", s.DataCentre)
+	p.checkLimits(s.Limits)
+	switch s.Profile {
+	case "", ProfilePools:
+		p.checkPools(s)
+	case ProfileRoutes:
+		p.checkRoutes(s)
+	default:
+		p.fault(p.find("profile"), "profile", "want %q or %q, got %q", ProfilePools, ProfileRoutes, s.Profile)
+	}
+}
+
+// checkPools tests the settings of the profile "pools".
+func (p *parser) checkPools(s *Settings) {
 	p.address("listen", s.Listen)
 	p.address("admin", s.Admin)
 	p.address("mesh", s.Mesh)
@@ -189,7 +202,6 @@
 		names[peer.Instance] = true
 	}
 	p.checkSelf(s)
-	p.checkLimits(s.Limits)
 }
 
 func (p *parser) checkSelf(s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,8 @@
 
 // Settings are the settings of one instance.
 type Settings struct {
+	// Profile selects the parts of the daemon: "pools" (the default) or "routes".
+	Profile string `json:"profile,omitempty"`
 	// Instance is the unique name of this instance.
 	Instance string `json:"instance"`
 	// DataCentre is where the instance runs.
@@ -29,8 +31,35 @@
 	WeightStore string `json:"weightStore,omitempty"`
 	// Limits bound the use of memory and time.
 	Limits Limits `json:"limits"`
+	// Routes holds what only the profile "routes" uses.
+	Routes Routes `json:"routes,omitempty"`
 }
 
+// Profiles.
+const (
+	// ProfilePools serves callers by pool; peers and targets are listed by hand.
+	ProfilePools = "pools"
+	// ProfileRoutes serves callers by host and path; instances and targets are
+	// discovered.
+	ProfileRoutes = "routes"
+)
+
+// Routed reports whether the profile is "routes".
+func (s *Settings) Routed() bool { return s.Profile == ProfileRoutes }
+
+// MeshName returns the name of this instance among the others. Control instances
+// of the profile "routes" are named by their mesh address, so that the replicated
+// membership tells where they are.
+func (s *Settings) MeshName() string {
+	if s.Routed() && s.DataDir != "" {
+		return s.Mesh
+	}
+	return s.Instance
+}
+
+// ServesCallers reports whether this instance takes requests of callers.
+func (s *Settings) ServesCallers() bool { return s.Listen != "" }
+
 // Peer is one instance of the fleet as seen from this one.
 type Peer struct {
 	Instance   string `json:"instance"`
--- /dev/null
+++ b/internal/targetconn/conn.go
@@ -0,0 +1,182 @@
+// Package targetconn keeps connections to targets. fasthttp's own client hides
+// which connection a request used and repeats some requests by itself, so the
+// router keeps the connections and uses fasthttp for the wire format only.
+package targetconn
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes of a connection's buffers and writes.
+const (
+	writePiece  = 64 << 10 // bytes written under one deadline
+	readBuffer  = 16 << 10 // bytes; bounds the head of an answer
+	writeBuffer = 4 << 10  // bytes
+)
+
+// Conn is a connection to a target. It calls check before the first byte of a
+// request, counts the bytes of the request that the kernel accepted, and bounds
+// the silence of each single read and write. It carries one request at a time.
+type Conn struct {
+	net.Conn
+	R *bufio.Reader
+	W *bufio.Writer
+
+	// Hard is the end of all reads and writes of the request.
+	Hard time.Time
+	// Sent counts the bytes of the request that the kernel accepted, Received
+	// those of the answer.
+	Sent, Received int64
+	// Failure is the first error of the connection itself. fasthttp reports some
+	// errors of a read as the end of the stream.
+	Failure error
+	// Reused reports that the connection served an earlier request.
+	Reused bool
+	// Host is the address of the target.
+	Host string
+	// IdleLimit is how long the target keeps the connection idle; 0 = unknown.
+	IdleLimit time.Duration
+
+	check     func() error  // called before the first byte of a request
+	silence   time.Duration // longest time of one read or write
+	idleSince time.Time
+}
+
+func newConn(nc net.Conn, host string) *Conn {
+	c := &Conn{Conn: nc, Host: host}
+	c.R, c.W = readers.Get().(*bufio.Reader), writers.Get().(*bufio.Writer)
+	c.R.Reset(c)
+	c.W.Reset(c)
+	return c
+}
+
+// Buffers of closed connections are used again, because every non-idempotent
+// request opens a connection of its own.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+)
+
+// Release closes a connection that no one reads or writes any more.
+func (c *Conn) Release() {
+	_ = c.Close() // nothing depends on the outcome
+	c.R.Reset(nil)
+	c.W.Reset(nil)
+	readers.Put(c.R)
+	writers.Put(c.W)
+	c.R, c.W = nil, nil
+}
+
+// Arm prepares the connection for one request.
+func (c *Conn) Arm(silence time.Duration, hard time.Time, check func() error) {
+	c.silence, c.Hard, c.check = silence, hard, check
+	c.Sent, c.Received, c.Failure = 0, 0, nil
+}
+
+func (c *Conn) deadline() time.Time {
+	t := time.Now().Add(c.silence)
+	if t.After(c.Hard) {
+		return c.Hard
+	}
+	return t
+}
+
+// Read implements net.Conn with a deadline for each read.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(c.deadline()); err != nil {
+		return 0, c.failed(err)
+	}
+	n, err := c.Conn.Read(p)
+	c.Received += int64(n)
+	return n, c.failed(err)
+}
+
+func (c *Conn) failed(err error) error {
+	if err != nil && c.Failure == nil {
+		c.Failure = err
+	}
+	return err
+}
+
+// Write implements net.Conn. A large body is written in pieces, each under its
+// own deadline, so that a slow but moving target is not taken for a silent one.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.Sent == 0 && c.check != nil {
+		if err := c.check(); err != nil {
+			return 0, c.failed(err)
+		}
+	}
+	total := 0
+	for total < len(p) {
+		if err := c.SetWriteDeadline(c.deadline()); err != nil {
+			return total, c.failed(err)
+		}
+		n, err := c.Conn.Write(p[total:min(len(p), total+writePiece)])
+		total += n
+		c.Sent += int64(n)
+		if err != nil {
+			return total, c.failed(err)
+		}
+	}
+	return total, nil
+}
+
+// alive reports whether an idle connection is open and has nothing to read.
+// Bytes that arrive without a request belong to no one.
+func (c *Conn) alive() bool {
+	return c.R.Buffered() == 0 && peek(c.Conn) == stateOpen
+}
+
+// Open reports whether the peer of a connection has not closed it. Bytes that
+// wait to be read are no end.
+func Open(conn net.Conn) bool {
+	s := peek(conn)
+	return s == stateOpen || s == stateReadable
+}
+
+type state int
+
+const (
+	stateClosed state = iota
+	stateOpen
+	stateReadable
+)
+
+// peek looks at a socket without reading from it.
+func peek(conn net.Conn) state {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return stateOpen
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return stateClosed
+	}
+	s := stateClosed
+	var b [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case rerr == syscall.EAGAIN:
+			s = stateOpen
+		case rerr == nil && n > 0:
+			s = stateReadable
+		}
+	})
+	if err != nil {
+		return stateClosed
+	}
+	return s
+}
+
+// LocalFault reports whether a dial failed for want of local resources, so that
+// it says nothing about the target.
+func LocalFault(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
--- a/plugin/control/client.go
+++ b/plugin/control/client.go
@@ -106,6 +106,18 @@
 	return r.Revision, err
 }
 
+// ReadView implements api.Control.
+func (c *Control) ReadView(ctx context.Context) (*api.View, error) {
+	var r reply
+	if err := c.ask(ctx, methodView, struct{}{}, &r); err != nil {
+		return nil, err
+	}
+	if r.View == nil {
+		return nil, errors.New("control: read: answer holds no view")
+	}
+	return r.View, nil
+}
+
 // History implements api.Control.
 func (c *Control) History(ctx context.Context, limit int) ([]api.HistoryEntry, error) {
 	var r reply
@@ -181,13 +193,13 @@
 // pick returns the replicas in turn, those first that can be reached.
 func (c *Control) pick(turn int) string {
 	var up []string
-	for _, name := range c.replicas {
+	for _, name := range c.others() {
 		if c.reachable(name) {
 			up = append(up, name)
 		}
 	}
 	if len(up) == 0 {
-		up = c.replicas
+		up = c.others()
 	}
 	return up[turn%len(up)]
 }
--- a/plugin/control/members.go
+++ b/plugin/control/members.go
@@ -13,12 +13,6 @@
 	joinInterval = 500 * time.Millisecond
 	// probeLimit bounds one question to another replica.
 	probeLimit = time.Second
-	// strangerTicks is the silence after which a replica asks to be added again:
-	// one that was replaced, and whose old disk has come back, hears nothing.
-	strangerTicks = 200
-	// memberTicks is the interval at which the leader looks for due changes of
-	// the membership.
-	memberTicks = 10
 	// caughtUpEntries is the lag at which a learner may become a voter.
 	caughtUpEntries = 64
 )
@@ -35,18 +29,24 @@
 	Instance string `json:"instance"`
 }
 
-func (r *replica) probe() probeReply { return probeReply{Identity: r.id, Empty: r.node.Empty()} }
+func (r *replica) probe() probeReply {
+	return probeReply{Identity: r.id, Empty: r.node.Empty() && !r.failed}
+}
 
 // joinGroup forms a new group or joins the existing one if the replica has none.
 func (c *Control) joinGroup(ctx context.Context) {
 	a := c.inLoop(ctx, func(r *replica, done func(answer)) {
-		done(answer{probe: r.probe(), silent: r.node.SilentTicks()})
+		done(answer{probe: r.probe(), silent: r.node.SilentTicks(), failed: r.failed})
 	})
 	self := a.probe
-	if a.err != nil || (!self.Empty && a.silent < strangerTicks) {
+	if a.err != nil || a.failed || (!self.Empty && a.silent < c.pace().stranger) {
+		return
+	}
+	if c.members != nil {
+		c.joinDiscovered(ctx, self)
 		return
 	}
-	found, all, fresh := c.probeOthers(ctx, self)
+	found, all, fresh := c.probeOthers(ctx, self, c.replicas)
 	switch {
 	case self.Empty && all && fresh:
 		c.bootstrap(ctx, found)
@@ -59,9 +59,9 @@
 
 // probeOthers asks all other replicas. All reports that each answered, fresh that
 // no answer came from a replica that belongs to a group.
-func (c *Control) probeOthers(ctx context.Context, self probeReply) (found []consensus.Member, all, fresh bool) {
+func (c *Control) probeOthers(ctx context.Context, self probeReply, names []string) (found []consensus.Member, all, fresh bool) {
 	all, fresh = true, true
-	for _, name := range c.replicas {
+	for _, name := range names {
 		if name == c.mesh.Self() {
 			found = append(found, consensus.Member{ID: self.Identity, Instance: name})
 			continue
@@ -84,7 +84,7 @@
 // not if an instance has a view: then a group has existed and all its disks are
 // lost, and a new one would begin below the revisions in use.
 func (c *Control) bootstrap(ctx context.Context, voters []consensus.Member) {
-	if c.replicas[0] != c.mesh.Self() {
+	if voters[0].Instance != c.mesh.Self() {
 		return
 	}
 	if c.newestView() > 0 {
@@ -98,6 +98,9 @@
 
 func (c *Control) newestView() uint64 {
 	newest := c.fleet.View().Revision
+	if c.lease == nil {
+		return newest
+	}
 	for _, p := range c.mesh.Peers() {
 		newest = max(newest, c.lease.Revision(p))
 	}
@@ -125,7 +128,7 @@
 // disk is gone, leaves first.
 func (r *replica) join(p joinParams, done func(answer)) {
 	m := r.node.Members()
-	if r.node.Role() != consensus.Leader || !slices.Contains(r.c.replicas, p.Instance) {
+	if r.node.Role() != consensus.Leader || !r.c.mayJoin(p.Instance) {
 		done(answer{err: errRetry})
 		return
 	}
@@ -148,13 +151,16 @@
 // maintainMembers makes learners that have caught up voters, after their former
 // identity has left. One change at a time keeps quorums intersecting.
 func (r *replica) maintainMembers() {
-	if r.ticks%memberTicks != 0 {
+	if r.ticks%r.c.pace().members != 0 {
 		return
 	}
 	m := r.node.Members()
+	if r.c.members != nil {
+		r.maintainDiscovered(m)
+		return
+	}
 	for _, l := range m.Learners {
-		match, silent, ok := r.node.Progress(l.ID)
-		if !ok || match+caughtUpEntries < r.node.Last() || match < r.node.SnapshotIndex() || silent > electionTicks {
+		if !r.caughtUp(l) {
 			continue
 		}
 		if old := slices.IndexFunc(m.Voters, sameInstance(l.Instance)); old >= 0 {
@@ -166,6 +172,13 @@
 	}
 }
 
+// caughtUp reports whether a learner may become a voter.
+func (r *replica) caughtUp(l consensus.Member) bool {
+	match, silent, ok := r.node.Progress(l.ID)
+	return ok && match+caughtUpEntries >= r.node.Last() && match >= r.node.SnapshotIndex() &&
+		silent <= uint64(r.c.pace().election)
+}
+
 var changeNames = map[consensus.ChangeKind]string{
 	consensus.AddLearner: "add-learner", consensus.Promote: "promote", consensus.Remove: "remove",
 }
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -41,12 +42,14 @@
 	probe  probeReply
 	silent uint64 // ticks since a leader was heard
 	leads  bool
+	failed bool // the disk has refused a write
 	err    error
 }
 
 // readState is a copy of what reads return.
 type readState struct {
 	revision uint64
+	view     *api.View
 	history  []api.HistoryEntry
 }
 
@@ -85,29 +88,35 @@
 	lastBytes int // size of the last snapshot
 	keep      int // bytes of entries kept in memory before a snapshot
 	ticks     uint64
+	failed    bool // the disk has refused a write; the node is not in use
 	status    atomic.Pointer[api.ControlStatus]
 }
 
 func newReplica(c *Control, log *wal.Log, st *wal.State) (*replica, error) {
+	r := &replica{
+		c: c, instances: map[string]string{}, waiting: map[uint64]*pending{},
+		proposed: map[string]*pending{}, reads: map[uint64]func(answer){}, keep: keepBytes,
+	}
+	return r, r.load(log, st)
+}
+
+// load starts the node from what the disk holds.
+func (r *replica) load(log *wal.Log, st *wal.State) error {
 	state, err := fleetstate.Restore(st.Snapshot.Data)
 	if err != nil {
-		return nil, err
-	}
-	r := &replica{
-		c: c, log: log, state: state, id: st.Identity,
-		instances: map[string]string{}, waiting: map[uint64]*pending{}, proposed: map[string]*pending{}, reads: map[uint64]func(answer){},
-		applied: st.Snapshot.Index, lastBytes: len(st.Snapshot.Data),
-		keep: keepBytes,
+		return err
 	}
+	r.log, r.state, r.id, r.failed = log, state, st.Identity, false
+	r.applied, r.bytes, r.lastBytes = st.Snapshot.Index, 0, len(st.Snapshot.Data)
 	r.node = consensus.New(r.config(), st.Hard, st.Snapshot, st.Entries)
 	r.install()
 	r.publish()
-	return r, nil
+	return nil
 }
 
 func (r *replica) config() consensus.Config {
 	return consensus.Config{
-		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		ID: r.id, ElectionTicks: r.c.pace().election, HeartbeatTicks: r.c.pace().heartbeat,
 		MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, Random: rand.IntN,
 	}
 }
@@ -195,7 +204,7 @@
 	for _, read := range rd.Reads {
 		if done, ok := r.reads[read.Context]; ok {
 			delete(r.reads, read.Context)
-			done(answer{state: readState{r.state.Revision(), r.state.History(maxHistory)}})
+			done(answer{state: readState{r.state.Revision(), r.state.View(), r.state.History(maxHistory)}})
 		}
 	}
 	return nil
@@ -269,12 +278,16 @@
 	if role == consensus.Leader && r.role != consensus.Leader {
 		r.c.metrics.elected.Inc()
 	}
-	if role != r.role || leader != r.leader || members != r.members {
+	changed := role != r.role || leader != r.leader || members != r.members
+	if changed {
 		r.role, r.leader, r.members = role, leader, members
 		r.event(roleName(r), r.instanceOf(leader))
 		r.c.kernel.Log.Info("control role", "step", roleName(r), "leader", r.instanceOf(leader), "term", r.node.Term())
 	}
 	r.publish()
+	if changed {
+		r.c.statusChanged()
+	}
 }
 
 func (r *replica) memberCount() uint64 {
@@ -331,5 +344,8 @@
 	for _, v := range m.Voters {
 		s.Voters = append(s.Voters, v.Instance)
 	}
+	for _, v := range slices.Concat(m.Voters, m.Learners) {
+		s.Members = append(s.Members, v.Instance)
+	}
 	r.status.Store(s)
 }
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -24,6 +24,7 @@
 	methodEpoch   = "control.epoch"
 	methodRead    = "control.read"
 	methodHistory = "control.history"
+	methodView    = "control.view"
 )
 
 // Bounds of the work on one call. The caller then tries again with the same id, so
@@ -47,8 +48,9 @@
 	Leader string            `json:"leader,omitempty"`
 	Error  string            `json:"error,omitempty"`
 	Result fleetstate.Result `json:"result"`
-	// Revision and History answer reads.
+	// Revision, View and History answer reads.
 	Revision uint64             `json:"revision,omitempty"`
+	View     *api.View          `json:"view,omitempty"`
 	History  []api.HistoryEntry `json:"history,omitempty"`
 }
 
@@ -56,7 +58,7 @@
 	c.mesh.Handle(methodRaft, c.handleRaft)
 	c.mesh.Handle(methodProbe, c.handleProbe)
 	for _, method := range []string{
-		methodJoin, methodSubmit, methodClaim, methodSettle, methodEpoch, methodRead, methodHistory,
+		methodJoin, methodSubmit, methodClaim, methodSettle, methodEpoch, methodRead, methodHistory, methodView,
 	} {
 		c.mesh.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 			return c.serve(ctx, method, params), nil
@@ -111,7 +113,7 @@
 	}
 	switch {
 	case a.err == nil:
-		return reply{Result: a.result, Revision: a.state.revision, History: a.state.history}
+		return reply{Result: a.result, Revision: a.state.revision, View: a.state.view, History: a.state.history}
 	case errors.Is(a.err, errRetry), ctx.Err() != nil:
 		return reply{Retry: true, Leader: c.Status().Leader}
 	}
@@ -126,12 +128,15 @@
 			return answer{}, errors.WithMessage(err, "control: join")
 		}
 		return c.inLoop(ctx, func(r *replica, done func(answer)) { r.join(p, done) }), nil
-	case methodRead:
+	case methodRead, methodHistory, methodView:
 		a := c.inLoop(ctx, func(r *replica, done func(answer)) { r.read(done) })
-		a.state.history = nil
+		if method != methodHistory {
+			a.state.history = nil
+		}
+		if method != methodView {
+			a.state.view = nil
+		}
 		return a, nil
-	case methodHistory:
-		return c.inLoop(ctx, func(r *replica, done func(answer)) { r.read(done) }), nil
 	}
 	var cmd fleetstate.Command
 	if err := json.Unmarshal(params, &cmd); err != nil {
@@ -170,7 +175,7 @@
 		c.metrics.conflicts.Inc()
 		return nil
 	}
-	if s.Revision == 0 {
+	if s.Revision == 0 || c.lease == nil {
 		return nil
 	}
 	t := time.NewTicker(acceptPoll)
--- a/plugin/control/setup.go
+++ b/plugin/control/setup.go
@@ -6,6 +6,7 @@
 	"context"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,18 +18,15 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name:  "control",
-		Order: kernel.OrderControl,
-		New:   func() kernel.Plugin { return &Control{} },
+		Name:   "control",
+		Order:  kernel.OrderControl,
+		New:    func() kernel.Plugin { return &Control{} },
+		Wanted: kernel.RoutedControlOrPools,
 	})
 }
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// electionTicks makes an election timeout of 1 to 2 s, heartbeatTicks a
-	// heartbeat every 250 ms.
-	electionTicks  = 20
-	heartbeatTicks = 5
 	// folder is the name of the log's folder within the data directory.
 	folder = "control"
 )
@@ -37,17 +35,21 @@
 type Control struct {
 	kernel  *kernel.Context
 	mesh    api.Mesh
-	lease   api.Lease
+	lease   api.Lease    // nil with the profile "routes"
+	members api.Topology // nil with the profile "pools"
 	fleet   api.Fleet
 	metrics counters
 	wall    func() time.Time
 
-	replicas []string // instances with a disk, sorted
+	replicas []string // instances with a disk in the settings, sorted
 	replica  *replica // nil without a disk
 	calls    *kernel.Ring[func(*replica)]
 	inbox    *kernel.Ring[received]
 	leader   leaderHint
 	ids      idSource
+
+	mu        sync.Mutex
+	listeners []func(api.ControlStatus)
 }
 
 // Provision implements kernel.Plugin.
@@ -57,14 +59,13 @@
 	if c.mesh, err = kernel.Lookup[api.Mesh](k); err != nil {
 		return err
 	}
-	if c.lease, err = kernel.Lookup[api.Lease](k); err != nil {
+	if err = c.lookUpProfile(k); err != nil {
 		return err
 	}
 	if c.fleet, err = kernel.Lookup[api.Fleet](k); err != nil {
 		return err
 	}
 	c.metrics = newCounters(k.Metrics)
-	c.replicas = slices.Sorted(slices.Values(k.Settings.Replicas()))
 	if err := c.ids.seed(); err != nil {
 		return err
 	}
@@ -75,8 +76,30 @@
 	return kernel.Provide[api.Control](k, c)
 }
 
+// lookUpProfile looks up what tells the other replicas and their views.
+func (c *Control) lookUpProfile(k *kernel.Context) (err error) {
+	if k.Settings.Routed() {
+		c.members, err = kernel.Lookup[api.Topology](k)
+		return err
+	}
+	c.replicas = slices.Sorted(slices.Values(k.Settings.Replicas()))
+	c.lease, err = kernel.Lookup[api.Lease](k)
+	return err
+}
+
+// others returns the instances that may hold a replica, this one included.
+func (c *Control) others() []string {
+	if c.members != nil {
+		return c.members.Controls()
+	}
+	return c.replicas
+}
+
 // Validate implements kernel.Validator.
 func (c *Control) Validate() error {
+	if c.members != nil {
+		return nil // checked with the settings
+	}
 	self := c.kernel.Settings.Instance
 	disk := slices.Contains(c.replicas, self)
 	if disk != (c.replica != nil) {
@@ -94,7 +117,7 @@
 	if dir == "" {
 		return nil
 	}
-	log, st, err := wal.Open(filepath.Join(dir, folder))
+	log, st, err := wal.Open(c.logFolder())
 	if err != nil {
 		return err
 	}
@@ -111,6 +134,8 @@
 	return err
 }
 
+func (c *Control) logFolder() string { return filepath.Join(c.kernel.Settings.DataDir, folder) }
+
 // Sizes of the rings, in records.
 const (
 	callRing = 4096
@@ -123,7 +148,7 @@
 		return nil
 	}
 	d.Go("control replica", c.runReplica)
-	d.Every("control join", joinInterval, c.joinGroup)
+	d.Every("control join", c.joinInterval(), c.joinGroup)
 	return nil
 }
 
@@ -134,7 +159,13 @@
 	r := c.replica
 	for {
 		if err := r.flush(); err != nil {
-			return err
+			if c.members == nil {
+				return err
+			}
+			if err := c.reopen(ctx, err); err != nil {
+				return err
+			}
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -201,6 +232,22 @@
 	return c.replica.log.Close()
 }
 
+// OnStatus implements api.Control.
+func (c *Control) OnStatus(f func(api.ControlStatus)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, f)
+}
+
+func (c *Control) statusChanged() {
+	c.mu.Lock()
+	listeners := slices.Clone(c.listeners)
+	c.mu.Unlock()
+	for _, f := range listeners {
+		f(c.Status())
+	}
+}
+
 // Status implements api.Control.
 func (c *Control) Status() api.ControlStatus {
 	if c.replica == nil {
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -11,12 +11,13 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/targetconn"
 )
 
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	d    *Dispatcher
-	conn *targetConn
+	conn *targetconn.Conn
 	resp *fasthttp.Response
 	body io.Reader // nil if the answer has no body
 	stop func() bool
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, &fault{step: "connect", cause: err}
 	}
-	conn.arm(b.silence, b.head, check)
+	conn.Arm(b.silence, b.head, check)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	x := &exchange{d: d, conn: conn, stop: stop, resp: fasthttp.AcquireResponse()}
 	x.resp.StreamBody = true
@@ -55,7 +56,7 @@
 		return nil, x.fail(step, err)
 	}
 	x.body = x.resp.BodyStream()
-	conn.hard = b.hard
+	conn.Hard = b.hard
 	return x, nil
 }
 
@@ -67,29 +68,29 @@
 		}
 		return "send", err
 	}
-	return "head", x.resp.ReadLimitBody(x.conn.br, 0)
+	return "head", x.resp.ReadLimitBody(x.conn.R, 0)
 }
 
 // early reads the answer of a target that refused a request before it had read
 // all of it and closed the connection. Only a refusal is taken for an answer.
 func (x *exchange) early() bool {
 	c := x.conn
-	if c.sent == 0 || (!errors.Is(c.failure, syscall.EPIPE) && !errors.Is(c.failure, syscall.ECONNRESET)) {
+	if c.Sent == 0 || (!errors.Is(c.Failure, syscall.EPIPE) && !errors.Is(c.Failure, syscall.ECONNRESET)) {
 		return false
 	}
 	x.partial = true
-	return x.resp.ReadLimitBody(c.br, 0) == nil && x.resp.StatusCode() >= fasthttp.StatusBadRequest
+	return x.resp.ReadLimitBody(c.R, 0) == nil && x.resp.StatusCode() >= fasthttp.StatusBadRequest
 }
 
-func (d *Dispatcher) connect(ctx context.Context, host string, fresh bool) (*targetConn, error) {
+func (d *Dispatcher) connect(ctx context.Context, host string, fresh bool) (*targetconn.Conn, error) {
 	if !fresh {
-		if c := d.conns.take(host); c != nil {
+		if c := d.conns.Take(host); c != nil {
 			d.stats.reused.Inc()
 			return c, nil
 		}
 	}
 	d.stats.fresh.Inc()
-	return d.conns.dial(ctx, host)
+	return d.conns.Dial(ctx, host)
 }
 
 // send writes the request with fasthttp's wire format.
@@ -109,18 +110,18 @@
 		h.Set(kv[0], kv[1])
 	}
 	req.SetBodyRaw(m.body)
-	if err := req.Write(x.conn.bw); err != nil {
+	if err := req.Write(x.conn.W); err != nil {
 		return err
 	}
-	return x.conn.bw.Flush()
+	return x.conn.W.Flush()
 }
 
 // fail ends an exchange without a head.
 func (x *exchange) fail(step string, err error) *fault {
-	if x.conn.failure != nil {
-		err = x.conn.failure
+	if x.conn.Failure != nil {
+		err = x.conn.Failure
 	}
-	f := &fault{step: step, cause: err, sent: x.conn.sent, received: x.conn.received, reused: x.conn.reused}
+	f := &fault{step: step, cause: err, sent: x.conn.Sent, received: x.conn.Received, reused: x.conn.Reused}
 	x.close(false)
 	return f
 }
@@ -130,18 +131,18 @@
 	if x.resp == nil {
 		return
 	}
-	x.d.stats.sent.Add(int(x.conn.sent))
-	x.d.stats.received.Add(int(x.conn.received))
+	x.d.stats.sent.Add(int(x.conn.Sent))
+	x.d.stats.received.Add(int(x.conn.Received))
 	free := x.stop()
-	keep := whole && free && !x.partial && !x.resp.ConnectionClose() && x.conn.br.Buffered() == 0
+	keep := whole && free && !x.partial && !x.resp.ConnectionClose() && x.conn.R.Buffered() == 0
 	x.resp.CloseBodyStream() //nolint:errcheck // a reader without resources of its own
 	fasthttp.ReleaseResponse(x.resp)
 	x.resp, x.body = nil, nil
 	if keep {
-		x.d.conns.put(x.conn)
+		x.d.conns.Put(x.conn)
 		return
 	}
-	x.conn.release()
+	x.conn.Release()
 }
 
 // read reads from the body. An end that only the closed connection marks is
@@ -161,7 +162,7 @@
 // already arrived. It does not wait for the target.
 func (x *exchange) ended() bool {
 	const endMark = "0\r\n\r\n"
-	if x.resp.Header.ContentLength() != lengthChunked || x.conn.br.Buffered() < len(endMark) {
+	if x.resp.Header.ContentLength() != lengthChunked || x.conn.R.Buffered() < len(endMark) {
 		return false
 	}
 	var b [1]byte
--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -89,9 +89,9 @@
 
 // failFirst gives up an answer of which the caller has received nothing.
 func (a *plainAnswer) failFirst(err error) error {
-	f := &fault{step: "body", cause: err, sent: a.x.conn.sent}
-	b := bounds{head: a.x.conn.hard, hard: a.x.conn.hard}
-	ended := a.x.conn.failure == io.EOF
+	f := &fault{step: "body", cause: err, sent: a.x.conn.Sent}
+	b := bounds{head: a.x.conn.Hard, hard: a.x.conn.Hard}
+	ended := a.x.conn.Failure == io.EOF
 	a.x.close(false)
 	f.classify(b)
 	if ended || errors.Is(err, io.ErrUnexpectedEOF) {
@@ -169,7 +169,7 @@
 		result, a.err = api.ResultCancelled, errGone
 	} else {
 		a.call.stats.broken.Inc()
-		a.call.d.conns.drop(a.slot.grant.Address)
+		a.call.d.conns.Drop(a.slot.grant.Address)
 		a.slot.detail = cause.Error()
 		a.call.d.record("answer", "broken", a.call, a.slot.grant.Target, cause.Error())
 		a.err = &api.Refusal{
--- a/plugin/dispatch/setup.go
+++ b/plugin/dispatch/setup.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/targetconn"
 )
 
 func init() {
@@ -34,7 +35,7 @@
 	clock  kernel.Clock
 	events *kernel.Events
 	stats  *stats
-	conns  *connPool
+	conns  *targetconn.Pool
 	health *health
 	index  atomic.Pointer[index]
 
@@ -61,7 +62,7 @@
 	}
 	d.log, d.clock, d.events = c.Log, c.Clock, c.Events
 	d.stats = newStats(c.Metrics)
-	d.conns, d.health = newConnPool(), newHealth()
+	d.conns, d.health = targetconn.NewPool(targetconn.Options{}), newHealth()
 	d.fleet.OnChange(d.health.keep)
 	var boot [6]byte
 	if _, err := rand.Read(boot[:]); err != nil {
@@ -73,7 +74,7 @@
 
 // Start implements kernel.Starter.
 func (d *Dispatcher) Start(duties *kernel.Duties) error {
-	duties.Every("dispatch idle connections", idleSweep, func(context.Context) { d.conns.sweep() })
+	duties.Every("dispatch idle connections", targetconn.SweepInterval, func(context.Context) { d.conns.Sweep() })
 	return nil
 }
 
@@ -95,7 +96,7 @@
 
 // Cleanup implements kernel.Cleaner.
 func (d *Dispatcher) Cleanup() error {
-	d.conns.close()
+	d.conns.Close()
 	return nil
 }
 
--- a/plugin/dispatch/start.go
+++ b/plugin/dispatch/start.go
@@ -9,6 +9,7 @@
 
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/targetconn"
 )
 
 // start sends the request on a grant and returns the answer once its start is
@@ -44,7 +45,7 @@
 	x, f := c.d.open(ctx, m, c.req.NonIdempotent, b, check)
 	if f != nil && f.stale() && !c.req.NonIdempotent && ctx.Err() == nil {
 		c.note(f)
-		c.d.conns.drop(m.host)
+		c.d.conns.Drop(m.host)
 		x, f = c.d.open(ctx, m, true, b, check)
 	}
 	if f != nil {
@@ -87,12 +88,12 @@
 	gone := c.workContext().Err() != nil
 	result, cost := api.ResultFailed, c.serviceCost(s)
 	switch {
-	case f.sent == 0 && (gone || f.code == codeNotStarted || localDialFault(f.cause)):
+	case f.sent == 0 && (gone || f.code == codeNotStarted || targetconn.LocalFault(f.cause)):
 		result, cost = api.ResultNotStarted, 0
 	case gone:
 		result = api.ResultCancelled
 	default:
-		c.d.conns.drop(s.grant.Address)
+		c.d.conns.Drop(s.grant.Address)
 	}
 	return func() { s.done(result, cost) }
 }
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -46,7 +46,7 @@
 func (c *call) openEvents(s *slot, x *exchange, st headState) (api.Answer, error) {
 	a := &eventAnswer{
 		call: c, slot: s, x: x, head: c.answerHead(s, x, -1), streamID: st.streamID,
-		events: newEventReader(readFunc(x.read)), lastSeen: time.Now(), hard: x.conn.hard,
+		events: newEventReader(readFunc(x.read)), lastSeen: time.Now(), hard: x.conn.Hard,
 	}
 	for len(a.out) == 0 {
 		if err := a.step(); err != nil {
@@ -58,7 +58,7 @@
 
 // failFirst gives up a stream that delivered nothing.
 func (a *eventAnswer) failFirst(err error) error {
-	f := &fault{step: "first event", cause: err, sent: a.x.conn.sent}
+	f := &fault{step: "first event", cause: err, sent: a.x.conn.Sent}
 	a.closeExchange()
 	done := a.call.ending(a.slot, f.classify(bounds{head: a.hard, hard: a.hard}))
 	a.call.cancelStream(a.slot.grant.Address, a.streamID, done)
@@ -167,7 +167,7 @@
 	a.closeExchange()
 	a.call.cancel()
 	if result == api.ResultFailed {
-		a.call.d.conns.drop(a.slot.grant.Address)
+		a.call.d.conns.Drop(a.slot.grant.Address)
 	}
 	a.call.cancelStream(a.slot.grant.Address, a.streamID, func() { a.slot.done(result, a.cost) })
 }
--- a/plugin/fleet/setup.go
+++ b/plugin/fleet/setup.go
@@ -12,9 +12,10 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name:  "fleet",
-		Order: kernel.OrderFleet,
-		New:   func() kernel.Plugin { return &Holder{} },
+		Name:   "fleet",
+		Order:  kernel.OrderFleet,
+		New:    func() kernel.Plugin { return &Holder{} },
+		Wanted: kernel.Everywhere,
 	})
 }
 
@@ -47,7 +48,7 @@
 func (h *Holder) Install(v *api.View) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if v == nil || v.Config == nil || v.Revision <= h.View().Revision {
+	if v == nil || (v.Config == nil && v.Document == nil) || v.Revision <= h.View().Revision {
 		return
 	}
 	h.view.Store(v)
--- /dev/null
+++ b/plugin/members/messages.go
@@ -0,0 +1,224 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"hash/crc32"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+)
+
+// Methods between instances. The mesh takes replies to beats as the heartbeat of
+// a link.
+const (
+	beatMethod    = "beat"
+	leaderMethod  = "members.leader"
+	changedMethod = "view.changed"
+	fetchMethod   = "view.fetch"
+)
+
+// beat asks a control instance for what it knows.
+type beat struct {
+	// Known is a checksum of the control instances that the sender knows from
+	// the receiver; 0 = none.
+	Known uint32 `json:"k,omitempty"`
+}
+
+// beatReply is what a control instance knows. Controls is empty if the sender of
+// the beat knows them.
+type beatReply struct {
+	Leader   string   `json:"l,omitempty"`
+	Term     uint64   `json:"t,omitempty"`
+	Revision uint64   `json:"r,omitempty"`
+	Controls []string `json:"c,omitempty"`
+}
+
+// leaderNote tells about a new leader.
+type leaderNote struct {
+	Leader string `json:"l"`
+	Term   uint64 `json:"t"`
+}
+
+// changedNote tells that the sender has a newer view.
+type changedNote struct {
+	Revision uint64 `json:"r"`
+}
+
+// fetchRequest asks for a view newer than the known one.
+type fetchRequest struct {
+	Known uint64 `json:"known"`
+}
+
+// announced is a view that another instance has.
+type announced struct {
+	peer     string
+	revision uint64
+}
+
+func checksum(names []string) uint32 { return crc32.ChecksumIEEE([]byte(strings.Join(names, " "))) }
+
+// sendBeats asks all linked control instances, each in its own goroutine, because
+// a silent one must not delay the others.
+func (m *Members) sendBeats(ctx context.Context) {
+	for _, peer := range m.Controls() {
+		if peer == m.mesh.Self() || !m.mesh.Reachable(peer) {
+			continue
+		}
+		m.beats.Inc()
+		go m.sendBeat(ctx, peer)
+	}
+}
+
+func (m *Members) sendBeat(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, beatLimit)
+	defer cancel()
+	m.mu.Lock()
+	known := checksum(m.reported[peer].controls)
+	m.mu.Unlock()
+	var r beatReply
+	if err := m.mesh.Call(ctx, peer, beatMethod, beat{Known: known}, &r); err != nil {
+		m.unanswered.Inc()
+		return
+	}
+	m.mu.Lock()
+	old := m.reported[peer]
+	old.at = m.kernel.Clock.Now()
+	changed := len(r.Controls) > 0 && !slices.Equal(r.Controls, old.controls)
+	if changed {
+		old.controls = r.Controls
+	}
+	m.reported[peer] = old
+	m.mu.Unlock()
+	if changed {
+		m.redial()
+	}
+	m.noteLeader(r.Leader, r.Term)
+	m.noteView(peer, r.Revision)
+}
+
+// handleBeat answers with what this control instance knows.
+func (m *Members) handleBeat(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b beat
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, errors.WithMessage(err, beatMethod)
+	}
+	r := beatReply{Revision: m.fleet.View().Revision}
+	if m.control == nil {
+		return r, nil
+	}
+	s := m.control.Status()
+	r.Leader, r.Term = s.Leader, s.Term
+	controls := slices.Sorted(slices.Values(s.Members))
+	if checksum(controls) != b.Known {
+		r.Controls = controls
+	}
+	return r, nil
+}
+
+// statusChanged tells all linked instances when this one becomes the leader.
+func (m *Members) statusChanged(s api.ControlStatus) {
+	m.noteLeader(s.Leader, s.Term)
+	if s.Role != "leader" {
+		return
+	}
+	for _, peer := range m.mesh.Peers() {
+		if err := m.mesh.Notify(peer, leaderMethod, leaderNote{s.Leader, s.Term}); err != nil {
+			m.log.Debug("leader not announced", "step", "leader", "peer", peer, "error", err)
+		}
+	}
+}
+
+func (m *Members) handleLeader(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var n leaderNote
+	if err := json.Unmarshal(params, &n); err != nil {
+		return nil, errors.WithMessage(err, leaderMethod)
+	}
+	m.noteLeader(n.Leader, n.Term)
+	return nil, nil
+}
+
+// announce tells the linked instances about a view. Control instances have it
+// from the log.
+func (m *Members) announce(revision uint64) {
+	controls := m.Controls()
+	for _, peer := range m.mesh.Peers() {
+		if slices.Contains(controls, peer) {
+			continue
+		}
+		if err := m.mesh.Notify(peer, changedMethod, changedNote{revision}); err != nil {
+			m.log.Debug("view not announced", "step", "view", "peer", peer, "error", err) // the next beat tells
+		}
+	}
+}
+
+func (m *Members) handleChanged(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var n changedNote
+	if err := json.Unmarshal(params, &n); err != nil {
+		return nil, errors.WithMessage(err, changedMethod)
+	}
+	m.noteView(from, n.Revision)
+	return nil, nil
+}
+
+// noteView queues a newer view for the fetch. Control instances get views from
+// the log only.
+func (m *Members) noteView(peer string, revision uint64) {
+	if m.control == nil && revision > m.fleet.View().Revision {
+		m.behind.Push(announced{peer, revision})
+	}
+}
+
+// handleFetch answers with the local view, or null if it is not newer.
+func (m *Members) handleFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var req fetchRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.WithMessage(err, fetchMethod)
+	}
+	if v := m.fleet.View(); v.Revision > req.Known {
+		return v, nil
+	}
+	return nil, nil
+}
+
+// fetchLimit bounds the wait for a view; another instance is asked after it.
+const fetchLimit = 600 * time.Millisecond
+
+// fetchLoop fetches the views that others have announced.
+func (m *Members) fetchLoop(ctx context.Context) error {
+	for {
+		a, err := m.behind.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		if a.revision <= m.fleet.View().Revision {
+			continue
+		}
+		if err := m.fetch(ctx, a.peer); err != nil {
+			m.log.Warn("view not fetched", "step", "view", "peer", a.peer, "revision", a.revision, "error", err)
+		}
+	}
+}
+
+func (m *Members) fetch(ctx context.Context, peer string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	var v *api.View
+	known := m.fleet.View().Revision
+	if err := m.mesh.Call(ctx, peer, fetchMethod, fetchRequest{Known: known}, &v); err != nil {
+		return err
+	}
+	if v == nil {
+		return nil // it was announced before this instance got it from another
+	}
+	m.fetches.Inc()
+	m.fleet.Install(v)
+	return nil
+}
+
+var _ kernel.Starter = (*Members)(nil)
--- /dev/null
+++ b/plugin/members/setup.go
@@ -0,0 +1,203 @@
+// Package members finds the control instances of a fleet with the profile
+// "routes", keeps links to them, and carries the committed view to the entry
+// instances. It provides api.Topology.
+package members
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:   "members",
+		Order:  kernel.OrderMembers,
+		New:    func() kernel.Plugin { return &Members{} },
+		Wanted: kernel.Routed,
+	})
+}
+
+// Members implements api.Topology. It must be provisioned before use.
+type Members struct {
+	kernel  *kernel.Context
+	mesh    api.Mesh
+	roster  api.Roster
+	fleet   api.Fleet
+	control api.Control // nil on entry instances
+	log     *slog.Logger
+	events  *kernel.Events
+
+	mu        sync.Mutex
+	seeds     []string
+	reported  map[string]report // by the control instance that answered
+	leader    string
+	term      uint64
+	listeners []func(string, uint64)
+
+	kick   chan struct{}           // beats are due at once
+	behind *kernel.Ring[announced] // newer views that other instances have
+
+	beats, unanswered, fetches *metrics.Counter
+}
+
+// report is what a control instance said of the membership.
+type report struct {
+	at       time.Duration
+	controls []string
+}
+
+// Bounds of the duties.
+const (
+	// beatInterval separates the heartbeats of a link. Three of them fit into the
+	// silence after which the mesh replaces a link.
+	beatInterval = 500 * time.Millisecond
+	beatLimit    = 1500 * time.Millisecond
+	// reportLife is how long a control instance that one other names is dialled
+	// after the last answer that named it.
+	reportLife = 10 * time.Second
+	// announcements is the number of newer views that wait to be fetched; the
+	// newest is fetched first.
+	announcements = 64
+)
+
+// Provision implements kernel.Plugin.
+func (m *Members) Provision(c *kernel.Context) (err error) {
+	if m.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
+		return err
+	}
+	if m.roster, err = kernel.Lookup[api.Roster](c); err != nil {
+		return err
+	}
+	if m.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
+		return err
+	}
+	m.kernel, m.events, m.log = c, c.Events, c.Log.With("plugin", "members")
+	m.reported, m.kick = map[string]report{}, make(chan struct{}, 1)
+	m.behind = kernel.NewRing[announced](c.Metrics, "members.views", announcements)
+	m.beats = c.Metrics.NewCounter("nutmeg_members_beats_total")
+	m.unanswered = c.Metrics.NewCounter("nutmeg_members_beats_unanswered_total")
+	m.fetches = c.Metrics.NewCounter("nutmeg_members_view_fetches_total")
+	m.setSeeds(c.Settings)
+	m.mesh.Handle(beatMethod, m.handleBeat)
+	m.mesh.Handle(leaderMethod, m.handleLeader)
+	m.mesh.Handle(changedMethod, m.handleChanged)
+	m.mesh.Handle(fetchMethod, m.handleFetch)
+	m.roster.OnLink(m.linkChanged)
+	return kernel.Provide[api.Topology](c, m)
+}
+
+func (m *Members) setSeeds(s *settings.Settings) {
+	m.seeds = nil
+	for _, seed := range s.Routes.Seeds {
+		address, err := s.MeshAddress(seed)
+		if err != nil {
+			m.log.Warn("seed is not an address", "step", "seeds", "seed", seed, "error", err)
+			continue
+		}
+		m.seeds = append(m.seeds, address)
+	}
+}
+
+// Start implements kernel.Starter.
+func (m *Members) Start(d *kernel.Duties) error {
+	if control, err := kernel.Lookup[api.Control](m.kernel); err == nil {
+		m.control = control
+		control.OnStatus(m.statusChanged)
+		m.fleet.OnChange(func(v *api.View) { m.announce(v.Revision) })
+	}
+	m.redial()
+	d.Go("members.beat", m.beatLoop)
+	d.Go("members.fetch", m.fetchLoop)
+	return nil
+}
+
+// Controls implements api.Topology: the seeds, and all that an answer of the last
+// seconds named.
+func (m *Members) Controls() []string {
+	now := m.kernel.Clock.Now()
+	m.mu.Lock()
+	out := slices.Clone(m.seeds)
+	for from, r := range m.reported {
+		if now-r.at > reportLife {
+			delete(m.reported, from)
+			continue
+		}
+		out = append(out, r.controls...)
+	}
+	m.mu.Unlock()
+	if m.control != nil {
+		out = append(append(out, m.control.Status().Members...), m.mesh.Self())
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Leader implements api.Topology.
+func (m *Members) Leader() (string, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leader, m.term
+}
+
+// OnLeader implements api.Topology.
+func (m *Members) OnLeader(f func(string, uint64)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listeners = append(m.listeners, f)
+}
+
+// noteLeader keeps the leader of the highest term.
+func (m *Members) noteLeader(instance string, term uint64) {
+	m.mu.Lock()
+	if instance == "" || term <= m.term {
+		m.mu.Unlock()
+		return
+	}
+	m.leader, m.term = instance, term
+	listeners := slices.Clone(m.listeners)
+	m.mu.Unlock()
+	m.events.Record(kernel.Event{Kind: "leader", Step: "known", Peer: instance, Epoch: term})
+	m.log.Info("leader known", "step", "leader", "peer", instance, "term", term)
+	for _, f := range listeners {
+		f(instance, term)
+	}
+}
+
+// redial keeps links to all known control instances.
+func (m *Members) redial() {
+	self := m.mesh.Self()
+	addresses := slices.DeleteFunc(m.Controls(), func(a string) bool { return a == self })
+	m.roster.Dial(addresses)
+}
+
+// linkChanged sends a beat at once over a new link, which brings the newest view
+// and the leader.
+func (m *Members) linkChanged(c api.LinkChange) {
+	if c.Up && c.Control {
+		kernel.Signal(m.kick)
+	}
+}
+
+func (m *Members) beatLoop(ctx context.Context) error {
+	t := time.NewTicker(beatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.kick:
+		case <-t.C:
+		}
+		m.redial()
+		m.sendBeats(ctx)
+	}
+}
--- a/plugin/mesh/link.go
+++ b/plugin/mesh/link.go
@@ -26,11 +26,14 @@
 
 const helloMethod = "hello"
 
-// hello is the first call on a connection; both ends name themselves.
+// hello is the first call on a connection; both ends name themselves. To is ""
+// if only the address of the other end is known.
 type hello struct {
-	Instance string `json:"instance"`
-	Boot     string `json:"boot"`
-	To       string `json:"to,omitempty"`
+	Instance   string `json:"instance"`
+	Boot       string `json:"boot"`
+	To         string `json:"to,omitempty"`
+	DataCentre string `json:"dc,omitempty"`
+	Control    bool   `json:"control,omitempty"`
 }
 
 // link is the outgoing link to one peer.
@@ -73,31 +76,49 @@
 	if err != nil {
 		return nil, errors.WithMessage(err, "dial "+l.peer)
 	}
-	s := l.mesh.newSession(ctx, conn, l.count, refuser{})
-	s.peer = l.peer
+	s, answers := l.open(ctx, conn)
 	limited, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
 	var reply hello
-	err = s.conn.Call(limited, helloMethod, hello{Instance: l.mesh.self, Boot: l.mesh.boot, To: l.peer}, &reply)
-	if err == nil && reply.Instance != l.peer {
+	err = s.conn.Call(limited, helloMethod, l.mesh.hello(l.peer), &reply)
+	if err == nil && reply.Instance != l.peer && l.peer != "" {
 		err = errors.Errorf("answered as %q", reply.Instance)
 	}
 	if err != nil {
 		s.close()
 		return nil, errors.WithMessage(err, "hello "+l.peer)
 	}
-	s.boot = reply.Boot
+	s.peer, s.boot, s.hello = reply.Instance, reply.Boot, reply
+	if answers != nil {
+		answers.peer = reply.Instance
+		s.stream.count.Store(l.mesh.origin(reply.Instance).count)
+		close(answers.ready)
+	}
 	return s, nil
 }
 
+// open starts JSON-RPC on a dialled connection. With a roster both ends send
+// their requests over it, because the other end may not know this one's address.
+func (l *link) open(ctx context.Context, conn net.Conn) (*session, *inbound) {
+	if l.mesh.roster == nil {
+		return l.mesh.newSession(ctx, conn, l.count, refuser{}), nil
+	}
+	in := &inbound{mesh: l.mesh, ctx: ctx, ready: make(chan struct{})}
+	s := l.mesh.newSession(ctx, conn, l.count, in)
+	in.session = s
+	return s, in
+}
+
 // serve publishes the session until it ends or goes silent.
 func (l *link) serve(ctx context.Context, s *session) {
 	l.session.Store(s)
 	l.record("up", s, "")
+	l.mesh.linkChanged(s.hello, true)
 	why := l.watch(ctx, s)
 	l.session.Store(nil)
 	s.close()
 	l.record("down", s, why)
+	l.mesh.linkChanged(s.hello, false)
 }
 
 // watch returns why the session ended.
@@ -129,8 +150,8 @@
 }
 
 func (l *link) record(step string, s *session, why string) {
-	l.mesh.events.Record(kernel.Event{Kind: "link", Step: step, Peer: l.peer, Detail: why})
-	l.mesh.log.Info("link "+step, "step", "link", "peer", l.peer, "boot", s.boot, "why", why)
+	l.mesh.events.Record(kernel.Event{Kind: "link", Step: step, Peer: s.peer, Detail: why})
+	l.mesh.log.Info("link "+step, "step", "link", "peer", s.peer, "address", l.address, "boot", s.boot, "why", why)
 }
 
 // refuser answers requests on outgoing links: peers send theirs on their own.
--- a/plugin/mesh/relay.go
+++ b/plugin/mesh/relay.go
@@ -75,7 +75,7 @@
 	for _, s := range m.relays(to) {
 		err = s.conn.Notify(context.Background(), relayMethod, envelope{To: to, From: m.self, Method: method, Params: params})
 		if err == nil {
-			m.count[to].relayed.Inc()
+			m.origin(to).count.relayed.Inc()
 			return nil
 		}
 	}
@@ -87,7 +87,7 @@
 	err := errNoPath
 	for _, s := range m.relays(to) {
 		e := envelope{To: to, From: m.self, Method: method, Params: params, LimitMs: limitOf(ctx)}
-		m.count[to].relayed.Inc()
+		m.origin(to).count.relayed.Inc()
 		err = s.conn.Call(ctx, relayMethod, e, result)
 		var re *jsonrpc2.Error
 		if !errors.As(err, &re) || re.Code != codeNoPath {
@@ -113,7 +113,7 @@
 		err = errors.Errorf("unknown origin %q", e.From)
 	}
 	if err != nil {
-		m.count[""].malformed.Inc()
+		m.origin("").count.malformed.Inc()
 		if reply != nil {
 			reply(nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
 		}
@@ -132,7 +132,7 @@
 		s = l.up()
 	}
 	if s == nil {
-		m.count[e.From].noPath.Inc()
+		m.origin(e.From).count.noPath.Inc()
 		if reply != nil {
 			reply(nil, &jsonrpc2.Error{Code: codeNoPath, Message: "no link from " + m.self + " to " + e.To})
 		}
--- a/plugin/mesh/send.go
+++ b/plugin/mesh/send.go
@@ -23,21 +23,21 @@
 		return err
 	}
 	if to == m.self {
-		if !m.inboxes[to].Push(message{method, raw}) {
+		if !m.origin(to).inbox.Push(message{method, raw}) {
 			return ErrQueueFull
 		}
 		return nil
 	}
-	l := m.links[to]
-	if l == nil {
+	s, known := m.session(to)
+	if !known {
 		return errUnknownPeer
 	}
-	if s := l.up(); s != nil {
+	if s != nil {
 		return s.conn.Notify(context.Background(), method, json.RawMessage(raw))
 	}
 	err = m.notifyRelay(to, method, raw)
 	if errors.Is(err, errNoPath) {
-		m.count[to].noPath.Inc()
+		m.origin(to).count.noPath.Inc()
 	}
 	return err
 }
@@ -56,16 +56,16 @@
 	if to == m.self {
 		return m.callSelf(ctx, method, raw, result)
 	}
-	l := m.links[to]
-	if l == nil {
+	s, known := m.session(to)
+	if !known {
 		return errUnknownPeer
 	}
-	if s := l.up(); s != nil {
+	if s != nil {
 		return s.conn.Call(ctx, method, json.RawMessage(raw), result)
 	}
 	err = m.callRelay(ctx, to, method, raw, result)
 	if errors.Is(err, errNoPath) {
-		m.count[to].noPath.Inc()
+		m.origin(to).count.noPath.Inc()
 	}
 	return err
 }
@@ -92,6 +92,19 @@
 	if peer == m.self {
 		return true
 	}
-	l := m.links[peer]
-	return l != nil && (l.up() != nil || len(m.relays(peer)) > 0)
+	s, known := m.session(peer)
+	return known && (s != nil || len(m.relays(peer)) > 0)
+}
+
+// session returns the open session over which requests go to a peer, or nil,
+// and whether the peer is known.
+func (m *Mesh) session(to string) (s *session, known bool) {
+	if m.roster != nil {
+		s = m.linked(to)
+		return s, s != nil
+	}
+	if l := m.links[to]; l != nil {
+		return l.up(), true
+	}
+	return nil, false
 }
--- a/plugin/mesh/serve.go
+++ b/plugin/mesh/serve.go
@@ -52,7 +52,7 @@
 // serve runs one incoming connection. A connection without a hello is closed.
 func (m *Mesh) serve(ctx context.Context, conn net.Conn) {
 	in := &inbound{mesh: m, ctx: ctx, greeted: make(chan struct{}), ready: make(chan struct{})}
-	s := m.newSession(ctx, conn, m.count[""], in)
+	s := m.newSession(ctx, conn, m.origin("").count, in)
 	in.session = s
 	close(in.ready)
 	defer s.close()
@@ -99,18 +99,19 @@
 func (in *inbound) greet(req *jsonrpc2.Request, reply replyFunc) {
 	h, err := in.mesh.checkHello(req)
 	if err != nil {
-		in.mesh.count[""].malformed.Inc()
+		in.mesh.origin("").count.malformed.Inc()
 		in.mesh.log.Warn("hello refused", "step", "hello", "peer", h.Instance, "error", err)
 		go func() { _ = in.session.conn.Close() }()
 		return
 	}
-	in.peer, in.session.boot = h.Instance, h.Boot
-	in.session.stream.count.Store(in.mesh.count[h.Instance])
+	in.peer, in.session.peer, in.session.boot = h.Instance, h.Instance, h.Boot
+	in.session.stream.count.Store(in.mesh.origin(h.Instance).count)
 	in.mesh.adopt(h.Instance, in.session)
 	close(in.greeted)
 	if reply != nil {
-		reply(hello{Instance: in.mesh.self, Boot: in.mesh.boot}, nil)
+		reply(in.mesh.hello(""), nil)
 	}
+	in.mesh.linkChanged(h, true)
 }
 
 func (m *Mesh) checkHello(req *jsonrpc2.Request) (hello, error) {
@@ -121,10 +122,10 @@
 	if err := json.Unmarshal(*req.Params, &h); err != nil {
 		return h, err
 	}
-	if h.To != m.self {
+	if h.To != m.self && (m.roster == nil || h.To != "") {
 		return h, errors.Errorf("meant for %q", h.To)
 	}
-	if m.links[h.Instance] == nil {
+	if m.roster == nil && m.links[h.Instance] == nil {
 		return h, errors.New("not a peer")
 	}
 	return h, nil
@@ -144,11 +145,13 @@
 
 func (m *Mesh) forget(s *session) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for peer, cur := range m.incoming {
-		if cur == s {
-			delete(m.incoming, peer)
-		}
+	last := m.incoming[s.peer] == s
+	if last {
+		delete(m.incoming, s.peer)
+	}
+	m.mu.Unlock()
+	if last {
+		m.linkChanged(hello{Instance: s.peer, Boot: s.boot}, false)
 	}
 }
 
@@ -182,12 +185,12 @@
 	h := m.handler(msg.method)
 	switch {
 	case h == nil:
-		m.count[from].unknown.Inc()
+		m.origin(from).count.unknown.Inc()
 		if reply != nil {
 			reply(nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + msg.method})
 		}
 	case reply == nil:
-		m.inboxes[from].Push(msg)
+		m.origin(from).inbox.Push(msg)
 	default:
 		m.deliverCall(ctx, from, msg, h, reply)
 	}
@@ -198,12 +201,12 @@
 func (m *Mesh) deliverCall(ctx context.Context, from string, msg message, h func(context.Context, string, json.RawMessage) (any, error), reply replyFunc) {
 	release := func() {}
 	if msg.method != beatMethod {
-		slots := m.slots[from]
+		slots := m.origin(from).slots
 		select {
 		case slots <- struct{}{}:
 			release = func() { <-slots }
 		default:
-			m.count[from].busy.Inc()
+			m.origin(from).count.busy.Inc()
 			reply(nil, &jsonrpc2.Error{Code: codeBusy, Message: "too many calls under way"})
 			return
 		}
--- a/plugin/mesh/session.go
+++ b/plugin/mesh/session.go
@@ -19,6 +19,7 @@
 	known  func(method string) bool
 	peer   string // "" on an incoming connection before its hello
 	boot   string // boot identity of the peer
+	hello  hello  // of the peer, on a dialled connection
 
 	mu      sync.Mutex
 	methods map[jsonrpc2.ID]string // methods of calls under way, to count replies by method
--- a/plugin/mesh/setup.go
+++ b/plugin/mesh/setup.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"nutmegrouter/internal/api"
@@ -22,29 +23,30 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name:  "mesh",
-		Order: kernel.OrderMesh,
-		New:   func() kernel.Plugin { return &Mesh{} },
+		Name:   "mesh",
+		Order:  kernel.OrderMesh,
+		New:    func() kernel.Plugin { return &Mesh{} },
+		Wanted: kernel.Everywhere,
 	})
 }
 
 // Mesh implements api.Mesh and api.Links. The zero value must be provisioned
 // before use.
 type Mesh struct {
-	self   string
-	boot   string // random identity of this process, sent in hellos
-	listen string
-	peers  []string // sorted, without self
-	links  map[string]*link
-	clock  kernel.Clock
-	events *kernel.Events
-	log    *slog.Logger
-
-	inboxes map[string]*kernel.Ring[message] // notifications by origin, self included
-	slots   map[string]chan struct{}         // bounds the calls under way by origin
-	count   map[string]*counters             // by peer; "" = before the hello
+	self    string
+	boot    string // random identity of this process, sent in hellos
+	listen  string
+	peers   []string         // sorted, without self
+	links   map[string]*link // to the peers in the settings
+	roster  *roster          // links that come and go; nil with peers in the settings
+	clock   kernel.Clock
+	metrics *metrics.Set
+	events  *kernel.Events
+	log     *slog.Logger
 
 	mu       sync.RWMutex
+	origins  map[string]*origin // by name, self included; "" = before the hello
+	duties   *kernel.Duties     // nil before Start
 	handlers map[string]api.Handler
 	reports  map[string]report
 	incoming map[string]*session // newest incoming session by peer
@@ -57,35 +59,35 @@
 
 // Provision implements kernel.Plugin.
 func (m *Mesh) Provision(c *kernel.Context) error {
-	m.self, m.listen = c.Settings.Instance, c.Settings.Mesh
+	m.self, m.listen = c.Settings.MeshName(), c.Settings.Mesh
 	m.boot = strconv.FormatUint(rand.Uint64(), 36)
 	m.clock, m.events, m.log = c.Clock, c.Events, c.Log.With("plugin", "mesh")
-	m.links, m.count = map[string]*link{}, map[string]*counters{"": newCounters(c.Metrics, "")}
-	m.inboxes, m.slots = map[string]*kernel.Ring[message]{}, map[string]chan struct{}{}
+	m.metrics = c.Metrics
+	m.links, m.origins = map[string]*link{}, map[string]*origin{}
 	m.handlers, m.reports, m.incoming = map[string]api.Handler{}, map[string]report{}, map[string]*session{}
-	m.addOrigin(c, m.self)
+	m.origin("")
+	m.origin(m.self)
 	for _, p := range c.Settings.Peers {
 		if p.Instance == m.self {
 			continue
 		}
 		m.peers = append(m.peers, p.Instance)
-		m.addOrigin(c, p.Instance)
-		m.links[p.Instance] = &link{mesh: m, peer: p.Instance, address: p.Mesh, count: m.count[p.Instance]}
+		m.links[p.Instance] = &link{mesh: m, peer: p.Instance, address: p.Mesh, count: m.origin(p.Instance).count}
 	}
 	sort.Strings(m.peers)
-	c.Metrics.NewGauge("nutmeg_mesh_links_up", func() float64 { return float64(len(m.peers) - len(m.Unreached())) })
+	if c.Settings.Routed() {
+		m.roster = newRoster(c.Settings)
+		if err := kernel.Provide[api.Roster](c, m); err != nil {
+			return err
+		}
+	}
+	c.Metrics.NewGauge("nutmeg_mesh_links_up", func() float64 { return float64(len(m.Peers()) - len(m.Unreached())) })
 	if err := kernel.Provide[api.Links](c, m); err != nil {
 		return err
 	}
 	return kernel.Provide[api.Mesh](c, m)
 }
 
-func (m *Mesh) addOrigin(c *kernel.Context, name string) {
-	m.inboxes[name] = kernel.NewRing[message](c.Metrics, "mesh.in."+name, inboxSize)
-	m.slots[name] = make(chan struct{}, callsPerPeer)
-	m.count[name] = newCounters(c.Metrics, name)
-}
-
 // Start implements kernel.Starter. It opens the listener and starts one duty
 // for each link and each inbox.
 func (m *Mesh) Start(d *kernel.Duties) error {
@@ -100,9 +102,12 @@
 		_ = l.Close()
 		return ctx.Err()
 	})
-	for name, in := range m.inboxes {
-		d.Go("mesh.in."+name, func(ctx context.Context) error { return m.drainInbox(ctx, name, in) })
+	m.mu.Lock()
+	m.duties = d
+	for _, o := range m.origins {
+		m.drain(o)
 	}
+	m.mu.Unlock()
 	for _, l := range m.links {
 		d.Go("mesh.link."+l.peer, l.run)
 	}
@@ -146,8 +151,13 @@
 // Self implements api.Mesh.
 func (m *Mesh) Self() string { return m.self }
 
-// Peers implements api.Mesh.
-func (m *Mesh) Peers() []string { return append([]string(nil), m.peers...) }
+// Peers implements api.Mesh. With a roster these are the linked instances.
+func (m *Mesh) Peers() []string {
+	if m.roster != nil {
+		return m.linkedNames()
+	}
+	return append([]string(nil), m.peers...)
+}
 
 // Handle implements api.Mesh.
 func (m *Mesh) Handle(method string, h api.Handler) {
