--- a/cmd/nutmegd/main.go
+++ b/cmd/nutmegd/main.go
@@ -21,11 +21,15 @@
 	exitSettings = 2
 )
 
+// settingsVariable names the environment variable that holds the path of the
+// settings file if the flag is not given.
+const settingsVariable = "NUTMEGROUTER_SETTINGS"
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
 	flags := flag.NewFlagSet("nutmegd", flag.ContinueOnError)
-	file := flags.String("settings", "", "settings `file` of this instance (JSON with comments)")
+	file := flags.String("settings", os.Getenv(settingsVariable), "settings `file` of this instance (JSON with comments)")
 	check := flags.Bool("check", false, "check the settings, report every error, and exit")
 	if err := flags.Parse(args); err != nil {
 		return exitSettings
--- /dev/null
+++ b/cmd/nutmegd/plugins_routes.go
@@ -0,0 +1,12 @@
+package main
+
+// The plug-ins of the profile "routes" register themselves when imported.
+import (
+	_ "nutmegrouter/platform"
+	_ "nutmegrouter/plugin/directory"
+	_ "nutmegrouter/plugin/forward"
+	_ "nutmegrouter/plugin/gateway"
+	_ "nutmegrouter/plugin/members"
+	_ "nutmegrouter/plugin/operators"
+	_ "nutmegrouter/plugin/placer"
+)
--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,114 @@
+package callerconn
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Tracker knows the open connections of callers.
+type Tracker struct {
+	mu     sync.Mutex
+	open   map[*Conn]struct{}
+	bytes  *metrics.Counter
+	limits *Limits
+}
+
+// Limits bound how long a caller may take. The functions are called before each
+// read, so that they may follow a configuration.
+type Limits struct {
+	Idle  func() time.Duration // between two requests of a connection
+	Head  func() time.Duration // of the head of a request
+	Whole func() time.Duration // of a whole request
+}
+
+// NewTracker returns a tracker that counts the bytes sent to callers, if bytes is
+// not nil. Without limits the server's own deadlines hold.
+func NewTracker(bytes *metrics.Counter, limits *Limits) *Tracker {
+	return &Tracker{open: map[*Conn]struct{}{}, bytes: bytes, limits: limits}
+}
+
+// Listen returns a listener whose connections are tracked.
+func (t *Tracker) Listen(l net.Listener) *Listener { return &Listener{Listener: l, conns: t} }
+
+func (t *Tracker) add(nc net.Conn) *Conn {
+	c := &Conn{Conn: nc, conns: t, since: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[c] = struct{}{}
+	return c
+}
+
+func (t *Tracker) remove(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, c)
+}
+
+func (t *Tracker) sent(n int) {
+	if t.bytes != nil {
+		t.bytes.Add(n)
+	}
+}
+
+func (t *Tracker) all() []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*Conn, 0, len(t.open))
+	for c := range t.open {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Count returns the open connections and those with a request under way.
+func (t *Tracker) Count() (open, busy int) {
+	all := t.all()
+	for _, c := range all {
+		if c.busy() {
+			busy++
+		}
+	}
+	return len(all), busy
+}
+
+// CloseIdle closes the connections on which no request has begun for a while.
+func (t *Tracker) CloseIdle() {
+	for _, c := range t.all() {
+		c.closeIfIdle()
+	}
+}
+
+// CloseAll closes all connections.
+func (t *Tracker) CloseAll() {
+	for _, c := range t.all() {
+		c.Close()
+	}
+}
+
+// epoch keeps times on the monotonic clock, because the time of day may jump.
+var epoch = time.Now()
+
+// Listener hands out connections that are tracked.
+type Listener struct {
+	net.Listener
+	conns *Tracker
+	last  atomic.Int64 // time of the newest connection on the monotonic clock, since epoch
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.last.Store(int64(time.Since(epoch)))
+	return l.conns.add(nc), nil
+}
+
+// Quiet reports whether no connection has arrived for a while. One that the
+// kernel has accepted but the server has not is reset when the listener closes.
+func (l *Listener) Quiet() bool { return time.Since(epoch)-time.Duration(l.last.Load()) >= quietTime }
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -77,8 +77,10 @@
 	OrderLease     = 40
 	OrderMembers   = 45
 	OrderControl   = 50
+	OrderDirectory = 57
 	OrderScheduler = 60
 	OrderOrders    = 65
+	OrderPlacer    = 68
 	OrderPool      = 70
 	OrderDispatch  = 80
 	OrderEntry     = 90
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,14 +29,12 @@
 	R *bufio.Reader
 	W *bufio.Writer
 
-	// Hard is the end of all reads and writes of the request.
-	Hard time.Time
 	// Sent counts the bytes of the request that the kernel accepted, Received
 	// those of the answer.
 	Sent, Received int64
-	// Failure is the first error of the connection itself. fasthttp reports some
-	// errors of a read as the end of the stream.
-	Failure error
+	// ReadFailure and WriteFailure are the first errors of the connection itself.
+	// fasthttp reports some errors of a read as the end of the stream.
+	ReadFailure, WriteFailure error
 	// Reused reports that the connection served an earlier request.
 	Reused bool
 	// Host is the address of the target.
@@ -43,6 +42,7 @@
 	// IdleLimit is how long the target keeps the connection idle; 0 = unknown.
 	IdleLimit time.Duration
 
+	hard      atomic.Int64  // end of all reads and writes of the request, on the monotonic clock, since epoch
 	check     func() error  // called before the first byte of a request
 	silence   time.Duration // longest time of one read or write
 	idleSince time.Time
@@ -75,14 +75,32 @@
 
 // Arm prepares the connection for one request.
 func (c *Conn) Arm(silence time.Duration, hard time.Time, check func() error) {
-	c.silence, c.Hard, c.check = silence, hard, check
-	c.Sent, c.Received, c.Failure = 0, 0, nil
+	c.silence, c.check = silence, check
+	c.SetHard(hard)
+	c.Sent, c.Received, c.ReadFailure, c.WriteFailure = 0, 0, nil, nil
+}
+
+// epoch keeps times on the monotonic clock, because the time of day may jump.
+var epoch = time.Now()
+
+// SetHard sets the end of all reads and writes of the request.
+func (c *Conn) SetHard(t time.Time) { c.hard.Store(int64(t.Sub(epoch))) }
+
+// Hard returns the end of all reads and writes of the request.
+func (c *Conn) Hard() time.Time { return epoch.Add(time.Duration(c.hard.Load())) }
+
+// Failure returns the first error of the connection itself, or nil.
+func (c *Conn) Failure() error {
+	if c.WriteFailure != nil {
+		return c.WriteFailure
+	}
+	return c.ReadFailure
 }
 
 func (c *Conn) deadline() time.Time {
 	t := time.Now().Add(c.silence)
-	if t.After(c.Hard) {
-		return c.Hard
+	if hard := c.Hard(); t.After(hard) {
+		return hard
 	}
 	return t
 }
@@ -90,16 +108,16 @@
 // Read implements net.Conn with a deadline for each read.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(c.deadline()); err != nil {
-		return 0, c.failed(err)
+		return 0, keepFirst(&c.ReadFailure, err)
 	}
 	n, err := c.Conn.Read(p)
 	c.Received += int64(n)
-	return n, c.failed(err)
+	return n, keepFirst(&c.ReadFailure, err)
 }
 
-func (c *Conn) failed(err error) error {
-	if err != nil && c.Failure == nil {
-		c.Failure = err
+func keepFirst(first *error, err error) error {
+	if err != nil && *first == nil {
+		*first = err
 	}
 	return err
 }
@@ -109,19 +127,19 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.Sent == 0 && c.check != nil {
 		if err := c.check(); err != nil {
-			return 0, c.failed(err)
+			return 0, keepFirst(&c.WriteFailure, err)
 		}
 	}
 	total := 0
 	for total < len(p) {
 		if err := c.SetWriteDeadline(c.deadline()); err != nil {
-			return total, c.failed(err)
+			return total, keepFirst(&c.WriteFailure, err)
 		}
 		n, err := c.Conn.Write(p[total:min(len(p), total+writePiece)])
 		total += n
 		c.Sent += int64(n)
 		if err != nil {
-			return total, c.failed(err)
+			return total, keepFirst(&c.WriteFailure, err)
 		}
 	}
 	return total, nil
--- /dev/null
+++ b/plugin/directory/read.go
@@ -0,0 +1,184 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/targetlist"
+)
+
+const (
+	// readInterval separates two reads of the list. With the list's own lag it
+	// must stay well below the time after which a leaving target gets nothing new.
+	readInterval = 400 * time.Millisecond
+	// readLimit bounds one page.
+	readLimit = 800 * time.Millisecond
+	// maxPages bounds a list whose pages refer to each other.
+	maxPages = 1000
+	// shareInterval is how often an unchanged list is announced, so that an
+	// instance that missed an update fetches it.
+	shareInterval = time.Second
+)
+
+// Methods between instances.
+const (
+	updateMethod = "directory.update"
+	fetchMethod  = "directory.fetch"
+)
+
+// read takes the list from the platform if this instance leads.
+func (d *Directory) read(ctx context.Context) {
+	term, ok := d.leads()
+	if !ok {
+		return
+	}
+	d.reads.Inc()
+	entries, err := d.pages(ctx)
+	if err != nil {
+		d.failures.Inc()
+		d.log.Warn("list of targets not read", "step", "directory", "age_ms", d.age().Milliseconds(), "error", err)
+		return
+	}
+	now := d.kernel.Clock.Now()
+	d.readAt.Store(int64(now))
+	d.mu.Lock()
+	before := d.list.At()
+	u := d.list.Read(term, entries, now)
+	changed := u.At != before
+	var listeners []func()
+	if changed || !d.Known() {
+		listeners = d.publish()
+	}
+	share := changed || now-d.sharedAt >= shareInterval
+	if share {
+		d.sharedAt = now
+	}
+	d.mu.Unlock()
+	for _, f := range listeners {
+		f()
+	}
+	if changed {
+		d.logChange(u, "platform")
+	}
+	if share {
+		d.share(u)
+	}
+}
+
+// pages reads all pages of the list. A list with a missing page is not used: its
+// targets would look gone.
+func (d *Directory) pages(ctx context.Context) ([]api.DirectoryEntry, error) {
+	var out []api.DirectoryEntry
+	token := ""
+	for range maxPages {
+		p, err := d.page(ctx, token)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, p.Entries...)
+		d.unreadable.Add(p.Unreadable)
+		if p.Next == "" {
+			return out, nil
+		}
+		token = p.Next
+	}
+	return nil, errors.Errorf("directory: more than %d pages", maxPages)
+}
+
+func (d *Directory) page(ctx context.Context, token string) (api.DirectoryPage, error) {
+	if ctx.Err() != nil {
+		return api.DirectoryPage{}, ctx.Err()
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + d.client.Addr + d.dialect.DirectoryPath(token))
+	if err := d.client.DoTimeout(req, resp, readLimit); err != nil {
+		return api.DirectoryPage{}, errors.WithMessage(err, "directory: read page from "+d.client.Addr)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return api.DirectoryPage{}, errors.Errorf("directory: %s answered %d", d.client.Addr, resp.StatusCode())
+	}
+	return d.dialect.DirectoryPage(resp.Body())
+}
+
+// share sends an update to all linked instances. An update without changes tells
+// them that theirs is the newest.
+func (d *Directory) share(u targetlist.Update) {
+	for _, peer := range d.mesh.Peers() {
+		d.send(peer, u)
+	}
+}
+
+func (d *Directory) send(peer string, u targetlist.Update) {
+	d.updates.Inc()
+	if err := d.mesh.Notify(peer, updateMethod, u); err != nil {
+		d.log.Debug("update not sent", "step", "directory", "peer", peer, "error", err) // the next one tells
+	}
+}
+
+// linkChanged sends the list over a new link.
+func (d *Directory) linkChanged(c api.LinkChange) {
+	if !c.Up || d.control == nil || !d.Known() {
+		return
+	}
+	d.mu.Lock()
+	u := d.list.Whole(d.kernel.Clock.Now())
+	d.mu.Unlock()
+	d.send(c.Peer, u)
+}
+
+func (d *Directory) handleUpdate(ctx context.Context, from string, params json.RawMessage) (any, error) {
+	var u targetlist.Update
+	if err := json.Unmarshal(params, &u); err != nil {
+		return nil, errors.WithMessage(err, updateMethod)
+	}
+	if missing := d.apply(u, from); missing {
+		go d.fetch(ctx, from)
+	}
+	return nil, nil
+}
+
+func (d *Directory) apply(u targetlist.Update, from string) (missing bool) {
+	now := d.kernel.Clock.Now()
+	d.mu.Lock()
+	changed, missing := d.list.Apply(u, now)
+	if d.list.At() == u.At {
+		d.readAt.Store(int64(now))
+	}
+	var listeners []func()
+	if changed {
+		listeners = d.publish()
+	}
+	d.mu.Unlock()
+	for _, f := range listeners {
+		f()
+	}
+	if changed {
+		d.logChange(u, from)
+	}
+	return missing
+}
+
+// fetch takes the whole list from an instance that has a newer one.
+func (d *Directory) fetch(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	var u targetlist.Update
+	if err := d.mesh.Call(ctx, from, fetchMethod, struct{}{}, &u); err != nil {
+		d.log.Warn("list of targets not fetched", "step", "directory", "peer", from, "error", err)
+		return
+	}
+	d.apply(u, from)
+}
+
+func (d *Directory) handleFetch(context.Context, string, json.RawMessage) (any, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list.Whole(d.kernel.Clock.Now()), nil
+}
--- a/plugin/dispatch/events_test.go
+++ b/plugin/dispatch/events_test.go
@@ -13,17 +13,18 @@
 	"pgregory.net/rapid"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/sse"
 )
 
-func readEvents(r io.Reader) (raw []byte, all []event, err error) {
-	er := newEventReader(r)
+func readEvents(r io.Reader) (raw []byte, all []sse.Event, err error) {
+	er := sse.NewReader(r)
 	for {
-		e, err := er.next()
+		e, err := er.Next()
 		if err != nil {
 			return raw, all, err
 		}
-		raw = append(raw, e.raw...)
-		e.raw, e.data = bytes.Clone(e.raw), bytes.Clone(e.data)
+		raw = append(raw, e.Raw...)
+		e.Raw, e.Data = bytes.Clone(e.Raw), bytes.Clone(e.Data)
 		all = append(all, e)
 	}
 }
@@ -46,7 +47,7 @@
 			t.Fatal("events depend on how the bytes arrive")
 		}
 		for i := range all {
-			if all[i].id != slow[i].id || all[i].done() != slow[i].done() || !bytes.Equal(all[i].data, slow[i].data) {
+			if all[i].ID != slow[i].ID || all[i].Done() != slow[i].Done() || !bytes.Equal(all[i].Data, slow[i].Data) {
 				t.Fatalf("event %d depends on how the bytes arrive", i)
 			}
 		}
@@ -94,7 +95,7 @@
 		total := rapid.IntRange(1, 40).Draw(t, "total")
 		for round := 0; round < 20; round++ {
 			for _, id := range rapid.SliceOfN(rapid.IntRange(1, total), 0, 60).Draw(t, "ids") {
-				e := parseEvent([]byte(eventText(id)))
+				e := sse.Parse([]byte(eventText(id)))
 				out, v := q.push(&e)
 				delivered = append(delivered, out...)
 				if v == broken {
@@ -130,7 +131,7 @@
 		is := is.New(t)
 		var q sequencer
 		for i, b := range c.blocks {
-			e := parseEvent([]byte(b + "\n\n"))
+			e := sse.Parse([]byte(b + "\n\n"))
 			_, v := q.push(&e)
 			is.Equal(v, c.want[i]) // as in the table
 		}
@@ -141,8 +142,8 @@
 // Guards against an event without end that fills the memory.
 func TestEventTooLarge(t *testing.T) {
 	is := is.New(t)
-	_, _, err := readEvents(strings.NewReader(strings.Repeat("data: x\n", maxEvent/4)))
-	is.Equal(err, errEventTooLarge)
+	_, _, err := readEvents(strings.NewReader(strings.Repeat("data: x\n", sse.MaxEvent/4)))
+	is.Equal(err, sse.ErrTooLarge)
 }
 
 // Guards against a wrong true cost.
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -56,7 +56,7 @@
 		return nil, x.fail(step, err)
 	}
 	x.body = x.resp.BodyStream()
-	conn.Hard = b.hard
+	conn.SetHard(b.hard)
 	return x, nil
 }
 
@@ -75,7 +75,7 @@
 // all of it and closed the connection. Only a refusal is taken for an answer.
 func (x *exchange) early() bool {
 	c := x.conn
-	if c.Sent == 0 || (!errors.Is(c.Failure, syscall.EPIPE) && !errors.Is(c.Failure, syscall.ECONNRESET)) {
+	if c.Sent == 0 || (!errors.Is(c.Failure(), syscall.EPIPE) && !errors.Is(c.Failure(), syscall.ECONNRESET)) {
 		return false
 	}
 	x.partial = true
@@ -118,8 +118,8 @@
 
 // fail ends an exchange without a head.
 func (x *exchange) fail(step string, err error) *fault {
-	if x.conn.Failure != nil {
-		err = x.conn.Failure
+	if x.conn.Failure() != nil {
+		err = x.conn.Failure()
 	}
 	f := &fault{step: step, cause: err, sent: x.conn.Sent, received: x.conn.Received, reused: x.conn.Reused}
 	x.close(false)
--- a/plugin/dispatch/plain.go
+++ b/plugin/dispatch/plain.go
@@ -90,8 +90,8 @@
 // failFirst gives up an answer of which the caller has received nothing.
 func (a *plainAnswer) failFirst(err error) error {
 	f := &fault{step: "body", cause: err, sent: a.x.conn.Sent}
-	b := bounds{head: a.x.conn.Hard, hard: a.x.conn.Hard}
-	ended := a.x.conn.Failure == io.EOF
+	b := bounds{head: a.x.conn.Hard(), hard: a.x.conn.Hard()}
+	ended := a.x.conn.Failure() == io.EOF
 	a.x.close(false)
 	f.classify(b)
 	if ended || errors.Is(err, io.ErrUnexpectedEOF) {
--- a/plugin/dispatch/resume.go
+++ b/plugin/dispatch/resume.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/sse"
 )
 
 // Bounds of resumes and cancels.
@@ -73,7 +75,7 @@
 		return err
 	}
 	a.x = x
-	a.events = newEventReader(readFunc(x.read))
+	a.events = sse.NewReader(readFunc(x.read))
 	a.order.restart()
 	a.lastSeen = time.Now()
 	return nil
--- a/plugin/dispatch/sequence.go
+++ b/plugin/dispatch/sequence.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "bytes"
+import (
+	"bytes"
+
+	"nutmegrouter/internal/sse"
+)
 
 // maxHeld bounds how many events wait for a missing one before the stream is
 // taken as broken. At 33 ms between events it is about half a second.
@@ -26,35 +30,35 @@
 }
 
 // push checks an event and returns the bytes to deliver now.
-func (q *sequencer) push(e *event) ([]byte, verdict) {
+func (q *sequencer) push(e *sse.Event) ([]byte, verdict) {
 	switch {
-	case e.badID && !q.plain:
+	case e.BadID && !q.plain:
 		return nil, broken
-	case e.done():
-		if len(q.held) > 0 || (e.hasID && !q.plain && e.id > q.last+1) {
+	case e.Done():
+		if len(q.held) > 0 || (e.HasID && !q.plain && e.ID > q.last+1) {
 			return nil, broken
 		}
-		return e.raw, deliver
-	case e.hasID && !q.plain:
+		return e.Raw, deliver
+	case e.HasID && !q.plain:
 		q.numbered = true
 		return q.pushNumber(e)
-	case !e.hasData:
-		return e.raw, deliver // comment or keep-alive
+	case !e.HasData:
+		return e.Raw, deliver // comment or keep-alive
 	case q.numbered:
 		return nil, broken
 	}
 	q.plain = true
-	return e.raw, deliver
+	return e.Raw, deliver
 }
 
-func (q *sequencer) pushNumber(e *event) ([]byte, verdict) {
+func (q *sequencer) pushNumber(e *sse.Event) ([]byte, verdict) {
 	switch {
-	case e.id <= q.last:
+	case e.ID <= q.last:
 		return nil, duplicate
-	case e.id == q.last+1:
+	case e.ID == q.last+1:
 		q.last++
-		return q.release(e.raw), deliver
-	case q.held[e.id] != nil:
+		return q.release(e.Raw), deliver
+	case q.held[e.ID] != nil:
 		return nil, duplicate
 	case len(q.held) >= maxHeld:
 		return nil, broken
@@ -62,7 +66,7 @@
 	if q.held == nil {
 		q.held = map[uint64][]byte{}
 	}
-	q.held[e.id] = bytes.Clone(e.raw)
+	q.held[e.ID] = bytes.Clone(e.Raw)
 	return nil, held
 }
 
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/sse"
 )
 
 var (
@@ -25,7 +26,7 @@
 	x    *exchange
 	head api.AnswerHead
 
-	events   *eventReader
+	events   *sse.Reader
 	order    sequencer
 	streamID string
 	cost     float64
@@ -46,7 +47,7 @@
 func (c *call) openEvents(s *slot, x *exchange, st headState) (api.Answer, error) {
 	a := &eventAnswer{
 		call: c, slot: s, x: x, head: c.answerHead(s, x, -1), streamID: st.streamID,
-		events: newEventReader(readFunc(x.read)), lastSeen: time.Now(), hard: x.conn.Hard,
+		events: sse.NewReader(readFunc(x.read)), lastSeen: time.Now(), hard: x.conn.Hard(),
 	}
 	for len(a.out) == 0 {
 		if err := a.step(); err != nil {
@@ -85,7 +86,7 @@
 
 // step takes one event from the target.
 func (a *eventAnswer) step() error {
-	e, err := a.events.next()
+	e, err := a.events.Next()
 	if err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) {
 		return errNoDone
 	}
@@ -105,12 +106,12 @@
 	case held:
 		return nil
 	}
-	if cost, ok := usageCost(e.data); ok {
+	if cost, ok := usageCost(e.Data); ok {
 		a.cost = cost
 	}
 	a.out, a.progress = out, true
 	a.keep(out)
-	if e.done() {
+	if e.Done() {
 		a.finish()
 	}
 	return nil
--- a/plugin/entry/drain.go
+++ b/plugin/entry/drain.go
@@ -20,14 +20,14 @@
 	if err := wait(ctx, s.grace); err != nil {
 		return err
 	}
-	if err := s.listener.quiet(ctx, s.grace); err != nil {
+	if err := s.awaitQuiet(ctx); err != nil {
 		return err
 	}
 	s.listener.Close()
 	s.record("drain", "listener closed")
 	for {
-		s.conns.closeIdle()
-		if open, _ := s.conns.count(); open == 0 {
+		s.conns.CloseIdle()
+		if open, _ := s.conns.Count(); open == 0 {
 			s.record("drain", "all requests served")
 			return nil
 		}
@@ -37,14 +37,10 @@
 	}
 }
 
-// quiet waits until no connection has arrived for a while, at most for limit. A
-// connection that the kernel has accepted but the server has not is reset when
-// the listener closes.
-func (l *listener) quiet(ctx context.Context, limit time.Duration) error {
-	for end := time.Now().Add(limit); time.Now().Before(end); {
-		if time.Since(time.Unix(0, l.last.Load())) >= quietTime {
-			return nil
-		}
+// awaitQuiet waits until no connection has arrived for a while, at most for the
+// grace time.
+func (s *Server) awaitQuiet(ctx context.Context) error {
+	for end := time.Now().Add(s.grace); time.Now().Before(end) && !s.listener.Quiet(); {
 		if err := wait(ctx, drainPoll); err != nil {
 			return err
 		}
@@ -56,7 +52,7 @@
 func (s *Server) Cleanup() error {
 	if s.listener != nil {
 		s.listener.Close()
-		s.conns.closeAll()
+		s.conns.CloseAll()
 	}
 	return nil
 }
--- a/plugin/entry/handler.go
+++ b/plugin/entry/handler.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/callerconn"
 )
 
 // wholeLimit bounds the answers that are read whole before they are written.
@@ -23,9 +24,9 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	conn, _ := ctx.Conn().(*callerConn)
+	conn, _ := ctx.Conn().(*callerconn.Conn)
 	if conn != nil {
-		defer conn.setState(stateServed)
+		defer conn.Served()
 	}
 	s.stats.received.Add(len(ctx.Request.Body()))
 	r, refusal := s.parse(ctx)
@@ -46,7 +47,7 @@
 	r.Gone = work.Done()
 	stop := func() {}
 	if conn != nil {
-		stop = conn.watch(func() { s.stats.gone.Inc(); cancel() })
+		stop = conn.Watch(func() { s.stats.gone.Inc(); cancel() })
 	}
 	s.run(ctx, work, r, func() { stop(); cancel(); free() })
 	s.closeIfDraining(ctx)
--- a/plugin/entry/refuse.go
+++ b/plugin/entry/refuse.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/callerconn"
 )
 
 // Codes of refusals that this plug-in makes. They are stable words for callers.
@@ -122,8 +123,8 @@
 	case errors.As(err, &ne) && ne.Timeout():
 		r = refuse(fasthttp.StatusRequestTimeout, codeTimeout, "the request did not arrive in time")
 	}
-	if c, ok := ctx.Conn().(*callerConn); ok {
-		c.lingerOnClose()
+	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
+		c.LingerOnClose()
 	}
 	id := string(ctx.Request.Header.Peek(headerID))
 	if !visible(id, maxRequestID) {
--- a/plugin/entry/setup.go
+++ b/plugin/entry/setup.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/kernel"
 )
 
@@ -28,7 +29,6 @@
 const (
 	readLimit    = 60 * time.Second  // of one request with its body
 	idleLimit    = 120 * time.Second // between two requests of a connection
-	writeLimit   = 30 * time.Second  // of one write to a caller that does not read
 	headerBuffer = 32 << 10          // bytes; bounds the head of a request
 	writeBuffer  = 16 << 10          // bytes
 )
@@ -49,8 +49,8 @@
 	bodies   *budget
 
 	http     *fasthttp.Server
-	listener *listener
-	conns    *tracker
+	listener *callerconn.Listener
+	conns    *callerconn.Tracker
 	draining atomic.Bool
 }
 
@@ -66,10 +66,11 @@
 	s.instance, s.listen = c.Settings.Instance, c.Settings.Listen
 	s.grace, s.maxBody = c.Settings.StopGrace(), c.Settings.MaxBodyBytes()
 	s.log, s.events = c.Log, c.Events
-	s.conns, s.bodies = newTracker(), newBudget(s.maxBody)
+	s.stats, s.bodies = newStats(c.Metrics), newBudget(s.maxBody)
+	s.conns = callerconn.NewTracker(s.stats.sent, nil)
 	c.Metrics.NewGauge("nutmeg_entry_body_bytes", func() float64 { return float64(s.bodies.held.Load()) })
-	s.stats = newStats(c.Metrics, s.conns)
-	s.conns.bytes = s.stats.sent
+	c.Metrics.NewGauge("nutmeg_entry_connections", func() float64 { open, _ := s.conns.Count(); return float64(open) })
+	c.Metrics.NewGauge("nutmeg_entry_busy_connections", func() float64 { _, busy := s.conns.Count(); return float64(busy) })
 	s.http = s.newHTTP()
 	return nil
 }
@@ -101,7 +102,7 @@
 	if err != nil {
 		return errors.WithMessage(err, "listen for callers")
 	}
-	s.listener = &listener{Listener: ln, conns: s.conns}
+	s.listener = s.conns.Listen(ln)
 	d.Go("entry server", s.serve)
 	return nil
 }
@@ -110,7 +111,7 @@
 func (s *Server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
 		s.listener.Close()
-		s.conns.closeAll()
+		s.conns.CloseAll()
 	})
 	defer stop()
 	err := s.http.Serve(s.listener)
--- a/plugin/entry/stats.go
+++ b/plugin/entry/stats.go
@@ -18,9 +18,7 @@
 	refusals sync.Map // code -> *metrics.Counter
 }
 
-func newStats(set *metrics.Set, conns *tracker) *stats {
-	set.NewGauge("nutmeg_entry_connections", func() float64 { open, _ := conns.count(); return float64(open) })
-	set.NewGauge("nutmeg_entry_busy_connections", func() float64 { _, busy := conns.count(); return float64(busy) })
+func newStats(set *metrics.Set) *stats {
 	return &stats{
 		set:      set,
 		gone:     set.GetOrCreateCounter("nutmeg_entry_callers_gone_total"),
--- /dev/null
+++ b/plugin/gateway/drain.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"nutmegrouter/internal/settings"
+)
+
+const (
+	// drainPoll is how often a planned stop looks at the open connections.
+	drainPoll = 20 * time.Millisecond
+	// rotationTime is how long the balancer may still send new connections after
+	// the instance has said that it is not ready: two questions a second apart.
+	rotationTime = 2500 * time.Millisecond
+	// stopMargin is left of the time after which the process is killed.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Drain implements kernel.Drainer. Answers ask callers to close; connections are
+// accepted until the balancer has taken the instance out of rotation; requests
+// under way are served as long as the process may run.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	begin := g.clock.Now()
+	limit := settings.Ms(g.kernel.Settings.Routes.Bounds.StopMs) - stopMargin
+	closed := false
+	for g.clock.Now()-begin < limit {
+		if !closed && g.clock.Now()-begin >= rotationTime && g.listener.Quiet() {
+			closed = true
+			_ = g.listener.Close() // no caller is sent here any more
+			g.log.Info("listener closed", "step", "drain")
+		}
+		if closed {
+			g.conns.CloseIdle()
+			if open, _ := g.conns.Count(); open == 0 {
+				g.log.Info("all requests served", "step", "drain")
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+	open, busy := g.conns.Count()
+	g.log.Warn("stop with open connections", "step", "drain", "open", open, "busy", busy)
+	return nil
+}
