Place model requests by an owner on the control leader

Change: the control leader sees all model requests, keeps a model of each target (what it keeps, has to read and runs) and grants, refuses or holds back; entries place by themselves while it does not answer.

--- a/cmd/nutmegd/plugins_routes.go
+++ b/cmd/nutmegd/plugins_routes.go
@@ -8,5 +8,6 @@
 	_ "nutmegrouter/plugin/gateway"
 	_ "nutmegrouter/plugin/members"
 	_ "nutmegrouter/plugin/operators"
+	_ "nutmegrouter/plugin/owner"
 	_ "nutmegrouter/plugin/placer"
 )
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -70,6 +70,8 @@
 	Controls() []string
 	// Leader returns the control leader with the highest term that is known, or "".
 	Leader() (instance string, term uint64)
+	// Entries returns the number of entry instances; 0 = not known yet.
+	Entries() int
 	// OnLeader registers a function called after the known leader has changed.
 	// It must not block. Register from Provision.
 	OnLeader(f func(instance string, term uint64))
--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -41,6 +41,7 @@
 	Workspace string // "" on public routes
 	Route     *routing.Route
 	Service   string
+	Engine    *routing.Engine // nil for plain services
 	// PromptTokens, OutputTokens and Prompt describe a model request; zero
 	// otherwise. OutputTokens is the best guess, not the bound.
 	PromptTokens, OutputTokens int
@@ -96,11 +97,14 @@
 	ID        string
 	Route     *routing.Route
 	Service   string
+	Engine    *routing.Engine // nil for plain services
 	Workspace string
 	Fields    CallerFields
 	// Header is the caller's. It is not changed.
 	Header *fasthttp.RequestHeader
 	Body   []byte
+	// Waited is the time that the caller spent on earlier attempts, as far as known.
+	Waited time.Duration
 	// Arrived is when the first byte of the request was read, Deadline when the
 	// answer must have ended. Both are on the kernel clock.
 	Arrived, Deadline time.Duration
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -20,6 +20,8 @@
 	failureWeight = 0.2
 	// failureCost is what a target that always fails costs, in requests under way.
 	failureCost = 8.0
+	// homeSaves is what the usual target of a prompt saves, in requests under way.
+	homeSaves = 3.0
 	// slowCost is what a target costs for each multiple of the usual time that it
 	// takes beyond the first.
 	slowCost = 1.0
@@ -37,12 +39,10 @@
 
 // load is what an instance knows about a target by its own requests.
 type load struct {
-	running  int
-	failures float64 // ratio of the newest outcomes
-	strikes  int     // failures without an answer in a row
-	until    time.Duration
-	mean     time.Duration // of answered requests
-	bornMs   int64
+	health
+	running int
+	mean    time.Duration // of answered requests
+	bornMs  int64
 }
 
 // NewLocal returns a placer for an instance in a data centre.
@@ -57,6 +57,10 @@
 	Out     map[string]bool // data centres out of service
 	Tried   []string
 	Now     time.Duration
+	// Home names the usual place of a prompt by its shared parts; 0 = none.
+	Home PartID
+	// MostRunning bounds the requests of this instance on one target; 0 = no bound.
+	MostRunning int
 	// Random is uniform in [0, 1); it decides between equal targets.
 	Random float64
 }
@@ -66,6 +70,7 @@
 // lately or were tried before only if there is no other.
 func (l *Local) Choose(q Query) (api.Target, bool) {
 	best, cost := -1, math.Inf(1)
+	home := homeOf(q)
 	shift := int(q.Random * float64(len(q.Targets)))
 	for i := range q.Targets {
 		j := (i + shift) % len(q.Targets)
@@ -73,7 +78,14 @@
 		if t.Service != q.Service || t.Leaving || q.Out[t.DataCentre] || t.ColdUntil > q.Now {
 			continue
 		}
-		if c := l.cost(t, q); c < cost {
+		if q.MostRunning > 0 && l.load(t).running >= q.MostRunning {
+			continue
+		}
+		c := l.cost(t, q)
+		if t.ID == home {
+			c -= homeSaves
+		}
+		if c < cost {
 			best, cost = j, c
 		}
 	}
@@ -83,6 +95,25 @@
 	return q.Targets[best], true
 }
 
+// homeOf returns the ID of the target on which all instances read a prompt first,
+// or "".
+func homeOf(q Query) (id string) {
+	if q.Home == 0 {
+		return ""
+	}
+	highest := uint64(0)
+	for i := range q.Targets {
+		t := &q.Targets[i]
+		if t.Service != q.Service || t.Leaving || q.Out[t.DataCentre] || t.ColdUntil > q.Now {
+			continue
+		}
+		if h := mix(uint64(q.Home), t.ID); id == "" || h > highest {
+			id, highest = t.ID, h
+		}
+	}
+	return id
+}
+
 func (l *Local) cost(t *api.Target, q Query) float64 {
 	s := l.load(t)
 	c := float64(s.running) + failureCost*s.failures
@@ -121,18 +152,10 @@
 		return
 	}
 	s.running = max(0, s.running-1)
-	switch o {
-	case api.WorkServed:
-		s.failures *= 1 - failureWeight
-		s.strikes = 0
+	s.note(o, now)
+	if o == api.WorkServed {
 		s.mean = blend(s.mean, took)
 		l.typical[t.Service] = blend(l.typical[t.Service], took)
-	case api.WorkUnreachable, api.WorkBroken, api.WorkOther, api.WorkLate:
-		s.failures += failureWeight * (1 - s.failures)
-		s.until = now + min(suspectFor<<min(s.strikes, 8), suspectMost)
-		s.strikes++
-	case api.WorkFailed, api.WorkFull:
-		s.failures += failureWeight * (1 - s.failures)
 	}
 }
 
--- /dev/null
+++ b/internal/placement/shares.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// shareSlots divide the window over which workspaces share the tokens.
+const shareSlots = 8
+
+// usage counts the tokens of one workspace in the newest window.
+type usage struct {
+	asked, begun [shareSlots]float64
+	askedSum     float64
+	begunSum     float64
+}
+
+// shares keeps what each workspace asked for and got, and its max-min share.
+type shares struct {
+	window time.Duration
+	slot   int64
+	byName map[string]*usage
+	// level is the share of a workspace that asks for more, in tokens a window.
+	level float64
+}
+
+func newShares(window time.Duration) *shares {
+	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1)}
+}
+
+// advance moves the window to a time, and computes the shares for a capacity in
+// tokens a second when a slot has ended.
+func (s *shares) advance(now time.Duration, capacity float64) {
+	slot := int64(now / (s.window / shareSlots))
+	if slot == s.slot {
+		return
+	}
+	steps := min(slot-s.slot, shareSlots)
+	for name, u := range s.byName {
+		for i := range steps {
+			u.clear((slot - i) % shareSlots)
+		}
+		if u.askedSum == 0 && u.begunSum == 0 {
+			delete(s.byName, name)
+		}
+	}
+	s.slot = slot
+	s.level = waterLevel(s.demands(), capacity*s.window.Seconds())
+}
+
+func (u *usage) clear(i int64) {
+	u.asked[i], u.begun[i] = 0, 0
+	u.askedSum, u.begunSum = 0, 0
+	for j := range u.asked {
+		u.askedSum += u.asked[j]
+		u.begunSum += u.begun[j]
+	}
+}
+
+func (s *shares) demands() []float64 {
+	out := make([]float64, 0, len(s.byName))
+	for _, u := range s.byName {
+		out = append(out, u.askedSum)
+	}
+	return out
+}
+
+// waterLevel returns the max-min share of those that demand more than it: the
+// level at which the demands, each cut at the level, add up to the capacity. It is
+// infinite if all demands fit.
+func waterLevel(demands []float64, capacity float64) float64 {
+	slices.Sort(demands)
+	for i, d := range demands {
+		rest := float64(len(demands) - i)
+		if d*rest > capacity {
+			return capacity / rest
+		}
+		capacity -= d
+	}
+	return math.Inf(1)
+}
+
+func (s *shares) of(name string) *usage {
+	u := s.byName[name]
+	if u == nil {
+		u = &usage{}
+		s.byName[name] = u
+	}
+	return u
+}
+
+// ask counts what a workspace asks for.
+func (s *shares) ask(name string, tokens float64) {
+	u := s.of(name)
+	u.asked[s.slot%shareSlots] += tokens
+	u.askedSum += tokens
+}
+
+// begin counts what a workspace gets. A negative number takes back what a target
+// did not run.
+func (s *shares) begin(name string, tokens float64) {
+	u := s.of(name)
+	u.begun[s.slot%shareSlots] += tokens
+	u.begunSum += tokens
+}
+
+// excess returns by how much a workspace would exceed its share with further
+// tokens: 0 up to the share, else the ratio.
+func (s *shares) excess(name string, tokens float64) float64 {
+	if math.IsInf(s.level, 1) || s.level <= 0 {
+		return 0
+	}
+	ratio := (s.of(name).begunSum + tokens) / s.level
+	if ratio <= 1 {
+		return 0
+	}
+	return ratio
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"time"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/routing"
+)
+
+// Assumptions about engines until their answers have been seen. The rates adapt
+// to what each target shows.
+const (
+	firstRate    = 35.0                   // prompt tokens read in a millisecond, beside running requests
+	leastRate    = 1.0                    // lower bound of the learned rate
+	baseTime     = 30 * time.Millisecond  // from the request to the first event without a prompt
+	rateWeight   = 0.15                   // share of the newest observation in a rate
+	leastSample  = 400                    // prompt tokens from which an answer tells the rate
+	stuckFactor  = 2.5                    // multiple of the expected time after which the first request counts as stuck
+	stuckMargin  = 250 * time.Millisecond // added to it
+	headShare    = 0.95                   // most of the first request's prompt that counts as read before its answer
+	startsWindow = time.Second            // over which the bound on starts of a cold target holds
+)
+
+// work is one request of an entry instance that waits or runs.
+type work struct {
+	key     Key
+	ask     Ask
+	cost    float64       // tokens of the share: read once, generated twice
+	askedAt time.Duration // owner's clock
+	due     time.Duration // when the first event is on time
+	last    time.Duration // when it is of no use any more
+
+	target  *target // nil while it waits
+	missing int     // prompt tokens that the target must read
+	sentAt  time.Duration
+	began   bool
+	passed  bool // a later request on the target began before it
+}
+
+// memory returns the tokens that a request takes on its target.
+func (w *work) memory() int { return w.ask.PromptTokens + w.ask.OutputTokens }
+
+// target is the owner's model of one target.
+type target struct {
+	info   api.Target
+	engine routing.Engine
+
+	running   map[Key]*work
+	queue     []*work // not begun, oldest first
+	memory    int     // tokens of the running requests
+	held      *held
+	rate      float64 // prompt tokens a millisecond
+	beganAt   time.Duration
+	starts    []time.Duration // newest starts, oldest first
+	health    health
+	planned   float64       // prompt tokens of waiting requests that plan to come here
+	slotsKept int           // waiting requests that plan to come here
+	queued    time.Duration // backlog at the time of the decision under way
+}
+
+func newTarget(info api.Target, e routing.Engine) *target {
+	return &target{info: info, engine: e, running: map[Key]*work{}, held: newHeld(e.CacheTokens), rate: firstRate}
+}
+
+// renew begins a new life: nothing of before is on the target.
+func (t *target) renew(info api.Target) {
+	t.info = info
+	t.held.clear()
+	t.health = health{}
+	t.rate = firstRate
+}
+
+// backlog returns the time until the target has read what was sent to it.
+func (t *target) backlog(now time.Duration) time.Duration {
+	tokens, first := 0.0, true
+	var stuck time.Duration
+	for _, w := range t.queue {
+		if w.passed {
+			continue
+		}
+		n := float64(w.missing)
+		if first {
+			first = false
+			elapsed := now - max(w.sentAt, t.beganAt)
+			expected := t.readTime(n) + baseTime
+			n -= min(headShare*n, elapsed.Seconds()*1e3*t.rate)
+			if limit := time.Duration(stuckFactor*float64(expected)) + stuckMargin; elapsed > limit {
+				stuck = elapsed - limit
+			}
+		}
+		tokens += n
+	}
+	return t.readTime(tokens) + stuck
+}
+
+func (t *target) readTime(tokens float64) time.Duration {
+	return time.Duration(tokens / t.rate * float64(time.Millisecond))
+}
+
+// room reports whether the target has a slot and memory for a request.
+func (t *target) room(w *work) bool {
+	if slots := t.slots(); slots > 0 && len(t.running)+t.slotsKept >= slots {
+		return false
+	}
+	capacity := t.engine.CacheTokens
+	return capacity == 0 || len(t.running) == 0 || t.memory+w.memory() <= capacity
+}
+
+func (t *target) slots() int {
+	if t.info.Slots > 0 {
+		return t.info.Slots
+	}
+	return t.engine.Slots
+}
+
+// mayStart reports whether one more start stays within a number of starts a second.
+func (t *target) mayStart(perSecond float64, now time.Duration) bool {
+	for len(t.starts) > 0 && now-t.starts[0] >= startsWindow {
+		t.starts = t.starts[1:]
+	}
+	return perSecond <= 0 || float64(len(t.starts)+1) <= perSecond
+}
+
+// start puts a request on the target.
+func (t *target) start(w *work, now time.Duration) {
+	w.target, w.sentAt = t, now
+	w.missing = t.held.missing(w.ask.Prompt)
+	t.running[w.key] = w
+	t.queue = append(t.queue, w)
+	t.memory += w.memory()
+	t.held.use(w.ask.Prompt, t.memory, now)
+	t.starts = append(t.starts, now)
+}
+
+// begin notes the first event of a request and learns the rate from it.
+func (t *target) begin(w *work, now time.Duration) {
+	if w.began {
+		return
+	}
+	w.began = true
+	since := max(w.sentAt, t.beganAt)
+	behind := t.beganAt > w.sentAt
+	t.dequeue(w, true)
+	t.beganAt = now
+	if w.passed || w.missing < leastSample {
+		return
+	}
+	took := now - since
+	if !behind {
+		took -= baseTime
+	}
+	rate := float64(w.missing) / max(1, took.Seconds()*1e3)
+	t.rate = max(leastRate, t.rate+rateWeight*(min(rate, 2*t.rate)-t.rate))
+}
+
+// dequeue removes a request that has begun or ended. If it has begun, those before
+// it do not hold others up: the target does not work on them.
+func (t *target) dequeue(w *work, began bool) {
+	for i, q := range t.queue {
+		if q != w {
+			continue
+		}
+		if began {
+			for _, before := range t.queue[:i] {
+				before.passed = true
+			}
+		}
+		t.queue = append(t.queue[:i], t.queue[i+1:]...)
+		return
+	}
+}
+
+// end removes a request.
+func (t *target) end(w *work) {
+	if t.running[w.key] != w {
+		return
+	}
+	delete(t.running, w.key)
+	t.dequeue(w, false)
+	t.memory -= w.memory()
+}
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -64,7 +64,7 @@
 	d.kernel, d.log = c, c.Log.With("plugin", "directory")
 	d.client = &fasthttp.HostClient{
 		Addr: c.Settings.Routes.Directory.Address, MaxIdemponentCallAttempts: 1,
-		RetryIf: func(*fasthttp.Request) bool { return false }, NoDefaultUserAgentHeader: true,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }, NoDefaultUserAgentHeader: true,
 	}
 	d.reads = c.Metrics.NewCounter("nutmeg_directory_reads_total")
 	d.failures = c.Metrics.NewCounter("nutmeg_directory_read_failures_total")
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -126,9 +126,9 @@
 
 func (c *call) work() *api.Work {
 	return &api.Work{
-		RequestID: c.r.ID, Workspace: c.r.Workspace, Route: c.r.Route, Service: c.r.Service,
-		PromptTokens: c.r.Fields.PromptTokens, OutputTokens: c.r.Fields.OutputTokens, Prompt: c.r.Fields.Prompt,
-		Objective: c.r.Arrived + c.r.Route.Objective, Deadline: c.r.Deadline,
+		RequestID: c.r.ID, Workspace: c.r.Workspace, Route: c.r.Route, Service: c.r.Service, Engine: c.r.Engine,
+		PromptTokens: c.r.Fields.PromptTokens, OutputTokens: c.f.outputs.guess(c.r), Prompt: c.r.Fields.Prompt,
+		Objective: c.r.Arrived - c.r.Waited + c.r.Route.Objective, Deadline: c.r.Deadline,
 		Tried: c.tried, Resumes: c.after != "",
 	}
 }
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -35,6 +35,7 @@
 	log     *slog.Logger
 	conns   *targetconn.Pool
 	budget  *retrybudget.Budget
+	outputs *outputs
 	stats   *stats
 }
 
@@ -62,7 +63,7 @@
 		return err
 	}
 	f.clock, f.log = c.Clock, c.Log.With("plugin", "forward")
-	f.stats = newStats(c.Metrics)
+	f.stats, f.outputs = newStats(c.Metrics), newOutputs()
 	f.budget = newBudget(c.Settings.Routes.Bounds)
 	f.conns = targetconn.NewPool(targetconn.Options{
 		DialTimeout: dialLimit, IdleLimit: idleLimit, Control: setUserTimeout,
--- a/plugin/forward/stream.go
+++ b/plugin/forward/stream.go
@@ -129,6 +129,7 @@
 func (s *streamAnswer) finish() {
 	s.err = io.EOF
 	took := s.a.took()
+	s.c.f.outputs.note(s.c.r, s.count)
 	s.c.f.stats.whole.Update(took.Seconds())
 	s.c.log.Info("answered", "step", "stream", "target", s.a.place.Target().ID, "events", s.count, "took_ms", took.Milliseconds())
 	s.a.end(api.WorkServed, true)
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -84,6 +84,10 @@
 		return r, refuse(fasthttp.StatusRequestEntityTooLarge, codeTooLarge, "the body exceeds the limit")
 	}
 	r.Service = r.Route.Choose(rand.Float64())
+	if s := t.Services[r.Service]; s != nil {
+		r.Engine = s.Engine
+	}
+	r.Waited = g.patience.waited(r.Route.Name, fields.Deadline)
 	r.Deadline = arrived + r.Route.Timeout
 	if fields.Deadline > 0 {
 		r.Deadline = min(r.Deadline, arrived+fields.Deadline)
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -60,6 +60,7 @@
 	stats     *stats
 
 	table    atomic.Pointer[routing.Table]
+	patience patience
 	bodies   *bodyBudget
 	http     *fasthttp.Server
 	listener *callerconn.Listener
--- a/plugin/members/messages.go
+++ b/plugin/members/messages.go
@@ -37,6 +37,8 @@
 	Term     uint64   `json:"t,omitempty"`
 	Revision uint64   `json:"r,omitempty"`
 	Controls []string `json:"c,omitempty"`
+	// Entries is the number of entry instances linked to the sender.
+	Entries int `json:"n,omitempty"`
 }
 
 // leaderNote tells about a new leader.
@@ -98,6 +100,7 @@
 	if changed {
 		m.redial()
 	}
+	m.noteEntries(r.Entries)
 	m.noteLeader(r.Leader, r.Term)
 	m.noteView(peer, r.Revision)
 }
@@ -113,7 +116,7 @@
 		return r, nil
 	}
 	s := m.control.Status()
-	r.Leader, r.Term = s.Leader, s.Term
+	r.Leader, r.Term, r.Entries = s.Leader, s.Term, m.Entries()
 	controls := slices.Sorted(slices.Values(s.Members))
 	if checksum(controls) != b.Known {
 		r.Controls = controls
--- a/plugin/members/setup.go
+++ b/plugin/members/setup.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,6 +44,8 @@
 	term      uint64
 	listeners []func(string, uint64)
 
+	entries atomic.Int64 // entry instances, as last told
+
 	kick   chan struct{}           // beats are due at once
 	behind *kernel.Ring[announced] // newer views that other instances have
 
@@ -172,6 +175,26 @@
 	}
 }
 
+// Entries implements api.Topology. A control instance counts its links; an entry
+// instance takes the newest answer.
+func (m *Members) Entries() int {
+	if m.control == nil {
+		return int(m.entries.Load())
+	}
+	return len(m.mesh.Peers()) - len(m.linkedControls())
+}
+
+func (m *Members) linkedControls() []string {
+	controls := m.Controls()
+	return slices.DeleteFunc(m.mesh.Peers(), func(p string) bool { return !slices.Contains(controls, p) })
+}
+
+func (m *Members) noteEntries(n int) {
+	if n > 0 {
+		m.entries.Store(int64(n))
+	}
+}
+
 // redial keeps links to all known control instances.
 func (m *Members) redial() {
 	self := m.mesh.Self()
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -1,17 +1,21 @@
 // Package placer finds targets for the requests of an entry instance. It provides
-// api.Placer.
+// api.Placer. Model requests are placed by the owner on the control leader, which
+// sees the work of all entry instances; plain requests, and all requests while no
+// owner answers, are placed here.
 package placer
 
 import (
-	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/placement"
+	"nutmegrouter/internal/placewire"
 )
 
 func init() {
@@ -25,82 +29,94 @@
 
 // Placer implements api.Placer. It must be provisioned before use.
 type Placer struct {
-	fleet     api.Fleet
-	directory api.Directory
-	clock     kernel.Clock
-	log       *slog.Logger
+	mesh       api.Mesh
+	topology   api.Topology
+	fleet      api.Fleet
+	directory  api.Directory
+	clock      kernel.Clock
+	log        *slog.Logger
+	dataCentre string
+
+	mu      sync.Mutex
+	local   *placement.Local
+	owner   ownerState
+	number  uint64             // of the newest model request
+	waiting map[uint64]*waiter // asks without an answer
+	running map[uint64]*placed // model requests on targets
+	up      placewire.Up       // not sent yet
+	kick    chan struct{}      // up has content
+
+	remote, fallback, unanswered *metrics.Counter
+	wait                         *metrics.Histogram
+}
 
-	mu    sync.Mutex
-	local *placement.Local
+// ownerState is what this instance knows of the owner.
+type ownerState struct {
+	name   string
+	term   uint64
+	heard  time.Duration // last message
+	absent time.Duration // not asked until then
 }
 
 // Provision implements kernel.Plugin.
 func (p *Placer) Provision(c *kernel.Context) (err error) {
+	if p.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
+		return err
+	}
+	if p.topology, err = kernel.Lookup[api.Topology](c); err != nil {
+		return err
+	}
 	if p.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
 		return err
 	}
 	if p.directory, err = kernel.Lookup[api.Directory](c); err != nil {
 		return err
 	}
-	p.clock, p.log = c.Clock, c.Log.With("plugin", "placer")
-	p.local = placement.NewLocal(c.Settings.DataCentre)
+	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
+	p.local = placement.NewLocal(p.dataCentre)
+	p.waiting, p.running, p.kick = map[uint64]*waiter{}, map[uint64]*placed{}, make(chan struct{}, 1)
+	p.remote = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
+	p.fallback = c.Metrics.NewCounter("nutmeg_placer_local_total")
+	p.unanswered = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
+	p.wait = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
+	p.mesh.Handle(placewire.MethodDown, p.handleDown)
 	p.directory.OnChange(p.listChanged)
+	p.topology.OnLeader(p.leaderChanged)
+	roster, err := kernel.Lookup[api.Roster](c)
+	if err != nil {
+		return err
+	}
+	roster.OnLink(p.linkChanged)
 	return kernel.Provide[api.Placer](c, p)
 }
 
+// Start implements kernel.Starter.
+func (p *Placer) Start(d *kernel.Duties) error {
+	d.Go("placer", p.sendLoop)
+	return nil
+}
+
 func (p *Placer) listChanged() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.local.Keep(p.directory.Targets())
 }
 
-// Place implements api.Placer.
-func (p *Placer) Place(_ context.Context, w *api.Work) (api.Placement, error) {
-	p.mu.Lock()
-	t, ok := p.local.Choose(placement.Query{
-		Service: w.Service, Targets: p.directory.Targets(), Out: p.fleet.View().Out,
-		Tried: w.Tried, Now: p.clock.Now(), Random: rand.Float64(),
-	})
-	if ok {
-		p.local.Start(t)
+// Errors of a placement that must not be used any more.
+var (
+	errLeaving = errors.New("the target leaves or is gone")
+	errOut     = errors.New("the target's data centre is out of service")
+)
+
+// permit reports whether a target may still get a request.
+func (p *Placer) permit(t api.Target) error {
+	if p.fleet.View().Out[t.DataCentre] {
+		return errOut
 	}
-	p.mu.Unlock()
-	if !ok {
-		return nil, &api.Refusal{
-			Code: "no_target", Status: 503, Run: api.NotRun, Step: "place",
-			Message: "no target of the service may be used", RetryAfter: noTargetAdvice,
+	for _, have := range p.directory.Targets() {
+		if have.ID == t.ID && have.BornMs == t.BornMs && !have.Leaving {
+			return nil
 		}
 	}
-	return &placed{p: p, target: t, begin: p.clock.Now()}, nil
-}
-
-// noTargetAdvice is when a caller may come back while no target is in service:
-// the list is read at shorter intervals.
-const noTargetAdvice = 500 * time.Millisecond
-
-// placed implements api.Placement.
-type placed struct {
-	p      *Placer
-	target api.Target
-	begin  time.Duration
-}
-
-// Target implements api.Placement.
-func (l *placed) Target() api.Target { return l.target }
-
-// Sent implements api.Placement.
-func (l *placed) Sent() error { return nil }
-
-// Began implements api.Placement.
-func (l *placed) Began() {}
-
-// Progress implements api.Placement.
-func (l *placed) Progress(int) {}
-
-// End implements api.Placement.
-func (l *placed) End(o api.WorkOutcome) {
-	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	now := l.p.clock.Now()
-	l.p.local.End(l.target, o, now-l.begin, now)
+	return errLeaving
 }
