Keep workspaces beyond their share from overtaking each other; reload settings

(2) SIGHUP ended a process. (4) A control instance sent its calls to a frozen leader over the connection that this had opened. Changes: a request beyond its workspace's share is refused while another workspace that wants more has got less; settings are read again; instances that are dialled are reached over the dialled link only.

--- a/cmd/nutmegd/main.go
+++ b/cmd/nutmegd/main.go
@@ -47,14 +47,16 @@
 		fmt.Printf("%s: ok, instance %s in data centre %s\n", *file, s.Instance, s.DataCentre)
 		return exitOK
 	}
-	return serve(s)
+	return serve(s, func() (*settings.Settings, error) { return settings.Load(*file) })
 }
 
-func serve(s *settings.Settings) int {
+func serve(s *settings.Settings, load func() (*settings.Settings, error)) int {
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("instance", s.Instance)
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	if err := kernel.Run(context.Background(), s, log, stop); err != nil {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := kernel.Run(context.Background(), s, log, kernel.Signals{Stop: stop, Reload: reload, Load: load}); err != nil {
 		log.Error("ended", "step", "run", "error", err)
 		return exitFailure
 	}
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -32,6 +32,12 @@
 // Cleaner releases resources after all duties have ended.
 type Cleaner interface{ Cleanup() error }
 
+// Reloader takes settings that have changed while the process runs.
+type Reloader interface {
+	// Reload must not block. Settings that it does not follow stay as they were.
+	Reload(s *settings.Settings)
+}
+
 // Registration describes a plug-in to the kernel.
 type Registration struct {
 	// Name is the lower-case name of the plug-in.
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,15 +12,24 @@
 	"nutmegrouter/internal/settings"
 )
 
+// Signals delivers what operators ask of a running process.
+type Signals struct {
+	// Stop starts a planned stop; a second signal ends the process at once.
+	Stop <-chan os.Signal
+	// Reload has the settings read again; nil = never.
+	Reload <-chan os.Signal
+	// Load reads the settings; nil = they never change.
+	Load func() (*settings.Settings, error)
+}
+
 type loaded struct {
 	name   string
 	plugin Plugin
 }
 
 // Run loads all registered plug-ins and runs them until a duty fails, the
-// context ends, or stop delivers a signal. The first signal starts a planned
-// stop, a second one ends the process at once.
-func Run(ctx context.Context, s *settings.Settings, log *slog.Logger, stop <-chan os.Signal) error {
+// context ends, or a signal asks for a stop.
+func Run(ctx context.Context, s *settings.Settings, log *slog.Logger, signals Signals) error {
 	c := NewContext(s, log, NewClock())
 	plugins, err := provision(c)
 	if err != nil {
@@ -36,10 +46,16 @@
 	log.Info("started", "step", "start", "data_centre", s.DataCentre)
 	c.Events.Record(Event{Kind: "instance", Step: "start"})
 	d.Go("signals", func(ctx context.Context) error {
-		waitStop(ctx, c, plugins, stop)
+		waitStop(ctx, c, plugins, signals.Stop)
 		cancel()
 		return nil
 	})
+	if signals.Load != nil {
+		d.Go("settings", func(ctx context.Context) error {
+			followSettings(ctx, c, plugins, signals)
+			return ctx.Err()
+		})
+	}
 	return joinCleanup(plugins, d.Wait())
 }
 
@@ -76,6 +92,46 @@
 	return nil
 }
 
+// settingsInterval is how often the settings are read without a signal: the file
+// may change without one.
+const settingsInterval = 2 * time.Second
+
+// followSettings hands changed settings to the plug-ins. Settings with faults
+// leave the former ones in force.
+func followSettings(ctx context.Context, c *Context, plugins []loaded, signals Signals) {
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	current := c.Settings
+	for {
+		why := "poll"
+		select {
+		case <-ctx.Done():
+			return
+		case sig := <-signals.Reload:
+			why = sig.String()
+		case <-t.C:
+		}
+		s, err := signals.Load()
+		if err != nil {
+			c.Log.Error("settings not reloaded", "step", "reload", "why", why, "error", err)
+			continue
+		}
+		if reflect.DeepEqual(s, current) {
+			if why != "poll" {
+				c.Log.Info("settings unchanged", "step", "reload", "why", why)
+			}
+			continue
+		}
+		current = s
+		c.Log.Info("settings reloaded", "step", "reload", "why", why)
+		for _, l := range plugins {
+			if r, ok := l.plugin.(Reloader); ok {
+				r.Reload(s)
+			}
+		}
+	}
+}
+
 // waitStop drains the plug-ins in reverse order, entry first, so that callers
 // are served by everything below while requests are still under way.
 func waitStop(ctx context.Context, c *Context, plugins []loaded, stop <-chan os.Signal) {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -38,6 +38,10 @@
 	// latePenalty makes a target on which a request is on time better than any on
 	// which it is not.
 	latePenalty = 5 * time.Second
+	// longFactor is the multiple of its own reading time within which a prompt that
+	// cannot be read within the objective counts as on time, so that the longest
+	// requests are served, too.
+	longFactor = 1.6
 	// lateFactor is the multiple of the objective, counted from the request, after
 	// which callers give up a stream that has not begun.
 	lateFactor = 4
@@ -352,6 +356,7 @@
 	target  *target
 	wait    time.Duration // until it has room
 	begin   time.Duration // until the first event
+	due     time.Duration // when the first event is on time
 	score   time.Duration
 	missing int
 }
@@ -364,8 +369,14 @@
 		return o.refuse(w, d, CodeNoTarget, o.advice(0)), true
 	}
 	d.Wait, d.Missing = c.wait, c.missing
-	late := now+c.begin+margin > w.due && !w.ask.Resumes
+	late := now+c.begin+margin > c.due && !w.ask.Resumes
+	if late || c.wait > 0 {
+		o.shares.deny(w.ask.Workspace, now)
+	}
 	switch {
+	case d.Excess > 0 && !w.ask.Resumes && o.shares.overtakes(w.ask.Workspace, w.cost, now):
+		o.shares.deny(w.ask.Workspace, now)
+		return o.refuse(w, d, CodeShare, o.advice(o.shares.window/shareSlots)), true
 	case late && !o.worthLate(w, c, d.Excess, now):
 		code := CodeLate
 		if d.Excess > 0 {
@@ -456,7 +467,8 @@
 	if t.info.DataCentre != w.ask.DataCentre {
 		c.score += farCost
 	}
-	if now+c.begin+margin > w.due {
+	c.due = max(w.due, w.askedAt+time.Duration(longFactor*float64(read+baseTime)))
+	if now+c.begin+margin > c.due {
 		c.score += latePenalty
 	}
 	return c
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -14,6 +14,8 @@
 	asked, begun [shareSlots]float64
 	askedSum     float64
 	begunSum     float64
+	deniedAt     time.Duration // when a request was last refused or had to wait
+	denied       bool          // deniedAt is set
 }
 
 // shares keeps what each workspace asked for and got, and its max-min share.
@@ -105,6 +107,31 @@
 	u.begunSum += tokens
 }
 
+// deniedFor is how long a workspace counts as one that wants more after a request
+// of it was refused or had to wait.
+const deniedFor = time.Second
+
+// deny notes that a workspace wanted more than it got.
+func (s *shares) deny(name string, now time.Duration) {
+	u := s.of(name)
+	u.deniedAt, u.denied = now, true
+}
+
+// overtakes reports whether a workspace beyond its share would get further ahead
+// of another one that wants more.
+func (s *shares) overtakes(name string, tokens float64, now time.Duration) bool {
+	least := math.Inf(1)
+	for other, u := range s.byName {
+		if other != name && u.denied && now-u.deniedAt <= deniedFor {
+			least = min(least, u.begunSum)
+		}
+	}
+	return s.of(name).begunSum+tokens > leadRatio*max(least, s.level)
+}
+
+// leadRatio is how far one workspace that wants more may be ahead of another.
+const leadRatio = 1.25
+
 // excess returns by how much a workspace would exceed its share with further
 // tokens: 0 up to the share, else the ratio.
 func (s *shares) excess(name string, tokens float64) float64 {
--- a/plugin/control/client.go
+++ b/plugin/control/client.go
@@ -147,7 +147,7 @@
 		return errors.WithMessage(err, method)
 	}
 	last := errors.New("no replica has answered")
-	at := c.leader.get()
+	at := c.firstReplica()
 	for turn := 0; ; turn++ {
 		if at == "" {
 			at = c.pick(turn)
@@ -170,6 +170,17 @@
 	}
 }
 
+// firstReplica returns the replica to ask first: the known leader, or "".
+func (c *Control) firstReplica() string {
+	if c.members == nil {
+		return c.leader.get()
+	}
+	if leader, _ := c.members.Leader(); leader != "" && c.reachable(leader) {
+		return leader
+	}
+	return ""
+}
+
 func finish(method, at string, r reply, out *reply) error {
 	if r.Error != "" {
 		return errors.Errorf("%s at %s: %s", method, at, r.Error)
@@ -208,13 +219,26 @@
 	if at == c.mesh.Self() {
 		return c.serve(ctx, method, raw), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, limitOf(method)+answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, c.attemptLimit(method))
 	defer cancel()
 	var r reply
 	err := c.mesh.Call(ctx, at, method, raw, &r)
 	return r, err
 }
 
+// attemptLimit bounds the wait for one replica. Operators of a fleet that discovers
+// its instances wait a second for a call, so that a silent replica must not take
+// all of it.
+func (c *Control) attemptLimit(method string) time.Duration {
+	switch {
+	case c.members == nil:
+		return limitOf(method) + answerMargin
+	case method == methodSubmit:
+		return discoveredSubmitLimit
+	}
+	return discoveredCallLimit
+}
+
 // summary describes a change for the history.
 func summary(v *api.View, s *fleetstate.Submit) string {
 	text := ""
--- a/plugin/control/discovered.go
+++ b/plugin/control/discovered.go
@@ -14,6 +14,9 @@
 	// discoveredJoinInterval is how often a control instance of a fleet that
 	// discovers its instances looks whether its replica needs a group.
 	discoveredJoinInterval = 200 * time.Millisecond
+	// discoveredCallLimit and discoveredSubmitLimit bound the wait for one replica.
+	discoveredCallLimit   = 400 * time.Millisecond
+	discoveredSubmitLimit = 1200 * time.Millisecond
 	// reopenPause separates attempts to use a disk that has refused a write.
 	reopenPause = 300 * time.Millisecond
 )
--- a/plugin/members/setup.go
+++ b/plugin/members/setup.go
@@ -98,7 +98,15 @@
 	return kernel.Provide[api.Topology](c, m)
 }
 
+// Reload implements kernel.Reloader. It follows the seeds.
+func (m *Members) Reload(s *settings.Settings) {
+	m.setSeeds(s)
+	kernel.Signal(m.kick)
+}
+
 func (m *Members) setSeeds(s *settings.Settings) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.seeds = nil
 	for _, seed := range s.Routes.Seeds {
 		address, err := s.MeshAddress(seed)
--- a/plugin/mesh/roster.go
+++ b/plugin/mesh/roster.go
@@ -87,17 +87,16 @@
 	}
 }
 
-// linked returns an open session with the named instance: a dialled one first,
-// because its silence is watched here.
+// linked returns an open session with the named instance. An instance that is
+// dialled from here is reached over that link only: its silence is watched, while
+// a connection that it has opened may have been silent for long.
 func (m *Mesh) linked(name string) *session {
 	m.roster.mu.Lock()
-	for _, d := range m.roster.links {
-		if s := d.up(); s != nil && s.peer == name {
-			m.roster.mu.Unlock()
-			return s
-		}
-	}
+	d := m.roster.links[name]
 	m.roster.mu.Unlock()
+	if d != nil {
+		return d.up()
+	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.incoming[name]
