Close idle callers' connections before the sockets run out

Change: answers ask for the connection's close while more than half of the allowed connections are open; beyond the bound the longest idle are closed; an accept without a descriptor is tried again.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// idleSince returns since when the connection is idle, if it is.
+func (c *Conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.state == stateIdle
+}
+
 // LingerOnClose keeps the connection open for a moment after its end. Closing
 // with unread request bytes resets it, and the caller loses the refusal.
 func (c *Conn) LingerOnClose() {
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,11 +2,14 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 )
 
 // Tracker knows the open connections of callers.
@@ -15,6 +18,7 @@
 	open   map[*Conn]struct{}
 	bytes  *metrics.Counter
 	limits *Limits
+	most   int // connections above which idle ones are closed; 0 = no bound
 }
 
 // Limits bound how long a caller may take. The functions are called before each
@@ -31,6 +35,56 @@
 	return &Tracker{open: map[*Conn]struct{}{}, bytes: bytes, limits: limits}
 }
 
+// SetMost sets the number of connections above which idle ones are closed, the
+// longest idle first. 0 = no bound. It must be called before Listen.
+func (t *Tracker) SetMost(n int) { t.most = n }
+
+// Crowded reports whether more than half of the connections that may be open are,
+// so that callers should close theirs after an answer.
+func (t *Tracker) Crowded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.most > 0 && len(t.open) > t.most/2
+}
+
+// shedAtOnce is the number of idle connections closed together, because finding
+// the longest idle ones looks at all.
+const shedAtOnce = 32
+
+// limit closes idle connections beyond the bound.
+func (t *Tracker) limit() {
+	t.mu.Lock()
+	full := t.most > 0 && len(t.open) >= t.most
+	t.mu.Unlock()
+	if full {
+		t.shed(shedAtOnce)
+	}
+}
+
+// shed closes up to n connections, those that are idle for longest.
+func (t *Tracker) shed(n int) {
+	all := t.all()
+	idle := make([]idleConn, 0, len(all))
+	for _, c := range all {
+		if since, ok := c.idleSince(); ok {
+			idle = append(idle, idleConn{c, since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, i := range idle[:min(n, len(idle))] {
+		i.conn.closeIfIdle()
+	}
+}
+
+type idleConn struct {
+	conn  *Conn
+	since time.Time
+}
+
+func exhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // Listen returns a listener whose connections are tracked.
 func (t *Tracker) Listen(l net.Listener) *Listener { return &Listener{Listener: l, conns: t} }
 
@@ -99,12 +153,22 @@
 	last  atomic.Int64 // time of the newest connection on the monotonic clock, since epoch
 }
 
-// Accept implements net.Listener.
+// acceptPause follows an accept without a free file descriptor.
+const acceptPause = 20 * time.Millisecond
+
+// Accept implements net.Listener. Without a free file descriptor it closes idle
+// connections and tries again: the server would end otherwise.
 func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	for exhausted(err) {
+		l.conns.shed(shedAtOnce)
+		time.Sleep(acceptPause)
+		nc, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
+	l.conns.limit()
 	l.last.Store(int64(time.Since(epoch)))
 	return l.conns.add(nc), nil
 }
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -25,11 +25,20 @@
 	Bounds Bounds `json:"bounds"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB float64 `json:"memoryMB"`
+	// MaxFiles is the number of files and sockets that the process may open.
+	MaxFiles int `json:"maxFiles"`
 	// LossesTolerated is the number of control instances that may be lost at the
 	// same time; the log keeps twice as many replicas and one more.
 	LossesTolerated int `json:"lossesTolerated"`
 }
 
+// reservedFiles are not available for sockets: the platform keeps them for files
+// outside the data folder.
+const reservedFiles = 200
+
+// MaxSockets returns the number of sockets that the process may open.
+func (r *Routes) MaxSockets() int { return r.MaxFiles - reservedFiles }
+
 // Directory is the platform's list of targets.
 type Directory struct {
 	// Address is the IP:port of the list.
@@ -101,6 +110,9 @@
 	if r.MemoryMB <= 0 {
 		p.fault(p.find("memoryMB"), "routes.memoryMB", "must be above 0")
 	}
+	if r.MaxFiles <= reservedFiles {
+		p.fault(p.find("maxFiles"), "routes.maxFiles", "must be above %d", reservedFiles)
+	}
 	if r.LossesTolerated < 0 {
 		p.fault(p.find("lossesTolerated"), "routes.lossesTolerated", "must not be negative")
 	}
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -144,10 +144,10 @@
 	return errors.As(err, &r)
 }
 
-// closeIfDraining asks the caller to use another connection, and so another
-// instance, for its next request.
+// closeIfDraining asks the caller to use another connection for its next request:
+// at another instance during a planned stop, and at any if too many are open.
 func (g *Gateway) closeIfDraining(ctx *fasthttp.RequestCtx) {
-	if g.draining.Load() {
+	if g.draining.Load() || g.conns.Crowded() {
 		ctx.SetConnectionClose()
 	}
 }
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -43,6 +43,9 @@
 	writeBuffer = 4 << 10
 	// bodyBuffer bounds a body above the configured bound, for the same reason.
 	bodyBuffer = 32 << 20 // bytes
+	// callersShare is the part of the sockets that connections of callers may take;
+	// the rest is for targets and other instances.
+	callersShare = 0.7
 	// bodiesShare is the part of the memory that bodies of requests under way may
 	// take; beyond it requests are refused.
 	bodiesShare = 0.25
@@ -86,6 +89,7 @@
 	g.stats = newStats(c.Metrics)
 	g.bodies = &bodyBudget{limit: int64(bodiesShare * c.Settings.Routes.MemoryMB * (1 << 20))}
 	g.conns = callerconn.NewTracker(g.stats.sent, &callerconn.Limits{Idle: g.idleLimit, Head: g.headLimit, Whole: g.wholeLimit})
+	g.conns.SetMost(int(callersShare * float64(c.Settings.Routes.MaxSockets())))
 	g.stats.gauges(c.Metrics, g.conns, g.bodies)
 	g.fleet.OnChange(g.viewChanged)
 	g.http = &fasthttp.Server{
