Write log lines from bounded queues; serve metrics and status with both profiles

A reader of the log that never reads no longer holds up requests; lines of failed requests and of changed beliefs have bounds of their own.

--- a/cmd/nutmegd/main.go
+++ b/cmd/nutmegd/main.go
@@ -8,9 +8,13 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/settings"
 )
 
@@ -50,13 +54,26 @@
 	return serve(s, func() (*settings.Settings, error) { return settings.Load(*file) })
 }
 
+// memoryShare is the part of the memory that the runtime aims to stay below. The
+// rest holds what it does not count: bytes that wait in sockets.
+const memoryShare = 0.75
+
 func serve(s *settings.Settings, load func() (*settings.Settings, error)) int {
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("instance", s.Instance)
+	set := metrics.NewSet()
+	queue := logqueue.New(os.Stdout, set)
+	log := slog.New(queue.Handler(slog.LevelInfo)).With("instance", s.Instance)
+	writing, written := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { queue.Run(writing); close(ended) }()
+	defer func() { written(); <-ended }()
+	if s.Routed() {
+		debug.SetMemoryLimit(int64(memoryShare * s.Routes.MemoryMB * (1 << 20)))
+	}
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := kernel.Run(context.Background(), s, log, kernel.Signals{Stop: stop, Reload: reload, Load: load}); err != nil {
+	if err := kernel.Run(context.Background(), s, kernel.Host{Log: log, Metrics: set, Stop: stop, Reload: reload, Load: load}); err != nil {
 		log.Error("ended", "step", "run", "error", err)
 		return exitFailure
 	}
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -58,7 +58,7 @@
 	stop := make(chan os.Signal, 2)
 	stop <- syscall.SIGTERM
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return Run(context.Background(), &settings.Settings{Instance: "i"}, log, Signals{Stop: stop})
+	return Run(context.Background(), &settings.Settings{Instance: "i"}, Host{Log: log, Stop: stop})
 }
 
 // Guards against plug-ins started out of order and drained before those that
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -7,13 +7,18 @@
 	"reflect"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/settings"
 )
 
-// Signals delivers what operators ask of a running process.
-type Signals struct {
+// Host is what the process gives the kernel.
+type Host struct {
+	Log *slog.Logger
+	// Metrics holds counters that exist before the kernel; nil = none.
+	Metrics *metrics.Set
 	// Stop starts a planned stop; a second signal ends the process at once.
 	Stop <-chan os.Signal
 	// Reload has the settings read again; nil = never.
@@ -29,8 +34,11 @@
 
 // Run loads all registered plug-ins and runs them until a duty fails, the
 // context ends, or a signal asks for a stop.
-func Run(ctx context.Context, s *settings.Settings, log *slog.Logger, signals Signals) error {
-	c := NewContext(s, log, NewClock())
+func Run(ctx context.Context, s *settings.Settings, host Host) error {
+	c := NewContext(s, host.Log, NewClock())
+	if host.Metrics != nil {
+		c.Metrics = host.Metrics
+	}
 	plugins, err := provision(c)
 	if err != nil {
 		return err
@@ -43,16 +51,16 @@
 		_ = d.Wait() // the failed start is the cause to report
 		return joinCleanup(plugins, err)
 	}
-	log.Info("started", "step", "start", "data_centre", s.DataCentre)
+	logqueue.Notice(c.Log, "started", "step", "start", "data_centre", s.DataCentre, "profile", s.Profile)
 	c.Events.Record(Event{Kind: "instance", Step: "start"})
 	d.Go("signals", func(ctx context.Context) error {
-		waitStop(ctx, c, plugins, signals.Stop)
+		waitStop(ctx, c, plugins, host.Stop)
 		cancel()
 		return nil
 	})
-	if signals.Load != nil {
+	if host.Load != nil {
 		d.Go("settings", func(ctx context.Context) error {
-			followSettings(ctx, c, plugins, signals)
+			followSettings(ctx, c, plugins, host)
 			return ctx.Err()
 		})
 	}
@@ -98,7 +106,7 @@
 
 // followSettings hands changed settings to the plug-ins. Settings with faults
 // leave the former ones in force.
-func followSettings(ctx context.Context, c *Context, plugins []loaded, signals Signals) {
+func followSettings(ctx context.Context, c *Context, plugins []loaded, host Host) {
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	current := c.Settings
@@ -107,23 +115,23 @@
 		select {
 		case <-ctx.Done():
 			return
-		case sig := <-signals.Reload:
+		case sig := <-host.Reload:
 			why = sig.String()
 		case <-t.C:
 		}
-		s, err := signals.Load()
+		s, err := host.Load()
 		if err != nil {
 			c.Log.Error("settings not reloaded", "step", "reload", "why", why, "error", err)
 			continue
 		}
 		if reflect.DeepEqual(s, current) {
 			if why != "poll" {
-				c.Log.Info("settings unchanged", "step", "reload", "why", why)
+				logqueue.Notice(c.Log, "settings unchanged", "step", "reload", "why", why)
 			}
 			continue
 		}
 		current = s
-		c.Log.Info("settings reloaded", "step", "reload", "why", why)
+		logqueue.Notice(c.Log, "settings reloaded", "step", "reload", "why", why)
 		for _, l := range plugins {
 			if r, ok := l.plugin.(Reloader); ok {
 				r.Reload(s)
@@ -139,7 +147,7 @@
 	case <-ctx.Done():
 		return
 	case sig := <-stop:
-		c.Log.Info("stopping", "step", "drain", "signal", sig.String())
+		logqueue.Notice(c.Log, "stopping", "step", "drain", "signal", sig.String())
 		c.Events.Record(Event{Kind: "instance", Step: "drain"})
 	}
 	drain, cancel := context.WithTimeout(ctx, c.Settings.StopLimit())
@@ -161,7 +169,7 @@
 			c.Log.Warn("drain ended early", "step", "drain", "plugin", plugins[i].name, "error", err)
 		}
 	}
-	c.Log.Info("drained", "step", "drain", "took", time.Since(begin).Round(time.Millisecond).String())
+	logqueue.Notice(c.Log, "drained", "step", "drain", "took", time.Since(begin).Round(time.Millisecond).String())
 }
 
 func joinCleanup(plugins []loaded, err error) error {
--- a/plugin/admin/http.go
+++ b/plugin/admin/http.go
@@ -33,7 +33,7 @@
 	case adminapi.PathStatus:
 		reply(r, a.status())
 	case adminapi.PathView:
-		reply(r, a.fleet.View())
+		reply(r, a.publicView())
 	case adminapi.PathHistory:
 		a.serveHistory(r)
 	case adminapi.PathChanges:
@@ -51,6 +51,22 @@
 	}
 }
 
+// publicView returns the view without the operators' document, which holds keys.
+func (a *Admin) publicView() *api.View {
+	v := *a.fleet.View()
+	v.Document = nil
+	return &v
+}
+
+// withControl reports whether this instance reaches the control log, and answers
+// the call otherwise.
+func (a *Admin) withControl(r *fasthttp.RequestCtx) bool {
+	if a.control == nil {
+		fail(r, fasthttp.StatusNotFound, "control", "this instance takes no orders; ask a control instance")
+	}
+	return a.control != nil
+}
+
 func (a *Admin) serveReady(r *fasthttp.RequestCtx) {
 	if ok, why := a.ready(); !ok {
 		fail(r, fasthttp.StatusServiceUnavailable, "ready", why)
@@ -64,7 +80,10 @@
 	view := a.fleet.View()
 	out := adminapi.Status{
 		Instance: s.Instance, DataCentre: s.DataCentre,
-		Lease: a.lease.Valid(), Revision: view.Revision, Control: a.control.Status(),
+		Revision: view.Revision,
+	}
+	if a.control != nil {
+		out.Control = a.control.Status()
 	}
 	out.Ready, out.NotReady = a.ready()
 	for name, isOut := range view.Out {
@@ -73,6 +92,13 @@
 		}
 	}
 	sort.Strings(out.Out)
+	if a.lease == nil {
+		for _, peer := range a.mesh.Peers() {
+			out.Peers = append(out.Peers, adminapi.PeerStatus{Instance: peer, Reachable: a.mesh.Reachable(peer)})
+		}
+		return out
+	}
+	out.Lease = a.lease.Valid()
 	if view.Config != nil {
 		for _, p := range view.Config.Pools {
 			owner, epoch, _ := a.lease.Owner(p.Name)
@@ -89,6 +115,9 @@
 }
 
 func (a *Admin) serveHistory(r *fasthttp.RequestCtx) {
+	if !a.withControl(r) {
+		return
+	}
 	limit, err := intArg(r, "limit", 20)
 	if err != nil || limit < 1 || limit > 1000 {
 		fail(r, fasthttp.StatusBadRequest, "history", "limit wants a number from 1 to 1000")
@@ -108,6 +137,9 @@
 }
 
 func (a *Admin) serveChange(r *fasthttp.RequestCtx) {
+	if !a.withControl(r) {
+		return
+	}
 	if !r.IsPost() {
 		fail(r, fasthttp.StatusMethodNotAllowed, "change", "want POST")
 		return
@@ -142,7 +174,7 @@
 		out.Waiting = append(out.Waiting, a.kernel.Settings.Instance)
 	}
 	for _, peer := range a.mesh.Peers() {
-		if a.lease.MayHoldLease(peer) && a.lease.Revision(peer) < out.Revision {
+		if a.lease != nil && a.lease.MayHoldLease(peer) && a.lease.Revision(peer) < out.Revision {
 			out.Waiting = append(out.Waiting, peer)
 		}
 	}
--- a/plugin/admin/setup.go
+++ b/plugin/admin/setup.go
@@ -18,9 +18,10 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name:  "admin",
-		Order: kernel.OrderAdmin,
-		New:   func() kernel.Plugin { return &Admin{} },
+		Name:   "admin",
+		Order:  kernel.OrderAdmin,
+		New:    func() kernel.Plugin { return &Admin{} },
+		Wanted: kernel.Everywhere,
 	})
 }
 
@@ -34,9 +35,9 @@
 type Admin struct {
 	kernel  *kernel.Context
 	mesh    api.Mesh
-	lease   api.Lease
+	lease   api.Lease // nil with the profile "routes"
 	fleet   api.Fleet
-	control api.Control
+	control api.Control // nil on instances that take no orders
 
 	listener net.Listener
 	server   *fasthttp.Server
@@ -76,10 +77,14 @@
 	if a.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
 		return err
 	}
-	if a.lease, err = kernel.Lookup[api.Lease](c); err != nil {
+	if a.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
 		return err
 	}
-	if a.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
+	if c.Settings.Routed() {
+		if c.Settings.ServesCallers() {
+			return nil
+		}
+	} else if a.lease, err = kernel.Lookup[api.Lease](c); err != nil {
 		return err
 	}
 	a.control, err = kernel.Lookup[api.Control](c)
@@ -109,7 +114,7 @@
 		return false, "stopping"
 	case a.fleet.View().Revision == 0:
 		return false, "no configuration yet"
-	case !a.lease.Valid():
+	case a.lease != nil && !a.lease.Valid():
 		return false, "no valid lease: no majority of instances answers"
 	}
 	return true, ""
--- a/plugin/control/discovered.go
+++ b/plugin/control/discovered.go
@@ -7,6 +7,7 @@
 
 	"nutmegrouter/internal/consensus"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/wal"
 )
 
@@ -125,7 +126,7 @@
 			err = r.load(log, st)
 		}
 		if err == nil {
-			c.kernel.Log.Info("disk accepts writes again", "step", "write", "entries", len(st.Entries))
+			logqueue.Notice(c.kernel.Log, "disk accepts writes again", "step", "write", "entries", len(st.Entries))
 			c.kernel.Events.Record(kernel.Event{Kind: "control", Step: "disk-back"})
 			return nil
 		}
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -11,6 +11,7 @@
 	"nutmegrouter/internal/consensus"
 	"nutmegrouter/internal/fleetstate"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/wal"
 )
 
@@ -282,7 +283,7 @@
 	if changed {
 		r.role, r.leader, r.members = role, leader, members
 		r.event(roleName(r), r.instanceOf(leader))
-		r.c.kernel.Log.Info("control role", "step", roleName(r), "leader", r.instanceOf(leader), "term", r.node.Term())
+		logqueue.Notice(r.c.kernel.Log, "control role", "step", roleName(r), "leader", r.instanceOf(leader), "term", r.node.Term())
 	}
 	r.publish()
 	if changed {
--- a/plugin/control/setup.go
+++ b/plugin/control/setup.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/wal"
 )
 
@@ -123,7 +124,7 @@
 	}
 	if st.TornBytes > 0 {
 		c.kernel.Events.Record(kernel.Event{Kind: "control", Step: "torn-tail"})
-		c.kernel.Log.Info("cut off the torn tail of the log", "step", "open", "bytes", st.TornBytes)
+		logqueue.Notice(c.kernel.Log, "cut off the torn tail of the log", "step", "open", "bytes", st.TornBytes)
 	}
 	c.calls = kernel.NewRing[func(*replica)](c.kernel.Metrics, "control_calls", callRing)
 	c.inbox = kernel.NewRing[received](c.kernel.Metrics, "control_raft", raftRing)
--- a/plugin/directory/read.go
+++ b/plugin/directory/read.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/targetlist"
 )
 
@@ -41,7 +42,7 @@
 	entries, err := d.pages(ctx)
 	if err != nil {
 		d.failures.Inc()
-		d.log.Warn("list of targets not read", "step", "directory", "age_ms", d.age().Milliseconds(), "error", err)
+		logqueue.Notice(d.log, "list of targets not read", "step", "directory", "age_ms", d.age().Milliseconds(), "error", err)
 		return
 	}
 	now := d.kernel.Clock.Now()
@@ -171,7 +172,7 @@
 	defer cancel()
 	var u targetlist.Update
 	if err := d.mesh.Call(ctx, from, fetchMethod, struct{}{}, &u); err != nil {
-		d.log.Warn("list of targets not fetched", "step", "directory", "peer", from, "error", err)
+		logqueue.Notice(d.log, "list of targets not fetched", "step", "directory", "peer", from, "error", err)
 		return
 	}
 	d.apply(u, from)
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/targetlist"
 )
 
@@ -118,11 +119,11 @@
 
 func (d *Directory) logChange(u targetlist.Update, from string) {
 	for _, e := range u.Entries {
-		d.log.Info("target known", "step", "directory", "target", e.ID, "service", e.Service, "address", e.Address,
+		logqueue.Notice(d.log, "target known", "step", "directory", "target", e.ID, "service", e.Service, "address", e.Address,
 			"data_centre", e.DataCentre, "leaving", e.Leaving, "cold_ms", e.ColdMs, "epoch", u.At.Epoch, "seq", u.At.Seq, "from", from)
 	}
 	for _, id := range u.Gone {
-		d.log.Info("target gone", "step", "directory", "target", id, "epoch", u.At.Epoch, "seq", u.At.Seq, "from", from)
+		logqueue.Notice(d.log, "target gone", "step", "directory", "target", id, "epoch", u.At.Epoch, "seq", u.At.Seq, "from", from)
 	}
 }
 
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -356,7 +356,7 @@
 	if f.outcome == api.WorkBroken || f.outcome == api.WorkLate || f.outcome == api.WorkOther {
 		a.c.f.conns.Drop(a.place.Target().Address)
 	}
-	a.c.log.Info("attempt failed", "step", f.step, "target", a.place.Target().ID, "outcome", string(f.outcome),
+	a.c.log.Warn("attempt failed", "step", f.step, "target", a.place.Target().ID, "outcome", string(f.outcome),
 		"not_run", f.notRun, "took_ms", a.took().Milliseconds(), "error", f.cause)
 	a.end(f.outcome, false)
 	return f
--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/settings"
 )
 
@@ -29,12 +30,12 @@
 		if !closed && g.clock.Now()-begin >= rotationTime && g.listener.Quiet() {
 			closed = true
 			_ = g.listener.Close() // no caller is sent here any more
-			g.log.Info("listener closed", "step", "drain")
+			logqueue.Notice(g.log, "listener closed", "step", "drain")
 		}
 		if closed {
 			g.conns.CloseIdle()
 			if open, _ := g.conns.Count(); open == 0 {
-				g.log.Info("all requests served", "step", "drain")
+				logqueue.Notice(g.log, "all requests served", "step", "drain")
 				return nil
 			}
 		}
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -168,7 +168,7 @@
 	n, err := b.ans.Read(p)
 	if err != nil && err != io.EOF {
 		b.g.stats.cut.Inc()
-		b.g.log.Info("answer cut", "step", "caller", "request", b.id, "error", err)
+		b.g.log.Warn("answer cut", "step", "caller", "request", b.id, "error", err)
 	}
 	return n, err
 }
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -70,7 +70,7 @@
 // refuse answers with a refusal.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, r *api.Refusal, req *api.ForwardRequest) {
 	g.stats.refusal(r.Code)
-	g.log.Info("refused", "step", r.Step, "request", req.ID, "workspace", req.Workspace, "code", r.Code, "status", r.Status,
+	g.log.Warn("refused", "step", r.Step, "request", req.ID, "workspace", req.Workspace, "code", r.Code, "status", r.Status,
 		"run", string(r.Run), "reason", r.Message, "retry_after_ms", r.RetryAfter.Milliseconds(), "after_ms", (g.clock.Now() - req.Arrived).Milliseconds())
 	body, err := json.Marshal(refusalBody{r.Code, r.Message, r.Run})
 	if err != nil {
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -17,6 +17,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/routing"
 )
 
@@ -125,7 +126,7 @@
 		return
 	}
 	g.table.Store(t)
-	g.log.Info("configuration in force", "step", "view", "version", v.Version, "revision", v.Revision,
+	logqueue.Notice(g.log, "configuration in force", "step", "view", "version", v.Version, "revision", v.Revision,
 		"routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces))
 }
 
--- a/plugin/members/setup.go
+++ b/plugin/members/setup.go
@@ -15,6 +15,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/settings"
 )
 
@@ -177,7 +178,7 @@
 	listeners := slices.Clone(m.listeners)
 	m.mu.Unlock()
 	m.events.Record(kernel.Event{Kind: "leader", Step: "known", Peer: instance, Epoch: term})
-	m.log.Info("leader known", "step", "leader", "peer", instance, "term", term)
+	logqueue.Notice(m.log, "leader known", "step", "leader", "peer", instance, "term", term)
 	for _, f := range listeners {
 		f(instance, term)
 	}
--- a/plugin/mesh/link.go
+++ b/plugin/mesh/link.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 )
 
 // Timing of a link.
@@ -151,7 +152,7 @@
 
 func (l *link) record(step string, s *session, why string) {
 	l.mesh.events.Record(kernel.Event{Kind: "link", Step: step, Peer: s.peer, Detail: why})
-	l.mesh.log.Info("link "+step, "step", "link", "peer", s.peer, "address", l.address, "boot", s.boot, "why", why)
+	logqueue.Notice(l.mesh.log, "link "+step, "step", "link", "peer", s.peer, "address", l.address, "boot", s.boot, "why", why)
 }
 
 // refuser answers requests on outgoing links: peers send theirs on their own.
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -18,6 +18,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/targetconn"
 )
 
@@ -145,7 +146,7 @@
 		s.refuse(ctx, fasthttp.StatusBadRequest, r.Error)
 	default:
 		s.accepted.Inc()
-		s.log.Info("change accepted", "step", "operators", "change", c.ChangeID, "version", c.Version,
+		logqueue.Notice(s.log, "change accepted", "step", "operators", "change", c.ChangeID, "version", c.Version,
 			"data_centre", c.DataCentre, "out", c.Out, "revision", r.Revision)
 		ctx.SetStatusCode(fasthttp.StatusOK)
 	}
@@ -173,7 +174,7 @@
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int, text string) {
 	s.refused.Inc()
-	s.log.Info("order refused", "step", "operators", "path", string(ctx.Path()), "status", status, "error", text)
+	logqueue.Notice(s.log, "order refused", "step", "operators", "path", string(ctx.Path()), "status", status, "error", text)
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(text + "\n")
 }
@@ -181,7 +182,7 @@
 // unavailable answers a call that this instance cannot be sure about.
 func (s *Server) unavailable(ctx *fasthttp.RequestCtx, err error) {
 	s.unanswered.Inc()
-	s.log.Info("order not decided", "step", "operators", "path", string(ctx.Path()), "error", err)
+	logqueue.Notice(s.log, "order not decided", "step", "operators", "path", string(ctx.Path()), "error", err)
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	ctx.SetBodyString("not decided, ask again\n")
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/routing"
@@ -140,7 +141,7 @@
 func (o *Owner) statusChanged(s api.ControlStatus) {
 	switch {
 	case s.Role != "leader" && o.term != 0:
-		o.log.Info("ownership ended", "step", "owner", "term", o.term)
+		logqueue.Notice(o.log, "ownership ended", "step", "owner", "term", o.term)
 		o.term, o.state = 0, nil
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
@@ -148,7 +149,7 @@
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
-		o.log.Info("ownership begins", "step", "owner", "term", o.term)
+		logqueue.Notice(o.log, "ownership begins", "step", "owner", "term", o.term)
 		o.viewChanged()
 	}
 }
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -9,6 +9,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/placewire"
 )
 
@@ -126,7 +127,7 @@
 		return left
 	}
 	p.unanswered.Inc()
-	p.log.Warn("owner does not answer", "step", "owner", "peer", p.owner.name, "term", p.owner.term,
+	logqueue.Notice(p.log, "owner does not answer", "step", "owner", "peer", p.owner.name, "term", p.owner.term,
 		"silent_ms", (now - p.owner.heard).Milliseconds(), "waiting", len(p.waiting))
 	p.owner.absent = now + absentFor
 	p.releaseWaiting()
