Place prompts where their shared parts are kept unless that makes them late

Causes: the time until which a long prompt counts as on time grew with what each target had to read, so that targets without the parts looked on time and the one that keeps them late; refusals in favour of other workspaces held back all that had got more, also while targets were idle; parts of running prompts were counted once for each request. Ruled out: a wrong model of what targets keep (predicted 26.7% of the prompt tokens kept, the targets reported 26.1%).

--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"container/list"
-	"time"
-)
+import "container/list"
 
 // PartID identifies a prompt part together with all parts before it.
 type PartID uint64
@@ -14,23 +11,25 @@
 	Tokens int
 }
 
-// held is the assumed content of a target's prompt memory. The least recently
-// used parts yield, as they do at the target.
+// held is the assumed content of a target's prompt memory. Parts of running
+// requests stay; of the others the least recently used yield, as they do at the
+// target.
 type held struct {
 	capacity int // tokens
-	used     int
+	used     int // tokens of all parts
+	inUse    int // tokens of the parts of running requests, each counted once
 	byID     map[PartID]*list.Element
-	order    *list.List // most recently used first
+	free     *list.List // parts that no running request uses, most recently used first
 }
 
 // heldPart is a part that a target keeps.
 type heldPart struct {
 	Part
-	usedAt time.Duration
+	users int
 }
 
 func newHeld(capacity int) *held {
-	return &held{capacity: capacity, byID: map[PartID]*list.Element{}, order: list.New()}
+	return &held{capacity: capacity, byID: map[PartID]*list.Element{}, free: list.New()}
 }
 
 // missing returns the tokens of a prompt that the target must read: all from the
@@ -46,31 +45,58 @@
 	return n
 }
 
-// use marks the parts of a prompt as just used. The memory that running requests
-// take reduces what can be kept.
-func (h *held) use(prompt []Part, running int, now time.Duration) {
+// take begins the use of the parts of a prompt. Other is the memory that running
+// requests take besides their prompts.
+func (h *held) take(prompt []Part, other int) {
 	for _, p := range prompt {
-		if e := h.byID[p.ID]; e != nil {
-			e.Value.(*heldPart).usedAt = now
-			h.order.MoveToFront(e)
-			continue
+		e := h.byID[p.ID]
+		if e == nil {
+			e = &list.Element{Value: &heldPart{Part: p}}
+			h.byID[p.ID] = e
+			h.used += p.Tokens
+		} else if e.Value.(*heldPart).users == 0 {
+			h.free.Remove(e)
+		}
+		part := e.Value.(*heldPart)
+		if part.users == 0 {
+			h.inUse += part.Tokens
 		}
-		h.byID[p.ID] = h.order.PushFront(&heldPart{Part: p, usedAt: now})
-		h.used += p.Tokens
+		part.users++
 	}
-	for h.used > max(0, h.capacity-running) && h.order.Len() > len(prompt) {
-		h.drop(h.order.Back())
+	h.yield(other)
+}
+
+// release ends the use of the parts of a prompt. They stay while there is room;
+// the first parts, which others share, are taken as used last.
+func (h *held) release(prompt []Part, other int) {
+	for i := len(prompt) - 1; i >= 0; i-- {
+		e := h.byID[prompt[i].ID]
+		if e == nil {
+			continue // the target has begun a new life meanwhile
+		}
+		part := e.Value.(*heldPart)
+		if part.users == 0 {
+			continue
+		}
+		if part.users--; part.users == 0 {
+			h.inUse -= part.Tokens
+			h.byID[part.ID] = h.free.PushFront(part)
+		}
 	}
+	h.yield(other)
 }
 
-func (h *held) drop(e *list.Element) {
-	p := h.order.Remove(e).(*heldPart)
-	delete(h.byID, p.ID)
-	h.used -= p.Tokens
+// yield drops the least recently used parts that do not fit.
+func (h *held) yield(other int) {
+	for h.used+other > h.capacity && h.free.Len() > 0 {
+		part := h.free.Remove(h.free.Back()).(*heldPart)
+		delete(h.byID, part.ID)
+		h.used -= part.Tokens
+	}
 }
 
 func (h *held) clear() {
-	h.used = 0
+	h.used, h.inUse = 0, 0
 	clear(h.byID)
-	h.order.Init()
+	h.free.Init()
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -88,8 +88,11 @@
 	// target has room, and by how much the workspace exceeds its share.
 	Wait   time.Duration
 	Excess float64
-	// Missing is the number of prompt tokens that the target must read.
-	Missing int
+	// Missing is the number of prompt tokens that the target must read, Least the
+	// smallest such number of any target, and LeastWait the time until that one has
+	// room.
+	Missing, Least int
+	LeastWait      time.Duration
 }
 
 // Codes of refusals.
@@ -97,6 +100,7 @@
 	CodeNoTarget = "no_target"
 	CodeLate     = "too_late"
 	CodeShare    = "share_exceeded"
+	CodeYield    = "share_yields"
 )
 
 // View is what the owner needs to know about the fleet.
@@ -163,6 +167,22 @@
 	slices.SortFunc(o.byName, func(a, b *target) int { return cmp.Compare(a.info.ID, b.info.ID) })
 }
 
+// readTime returns the time that a whole prompt takes on a usual target of its
+// service.
+func (o *Owner) readTime(a Ask) time.Duration {
+	sum, n := 0.0, 0
+	for _, t := range o.byName {
+		if t.info.Service == a.Service {
+			sum += t.rate
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(float64(a.PromptTokens) / (sum / float64(n)) * float64(time.Millisecond))
+}
+
 // Serves reports whether the owner places the requests of a service.
 func (o *Owner) Serves(service string) bool {
 	s := o.view.Services[service]
@@ -177,6 +197,7 @@
 	o.advance(now)
 	w := &work{key: k, ask: a, askedAt: now, due: now + a.Objective, last: now + a.Last}
 	w.cost = float64(a.PromptTokens) + 2*float64(a.OutputTokens)
+	w.effective = max(w.due, now+time.Duration(longFactor*float64(o.readTime(a)+baseTime)))
 	o.works[k] = w
 	o.waiting = append(o.waiting, w)
 	if !a.Resumes {
@@ -356,9 +377,12 @@
 	target  *target
 	wait    time.Duration // until it has room
 	begin   time.Duration // until the first event
-	due     time.Duration // when the first event is on time
 	score   time.Duration
 	missing int
+
+	// least and leastWait describe the target that must read least.
+	least     int
+	leastWait time.Duration
 }
 
 // decide answers one request, or plans its place and leaves it waiting.
@@ -368,15 +392,14 @@
 	if !ok {
 		return o.refuse(w, d, CodeNoTarget, o.advice(0)), true
 	}
-	d.Wait, d.Missing = c.wait, c.missing
-	late := now+c.begin+margin > c.due && !w.ask.Resumes
-	if late || c.wait > 0 {
+	d.Wait, d.Missing, d.Least, d.LeastWait = c.wait, c.missing, c.least, c.leastWait
+	late := now+c.begin+margin > w.effective && !w.ask.Resumes
+	if late {
 		o.shares.deny(w.ask.Workspace, now)
 	}
 	switch {
-	case d.Excess > 0 && !w.ask.Resumes && o.shares.overtakes(w.ask.Workspace, w.cost, now):
-		o.shares.deny(w.ask.Workspace, now)
-		return o.refuse(w, d, CodeShare, o.advice(o.shares.window/shareSlots)), true
+	case d.Excess > 0 && !w.ask.Resumes && c.target.queued > 0 && o.shares.overtakes(w.ask.Workspace, w.cost, now):
+		return o.refuse(w, d, CodeYield, o.advice(o.shares.window/shareSlots)), true
 	case late && !o.worthLate(w, c, d.Excess, now):
 		code := CodeLate
 		if d.Excess > 0 {
@@ -422,12 +445,16 @@
 // tried or failed lately are used only if there is no other.
 func (o *Owner) choose(w *work, now time.Duration) (choice, bool) {
 	var best, spare choice
+	least, leastWait := -1, time.Duration(0)
 	home := o.home(w)
 	for _, t := range o.byName {
 		if t.info.Service != w.ask.Service || t.info.Leaving || o.view.Out[t.info.DataCentre] {
 			continue
 		}
 		c := o.assess(t, w, now)
+		if least < 0 || c.missing < least || (c.missing == least && c.wait < leastWait) {
+			least, leastWait = c.missing, c.wait
+		}
 		if t == home {
 			c.score -= homeBonus
 		}
@@ -442,6 +469,7 @@
 	if best.target == nil {
 		best = spare
 	}
+	best.least, best.leastWait = least, leastWait
 	return best, best.target != nil
 }
 
@@ -467,8 +495,7 @@
 	if t.info.DataCentre != w.ask.DataCentre {
 		c.score += farCost
 	}
-	c.due = max(w.due, w.askedAt+time.Duration(longFactor*float64(read+baseTime)))
-	if now+c.begin+margin > c.due {
+	if now+c.begin+margin > w.effective {
 		c.score += latePenalty
 	}
 	return c
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -14,7 +14,7 @@
 	asked, begun [shareSlots]float64
 	askedSum     float64
 	begunSum     float64
-	deniedAt     time.Duration // when a request was last refused or had to wait
+	deniedAt     time.Duration // when the targets last had no room for a request in time
 	denied       bool          // deniedAt is set
 }
 
@@ -107,11 +107,12 @@
 	u.begunSum += tokens
 }
 
-// deniedFor is how long a workspace counts as one that wants more after a request
-// of it was refused or had to wait.
+// deniedFor is how long a workspace counts as one that wants more after the
+// targets had no room for a request of it. A request that is refused in favour of
+// another workspace does not count: it would hold back all that have got more.
 const deniedFor = time.Second
 
-// deny notes that a workspace wanted more than it got.
+// deny notes that the targets had no room for a request of a workspace.
 func (s *shares) deny(name string, now time.Duration) {
 	u := s.of(name)
 	u.deniedAt, u.denied = now, true
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -29,6 +29,8 @@
 	askedAt time.Duration // owner's clock
 	due     time.Duration // when the first event is on time
 	last    time.Duration // when it is of no use any more
+	// effective is due, or later for a prompt that cannot be read until then.
+	effective time.Duration
 
 	target  *target // nil while it waits
 	missing int     // prompt tokens that the target must read
@@ -37,9 +39,6 @@
 	passed  bool // a later request on the target began before it
 }
 
-// memory returns the tokens that a request takes on its target.
-func (w *work) memory() int { return w.ask.PromptTokens + w.ask.OutputTokens }
-
 // target is the owner's model of one target.
 type target struct {
 	info   api.Target
@@ -47,7 +46,7 @@
 
 	running   map[Key]*work
 	queue     []*work // not begun, oldest first
-	memory    int     // tokens of the running requests
+	outputs   int     // tokens that the running requests generate
 	held      *held
 	rate      float64 // prompt tokens a millisecond
 	beganAt   time.Duration
@@ -103,7 +102,8 @@
 		return false
 	}
 	capacity := t.engine.CacheTokens
-	return capacity == 0 || len(t.running) == 0 || t.memory+w.memory() <= capacity
+	return capacity == 0 || len(t.running) == 0 ||
+		t.held.inUse+t.outputs+t.held.missing(w.ask.Prompt)+w.ask.OutputTokens <= capacity
 }
 
 func (t *target) slots() int {
@@ -127,8 +127,8 @@
 	w.missing = t.held.missing(w.ask.Prompt)
 	t.running[w.key] = w
 	t.queue = append(t.queue, w)
-	t.memory += w.memory()
-	t.held.use(w.ask.Prompt, t.memory, now)
+	t.outputs += w.ask.OutputTokens
+	t.held.take(w.ask.Prompt, t.outputs)
 	t.starts = append(t.starts, now)
 }
 
@@ -177,5 +177,6 @@
 	}
 	delete(t.running, w.key)
 	t.dequeue(w, false)
-	t.memory -= w.memory()
+	t.outputs -= w.ask.OutputTokens
+	t.held.release(w.ask.Prompt, t.outputs)
 }
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -64,6 +64,9 @@
 	WaitMs  int64   `json:"w,omitempty"`
 	Excess  float64 `json:"x,omitempty"`
 	Missing int     `json:"m,omitempty"`
+	// Least and LeastWaitMs describe the target that would have to read least.
+	Least       int   `json:"l,omitempty"`
+	LeastWaitMs int64 `json:"y,omitempty"`
 }
 
 // Down is what the owner tells an entry instance. One without grants tells that
@@ -119,6 +122,6 @@
 func NewGrant(d placement.Decision) Grant {
 	return Grant{
 		Number: d.Key.Number, Target: d.Target, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
-		WaitMs: d.Wait.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, Missing: d.Missing,
+		WaitMs: d.Wait.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, Missing: d.Missing, Least: d.Least, LeastWaitMs: d.LeastWait.Milliseconds(),
 	}
 }
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -172,7 +172,7 @@
 func (p *Placer) take(w *api.Work, number uint64, g placewire.Grant) (api.Placement, error) {
 	p.remote.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
-		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "term", p.owner.term)
+		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "least_missing_tokens", g.Least, "least_wait_ms", g.LeastWaitMs, "term", p.owner.term)
 	l := &placed{p: p, work: w, begin: p.clock.Now(), by: "owner", number: number}
 	for _, t := range p.directory.Targets() {
 		if t.ID == g.Target {
