Decide on each request when it is asked for; let it wait for one target

Cause: after each event the owner looked at the 48 most urgent of all waiting requests and at all targets. Change: a request is placed, refused or planned for the target that suits it best at once; events of a target look at its own plan only.

--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds and weights of the choice of a target.
+const (
+	// ahead is the reading time that may already wait on a target when another
+	// request is sent to it. It covers the way of a message to the owner and back;
+	// what waits longer waits here, where it can still be put in order.
+	ahead = 60 * time.Millisecond
+	// rereadWeight is what reading a part that another target keeps costs, as a
+	// multiple of its time: the target could serve another request meanwhile.
+	rereadWeight = 3.0
+	// homeBonus is what the usual target of a prompt saves if no target keeps it,
+	// so that owners that follow each other choose alike.
+	homeBonus = 10 * time.Millisecond
+	// farCost is what a target in another data centre than the caller's entry costs.
+	farCost = 4 * time.Millisecond
+	// crowdCost is what each running request on a target costs: it slows the others.
+	crowdCost = 500 * time.Microsecond
+	// failCost is what a target that always fails costs.
+	failCost = 400 * time.Millisecond
+	// latePenalty makes a target on which a request is on time better than any on
+	// which it is not.
+	latePenalty = 5 * time.Second
+	// suspectPenalty keeps targets that failed lately, or that the request has
+	// tried, for requests that have no other.
+	suspectPenalty = time.Minute
+	// longFactor is the multiple of its own reading time within which a prompt that
+	// cannot be read within the objective counts as on time, so that the longest
+	// requests are served, too.
+	longFactor = 1.6
+	// startShare is the part of the bound on starts of a cold target that is used:
+	// starts are counted here when they are granted, and at the target later.
+	startShare = 0.8
+	// margin is left of the objective for the way of the answer to the caller.
+	margin = 15 * time.Millisecond
+)
+
+// choice is a target for a request.
+type choice struct {
+	target  *target
+	wait    time.Duration // until it has room
+	begin   time.Duration // until the first event
+	score   time.Duration // the least is the best
+	missing int           // prompt tokens to read
+
+	// least and leastWait describe the target that must read least.
+	least     int
+	leastWait time.Duration
+}
+
+// choose returns the best target for a request: the one with the least time until
+// the first event and the least work that others must wait for.
+func (o *Owner) choose(w *work, now time.Duration) (choice, bool) {
+	var best choice
+	home := o.home(w)
+	least, leastWait := -1, time.Duration(0)
+	for _, t := range o.byName {
+		if t.info.Service != w.ask.Service || !o.inService(t) {
+			continue
+		}
+		c := o.assess(t, w, now)
+		if least < 0 || c.missing < least || (c.missing == least && c.wait < leastWait) {
+			least, leastWait = c.missing, c.wait
+		}
+		if t == home {
+			c.score -= homeBonus
+		}
+		if best.target == nil || c.score < best.score {
+			best = c
+		}
+	}
+	best.least, best.leastWait = least, leastWait
+	return best, best.target != nil
+}
+
+// assess predicts a request's time on a target.
+func (o *Owner) assess(t *target, w *work, now time.Duration) choice {
+	c := choice{target: t, missing: t.held.missing(w.ask.Prompt)}
+	queue := t.backlog(now) + t.readTime(t.plannedBefore(w))
+	c.wait = max(0, queue-ahead)
+	if !t.room(w) {
+		c.wait = max(c.wait, t.roomTime())
+	}
+	c.wait = max(c.wait, t.startTime(o.startLimit(t, now), now))
+	read := t.readTime(float64(c.missing))
+	c.begin = max(queue, c.wait) + read + baseTime
+	c.score = c.begin + time.Duration(rereadWeight*float64(read)) + time.Duration(len(t.running))*crowdCost +
+		time.Duration(t.health.failures*float64(failCost))
+	if t.info.DataCentre != w.ask.DataCentre {
+		c.score += farCost
+	}
+	if now+c.begin+margin > w.effective {
+		c.score += latePenalty
+	}
+	if t.health.until > now || slices.Contains(w.ask.Tried, t.info.ID) {
+		c.score += suspectPenalty
+	}
+	return c
+}
+
+// startLimit bounds the starts a second on a target. One that is warm may turn
+// cold at any moment, and the list tells it late, so the bound for cold targets
+// holds always, but for what a cold target takes beyond its rate.
+func (o *Owner) startLimit(t *target, now time.Duration) float64 {
+	s := o.view.Services[t.info.Service]
+	if s == nil || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	if t.info.ColdUntil > now {
+		return s.ColdPerSecond * startShare
+	}
+	return (s.ColdPerSecond*o.cfg.ColdOverage + o.cfg.ColdSlack) * startShare
+}
+
+// home returns the target on which the shared parts of a prompt are read first:
+// the one with the highest hash of part and target.
+func (o *Owner) home(w *work) *target {
+	part := HomePart(w.ask.Prompt)
+	if part == 0 {
+		return nil
+	}
+	var best *target
+	highest := uint64(0)
+	for _, t := range o.byName {
+		if t.info.Service != w.ask.Service || !o.inService(t) {
+			continue
+		}
+		if h := mix(uint64(part), t.hash); best == nil || h > highest {
+			best, highest = t, h
+		}
+	}
+	return best
+}
+
+// HomePart returns the part by which a prompt's usual target is chosen: the last
+// one that it shares with other requests. 0 = none.
+func HomePart(prompt []Part) PartID {
+	if len(prompt) < 2 {
+		return 0
+	}
+	return prompt[len(prompt)-2].ID
+}
+
+// hashName returns the FNV-1a hash of a target's name.
+func hashName(name string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	return h
+}
+
+// mix combines the hashes of a part and a target.
+func mix(part, target uint64) uint64 {
+	h := part*0x9e3779b97f4a7c15 ^ target
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -107,7 +107,7 @@
 		if t.Service != q.Service || t.Leaving || q.Out[t.DataCentre] || t.ColdUntil > q.Now {
 			continue
 		}
-		if h := mix(uint64(q.Home), t.ID); id == "" || h > highest {
+		if h := mix(uint64(q.Home), hashName(t.ID)); id == "" || h > highest {
 			id, highest = t.ID, h
 		}
 	}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,178 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// lateFactor is the multiple of the objective, counted from the request, after
+	// which callers give up a stream that has not begun; lateLeast is the least time.
+	lateFactor = 4
+	lateLeast  = 2 * time.Second
+	// adviceLeast and adviceMost bound the time after which refused callers are
+	// told to come back.
+	adviceLeast = 200 * time.Millisecond
+	adviceMost  = 2 * time.Second
+	// betterBy is what another target must save for a waiting request to change its
+	// plan.
+	betterBy = 50 * time.Millisecond
+)
+
+// decide grants or refuses a request, or plans it for the best target.
+func (o *Owner) decide(w *work, now time.Duration) {
+	w.excess = 0
+	if !w.ask.Resumes {
+		w.excess = o.shares.excess(w.ask.Workspace, w.cost)
+	}
+	c, ok := o.choose(w, now)
+	if !ok {
+		o.refuse(w, c, CodeNoTarget, 0)
+		return
+	}
+	if code := o.refusal(w, c, now); code != "" {
+		o.refuse(w, c, code, c.wait)
+		return
+	}
+	if c.wait > 0 {
+		c.target.plan = append(c.target.plan, w)
+		w.planned, w.plannedMissing = c.target, c.missing
+		o.waiting++
+		return
+	}
+	o.grant(w, c, now)
+}
+
+// refusal returns why a request is refused, or "".
+func (o *Owner) refusal(w *work, c choice, now time.Duration) string {
+	if w.ask.Resumes {
+		return ""
+	}
+	late := now+c.begin+margin > w.effective
+	if late {
+		o.shares.deny(w.ask.Workspace, now)
+	}
+	switch {
+	case w.excess > 0 && c.target.busy(now) && o.shares.overtakes(w.ask.Workspace, w.cost, now):
+		return CodeYield
+	case late && w.excess > 0:
+		return CodeShare
+	case late && now+c.begin+margin > w.patience():
+		return CodeLate
+	}
+	return ""
+}
+
+// patience returns until when the caller waits for the first event.
+func (w *work) patience() time.Duration {
+	asked := w.due - w.ask.Allowed // of the caller's first attempt
+	return min(w.last, asked+max(lateLeast, lateFactor*w.ask.Allowed))
+}
+
+func (o *Owner) refuse(w *work, c choice, code string, wait time.Duration) {
+	delete(o.works, w.key)
+	if code == CodeYield {
+		wait = o.shares.window / shareSlots
+	}
+	d := w.decision(c)
+	d.Code, d.RetryAfter = code, min(max(wait, adviceLeast), adviceMost)
+	o.out = append(o.out, d)
+}
+
+func (o *Owner) grant(w *work, c choice, now time.Duration) {
+	c.target.start(w, now)
+	if !w.ask.Resumes {
+		o.shares.begin(w.ask.Workspace, w.cost)
+	}
+	d := w.decision(c)
+	d.Target = c.target.info.ID
+	o.out = append(o.out, d)
+}
+
+func (w *work) decision(c choice) Decision {
+	return Decision{
+		Key: w.key, Excess: w.excess, Wait: c.wait, Missing: c.missing, Least: c.least, LeastWait: c.leastWait,
+	}
+}
+
+// unplan removes a waiting request from its plan.
+func (o *Owner) unplan(w *work) {
+	t := w.planned
+	if t == nil {
+		return
+	}
+	if i := slices.Index(t.plan, w); i >= 0 {
+		t.plan = slices.Delete(t.plan, i, i+1)
+		o.waiting--
+	}
+	w.planned = nil
+}
+
+// serve starts the requests that wait for a target as far as it has room: streams
+// that go on first, then workspaces within their share by due time, then the
+// others by how far they exceed it.
+func (o *Owner) serve(t *target, now time.Duration) {
+	for len(t.plan) > 0 {
+		w := slices.MinFunc(t.plan, before)
+		c := o.assess(t, w, now)
+		if c.wait > t.readTime(t.plannedBefore(w)) || t.backlog(now) > ahead {
+			return
+		}
+		c.wait = 0
+		o.unplan(w)
+		if !w.ask.Resumes {
+			w.excess = o.shares.excess(w.ask.Workspace, w.cost)
+		}
+		if code := o.refusal(w, c, now); code != "" {
+			o.refuse(w, c, code, 0)
+			continue
+		}
+		o.grant(w, c, now)
+	}
+}
+
+// before orders waiting requests.
+func before(a, b *work) int {
+	switch {
+	case a.ask.Resumes != b.ask.Resumes:
+		if a.ask.Resumes {
+			return -1
+		}
+		return 1
+	case a.excess != b.excess:
+		if a.excess < b.excess {
+			return -1
+		}
+		return 1
+	case a.due != b.due:
+		if a.due < b.due {
+			return -1
+		}
+		return 1
+	}
+	return 0
+}
+
+// review places anew the requests that wait for a target and have become late
+// there, or are better off elsewhere.
+func (o *Owner) review(t *target, now time.Duration) {
+	for _, w := range slices.Clone(t.plan) {
+		if w.planned != t {
+			continue
+		}
+		c := o.assess(t, w, now)
+		if now+c.begin+margin <= w.effective {
+			continue
+		}
+		o.unplan(w)
+		o.decide(w, now)
+	}
+}
+
+// replan places anew all requests that wait for a target.
+func (o *Owner) replan(t *target, now time.Duration) {
+	for _, w := range slices.Clone(t.plan) {
+		o.unplan(w)
+		o.decide(w, now)
+	}
+}
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -31,13 +31,15 @@
 	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1)}
 }
 
-// advance moves the window to a time, and computes the shares for a capacity in
-// tokens a second when a slot has ended.
+func (s *shares) slotAt(now time.Duration) int64 { return int64(now / (s.window / shareSlots)) }
+
+// due reports whether a slot has ended since the last advance.
+func (s *shares) due(now time.Duration) bool { return s.slotAt(now) != s.slot }
+
+// advance moves the window to a time and computes the shares for a capacity in
+// tokens a second.
 func (s *shares) advance(now time.Duration, capacity float64) {
-	slot := int64(now / (s.window / shareSlots))
-	if slot == s.slot {
-		return
-	}
+	slot := s.slotAt(now)
 	steps := min(slot-s.slot, shareSlots)
 	for name, u := range s.byName {
 		for i := range steps {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -19,6 +19,7 @@
 	stuckMargin  = 250 * time.Millisecond // added to it
 	headShare    = 0.95                   // most of the first request's prompt that counts as read before its answer
 	startsWindow = time.Second            // over which the bound on starts of a cold target holds
+	usualRun     = 4 * time.Second        // time of a request on a target, to guess when one ends
 )
 
 // work is one request of an entry instance that waits or runs.
@@ -31,46 +32,65 @@
 	last    time.Duration // when it is of no use any more
 	// effective is due, or later for a prompt that cannot be read until then.
 	effective time.Duration
+	excess    float64 // by how much its workspace exceeds the share
 
-	target  *target // nil while it waits
+	planned        *target // for which it waits; nil otherwise
+	plannedMissing int     // prompt tokens that it would read there
+
+	target  *target // on which it runs; nil while it waits
 	missing int     // prompt tokens that the target must read
 	sentAt  time.Duration
 	began   bool
 	passed  bool // a later request on the target began before it
 }
 
+func newWork(k Key, a Ask, now time.Duration) *work {
+	return &work{
+		key: k, ask: a, askedAt: now, due: now + a.Objective, last: now + a.Last,
+		cost: float64(a.PromptTokens) + 2*float64(a.OutputTokens),
+	}
+}
+
 // target is the owner's model of one target.
 type target struct {
 	info   api.Target
+	hash   uint64 // of its ID
 	engine routing.Engine
 
-	running   map[Key]*work
-	queue     []*work // not begun, oldest first
-	outputs   int     // tokens that the running requests generate
-	held      *held
-	rate      float64 // prompt tokens a millisecond
-	beganAt   time.Duration
-	starts    []time.Duration // newest starts, oldest first
-	health    health
-	planned   float64       // prompt tokens of waiting requests that plan to come here
-	slotsKept int           // waiting requests that plan to come here
-	queued    time.Duration // backlog at the time of the decision under way
+	running map[Key]*work
+	queue   []*work // not begun, oldest first
+	outputs int     // tokens that the running requests generate
+	held    *held
+	rate    float64 // prompt tokens a millisecond
+	beganAt time.Duration
+	starts  []time.Duration // newest starts, oldest first
+	health  health
+	plan    []*work // requests that wait for this target
+
+	counted   time.Duration // when queued was computed; -1 = it has changed
+	queuedFor time.Duration
 }
 
 func newTarget(info api.Target, e routing.Engine) *target {
-	return &target{info: info, engine: e, running: map[Key]*work{}, held: newHeld(e.CacheTokens), rate: firstRate}
+	return &target{
+		info: info, hash: hashName(info.ID), engine: e, running: map[Key]*work{},
+		held: newHeld(e.CacheTokens), rate: firstRate, counted: -1,
+	}
 }
 
-// renew begins a new life: nothing of before is on the target.
-func (t *target) renew(info api.Target) {
-	t.info = info
-	t.held.clear()
-	t.health = health{}
-	t.rate = firstRate
+// backlog returns the time until the target has read what was sent to it. It is
+// asked for each target at each decision, so the answer is kept for a moment.
+func (t *target) backlog(now time.Duration) time.Duration {
+	const fresh = time.Millisecond
+	if t.counted < 0 || now-t.counted >= fresh {
+		t.queuedFor, t.counted = t.countBacklog(now), now
+	}
+	return t.queuedFor
 }
 
-// backlog returns the time until the target has read what was sent to it.
-func (t *target) backlog(now time.Duration) time.Duration {
+func (t *target) changed() { t.counted = -1 }
+
+func (t *target) countBacklog(now time.Duration) time.Duration {
 	tokens, first := 0.0, true
 	var stuck time.Duration
 	for _, w := range t.queue {
@@ -96,9 +116,24 @@
 	return time.Duration(tokens / t.rate * float64(time.Millisecond))
 }
 
+// busy reports whether the target has prompts to read.
+func (t *target) busy(now time.Duration) bool { return len(t.queue) > 0 && t.backlog(now) > 0 }
+
+// plannedBefore returns the prompt tokens of the waiting requests that come before
+// another one.
+func (t *target) plannedBefore(w *work) float64 {
+	n := 0
+	for _, p := range t.plan {
+		if p != w && before(p, w) < 0 {
+			n += p.plannedMissing
+		}
+	}
+	return float64(n)
+}
+
 // room reports whether the target has a slot and memory for a request.
 func (t *target) room(w *work) bool {
-	if slots := t.slots(); slots > 0 && len(t.running)+t.slotsKept >= slots {
+	if slots := t.slots(); slots > 0 && len(t.running) >= slots {
 		return false
 	}
 	capacity := t.engine.CacheTokens
@@ -113,18 +148,27 @@
 	return t.engine.Slots
 }
 
-// mayStart reports whether one more start stays within a number of starts a second.
-func (t *target) mayStart(perSecond float64, now time.Duration) bool {
+// roomTime is a guess of the time until a request on a full target ends.
+func (t *target) roomTime() time.Duration { return usualRun / time.Duration(max(1, len(t.running))) }
+
+// startTime returns the time until one more start stays within a number of starts
+// a second; 0 = no bound.
+func (t *target) startTime(perSecond float64, now time.Duration) time.Duration {
 	for len(t.starts) > 0 && now-t.starts[0] >= startsWindow {
 		t.starts = t.starts[1:]
 	}
-	return perSecond <= 0 || float64(len(t.starts)+1) <= perSecond
+	most := max(1, int(perSecond))
+	if perSecond <= 0 || len(t.starts) < most {
+		return 0
+	}
+	return t.starts[len(t.starts)-most] + startsWindow - now
 }
 
 // start puts a request on the target.
 func (t *target) start(w *work, now time.Duration) {
 	w.target, w.sentAt = t, now
 	w.missing = t.held.missing(w.ask.Prompt)
+	t.changed()
 	t.running[w.key] = w
 	t.queue = append(t.queue, w)
 	t.outputs += w.ask.OutputTokens
@@ -156,6 +200,7 @@
 // dequeue removes a request that has begun or ended. If it has begun, those before
 // it do not hold others up: the target does not work on them.
 func (t *target) dequeue(w *work, began bool) {
+	t.changed()
 	for i, q := range t.queue {
 		if q != w {
 			continue
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -167,7 +167,7 @@
 	}
 	o.state.SetView(placement.View{
 		Services: o.table.Services, Targets: o.directory.Targets(), Out: v.Out, TokensPerSecond: o.table.TokensPerSecond,
-	})
+	}, o.clock.Now())
 }
 
 func (o *Owner) readTable(v *api.View) {
@@ -245,7 +245,8 @@
 func (o *Owner) answer() {
 	begin := time.Now()
 	now := o.clock.Now()
-	decisions := o.state.Decide(now)
+	o.state.Tick(now)
+	decisions := o.state.Decisions()
 	down := map[string]*placewire.Down{}
 	to := func(entry string) *placewire.Down {
 		d := down[entry]
