Bound the owner's work under floods; add stand-ins of the platform and a soak

Cause: each waiting request that was late was placed anew every 10 ms, and the sums of what waits were counted for each target and decision.

--- /dev/null
+++ b/cmd/nutmegsoak/main.go
@@ -0,0 +1,102 @@
+// Command nutmegsoak plays random faults against a fleet of real processes and
+// reports broken promises. It ends with code 1 if a seed broke one.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"nutmegrouter/internal/soak"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("nutmegsoak", flag.ContinueOnError)
+	o := soak.Options{}
+	seeds := flags.Int("seeds", 1, "number of seeds, from -seed on")
+	flags.Uint64Var(&o.Seed, "seed", uint64(time.Now().Unix()), "first seed")
+	flags.StringVar(&o.Binary, "daemon", "bin/nutmegd", "path of the daemon")
+	flags.StringVar(&o.Dir, "dir", "", "folder for settings, data and logs; empty = a temporary one, removed after a seed without findings")
+	flags.IntVar(&o.Controls, "controls", 5, "control instances")
+	flags.IntVar(&o.Entries, "entries", 4, "entry instances")
+	flags.IntVar(&o.Engines, "engines", 6, "model engines")
+	flags.IntVar(&o.Plain, "plain", 3, "plain services")
+	flags.IntVar(&o.Losses, "losses", 2, "control instances that may be lost at once")
+	flags.IntVar(&o.Network, "network", 20, "second byte of the loopback addresses")
+	flags.Float64Var(&o.RequestsPerS, "rate", 60, "requests a second")
+	flags.DurationVar(&o.Duration, "for", 20*time.Second, "time of the faults")
+	flags.BoolVar(&o.Quiet, "quiet", false, "play no faults")
+	verbose := flags.Bool("v", false, "tell about each fault")
+	if err := flags.Parse(args); err != nil {
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	failed := 0
+	for range *seeds {
+		if !play(ctx, o, *verbose) {
+			failed++
+		}
+		o.Seed++
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if failed > 0 {
+		fmt.Printf("%d seeds with findings\n", failed)
+		return 1
+	}
+	return 0
+}
+
+// play runs one seed and reports whether it broke nothing.
+func play(ctx context.Context, o soak.Options, verbose bool) bool {
+	temporary := o.Dir == ""
+	if temporary {
+		dir, err := os.MkdirTemp("", "nutmegsoak-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return false
+		}
+		o.Dir = dir
+	} else {
+		o.Dir = filepath.Join(o.Dir, fmt.Sprint(o.Seed))
+		if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return false
+		}
+	}
+	o.Log = func(string, ...any) {}
+	if verbose {
+		o.Log = func(format string, args ...any) {
+			fmt.Printf("%s "+format+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+		}
+	}
+	if err := o.Validate(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	r, err := soak.Run(ctx, o)
+	if err != nil {
+		fmt.Printf("seed %d: %v (logs in %s)\n", o.Seed, err, o.Dir)
+		return false
+	}
+	fmt.Print(r)
+	if len(r.Found) > 0 {
+		fmt.Printf("  faults: %v\n  logs in %s\n", r.Played, o.Dir)
+		return false
+	}
+	if temporary {
+		if err := os.RemoveAll(o.Dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return true
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -342,6 +342,8 @@
 	RetryAfter time.Duration // 0 = no advice
 	Step       string
 	Peer       string
+	// Inputs are what the decision was based on, as keys and values for the log.
+	Inputs []any
 }
 
 // Error implements error.
--- a/internal/fleetrun/fleet.go
+++ b/internal/fleetrun/fleet.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/proc"
 )
 
 const (
@@ -27,7 +29,7 @@
 // Fleet runs the processes of a layout.
 type Fleet struct {
 	*Layout
-	procs group
+	procs proc.Group
 }
 
 // New returns a fleet with no process running.
@@ -49,8 +51,8 @@
 
 // StartStandins starts the stand-ins and waits until they listen.
 func (f *Fleet) StartStandins(ctx context.Context) error {
-	err := f.procs.put(standinName, func() (*process, error) {
-		return launch(standinName, filepath.Join(f.Bin, "nutmegstandin"), f.log(standinName), "-file", f.file("standin.json"))
+	err := f.procs.Put(standinName, func() (*proc.Process, error) {
+		return proc.Launch(standinName, filepath.Join(f.Bin, "nutmegstandin"), f.log(standinName), "-file", f.file("standin.json"))
 	})
 	if err != nil {
 		return err
@@ -74,8 +76,8 @@
 		if err != nil {
 			return err
 		}
-		err = f.procs.put(name, func() (*process, error) {
-			return launch(name, filepath.Join(f.Bin, "nutmegd"), f.log(name), "-settings", r.File)
+		err = f.procs.Put(name, func() (*proc.Process, error) {
+			return proc.Launch(name, filepath.Join(f.Bin, "nutmegd"), f.log(name), "-settings", r.File)
 		})
 		if err != nil {
 			return err
@@ -96,11 +98,11 @@
 
 // Signal sends a signal to a router.
 func (f *Fleet) Signal(name string, s syscall.Signal) error {
-	p, err := f.procs.get(name)
+	p, err := f.procs.Get(name)
 	if err != nil {
 		return err
 	}
-	return p.signal(s)
+	return p.Signal(s)
 }
 
 // Kill ends a router at once and waits until it is gone.
@@ -108,11 +110,11 @@
 	if err := f.Signal(name, syscall.SIGKILL); err != nil {
 		return err
 	}
-	p, err := f.procs.get(name)
+	p, err := f.procs.Get(name)
 	if err != nil {
 		return err
 	}
-	<-p.done
+	<-p.Done()
 	return nil
 }
 
@@ -127,17 +129,17 @@
 	if err := f.Signal(name, syscall.SIGTERM); err != nil {
 		return err
 	}
-	p, err := f.procs.get(name)
+	p, err := f.procs.Get(name)
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(p.wait(limit), "stop "+name)
+	return errors.Wrap(p.Wait(limit), "stop "+name)
 }
 
 // Running reports whether a router's process runs.
 func (f *Fleet) Running(name string) bool {
-	p, err := f.procs.get(name)
-	return err == nil && p.running()
+	p, err := f.procs.Get(name)
+	return err == nil && p.Running()
 }
 
 // Wipe deletes the data folder of a stopped router.
@@ -153,7 +155,7 @@
 }
 
 // Close ends all processes.
-func (f *Fleet) Close() { f.procs.killAll() }
+func (f *Fleet) Close() { f.procs.KillAll() }
 
 // WaitReady waits until the routers are ready for callers; no name means all.
 func (f *Fleet) WaitReady(ctx context.Context, names ...string) error {
--- a/internal/fleetrun/fleetrun_test.go
+++ b/internal/fleetrun/fleetrun_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"nutmegrouter/internal/proc"
 	"nutmegrouter/internal/settings"
 	"nutmegrouter/internal/standin"
 )
@@ -47,18 +48,18 @@
 // against signals that do not reach it.
 func TestProcess(t *testing.T) {
 	is := is.New(t)
-	var g group
-	start := func() (*process, error) { return launch("p", "/bin/sleep", t.TempDir()+"/log", "60") }
-	is.NoErr(g.put("p", start))
-	is.True(g.put("p", start) != nil) // it already runs
-	p, err := g.get("p")
+	var g proc.Group
+	start := func() (*proc.Process, error) { return proc.Launch("p", "/bin/sleep", t.TempDir()+"/log", "60") }
+	is.NoErr(g.Put("p", start))
+	is.True(g.Put("p", start) != nil) // it already runs
+	p, err := g.Get("p")
 	is.NoErr(err)
-	is.NoErr(p.signal(syscall.SIGTERM))
-	is.True(p.wait(10*time.Second) != nil) // ended by a signal, not with code 0
-	is.True(!p.running())
-	is.True(p.signal(syscall.SIGTERM) != nil)
-	is.NoErr(g.put("p", start))
-	g.killAll()
+	is.NoErr(p.Signal(syscall.SIGTERM))
+	is.True(p.Wait(10*time.Second) != nil) // ended by a signal, not with code 0
+	is.True(!p.Running())
+	is.True(p.Signal(syscall.SIGTERM) != nil)
+	is.NoErr(g.Put("p", start))
+	g.KillAll()
 }
 
 // Guards against an endless wait for something that never becomes true.
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -152,6 +152,12 @@
 	o.decide(w, now)
 }
 
+// Refused counts what a workspace asked for and an entry instance refused.
+func (o *Owner) Refused(workspace string, tokens int, now time.Duration) {
+	o.advance(now)
+	o.shares.ask(workspace, float64(tokens))
+}
+
 // readTime returns the time that a whole prompt takes on a usual target of its
 // service.
 func (o *Owner) readTime(a Ask) time.Duration {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -14,9 +14,8 @@
 	// told to come back.
 	adviceLeast = 200 * time.Millisecond
 	adviceMost  = 2 * time.Second
-	// betterBy is what another target must save for a waiting request to change its
-	// plan.
-	betterBy = 50 * time.Millisecond
+	// reviewInterval is how often the plan of a waiting request is looked at again.
+	reviewInterval = 50 * time.Millisecond
 )
 
 // decide grants or refuses a request, or plans it for the best target.
@@ -35,8 +34,8 @@
 		return
 	}
 	if c.wait > 0 {
-		c.target.plan = append(c.target.plan, w)
-		w.planned, w.plannedMissing = c.target, c.missing
+		c.target.enqueue(w, c.missing)
+		w.reviewedAt = now
 		o.waiting++
 		return
 	}
@@ -97,15 +96,10 @@
 
 // unplan removes a waiting request from its plan.
 func (o *Owner) unplan(w *work) {
-	t := w.planned
-	if t == nil {
-		return
-	}
-	if i := slices.Index(t.plan, w); i >= 0 {
-		t.plan = slices.Delete(t.plan, i, i+1)
+	if w.planned != nil {
+		w.planned.leave(w)
 		o.waiting--
 	}
-	w.planned = nil
 }
 
 // serve starts the requests that wait for a target as far as it has room: streams
@@ -114,12 +108,12 @@
 func (o *Owner) serve(t *target, now time.Duration) {
 	for len(t.plan) > 0 {
 		w := slices.MinFunc(t.plan, before)
-		c := o.assess(t, w, now)
-		if c.wait > t.readTime(t.plannedBefore(w)) || t.backlog(now) > ahead {
+		if !t.free(w, o.startLimit(t, now), now) {
 			return
 		}
-		c.wait = 0
 		o.unplan(w)
+		c := o.assess(t, w, now)
+		c.wait, c.least = 0, c.missing
 		if !w.ask.Resumes {
 			w.excess = o.shares.excess(w.ask.Workspace, w.cost)
 		}
@@ -157,9 +151,10 @@
 // there, or are better off elsewhere.
 func (o *Owner) review(t *target, now time.Duration) {
 	for _, w := range slices.Clone(t.plan) {
-		if w.planned != t {
+		if w.planned != t || now-w.reviewedAt < reviewInterval {
 			continue
 		}
+		w.reviewedAt = now
 		c := o.assess(t, w, now)
 		if now+c.begin+margin <= w.effective {
 			continue
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"nutmegrouter/internal/api"
@@ -36,6 +37,8 @@
 
 	planned        *target // for which it waits; nil otherwise
 	plannedMissing int     // prompt tokens that it would read there
+	plannedRank    int     // its rank when the wait began
+	reviewedAt     time.Duration
 
 	target  *target // on which it runs; nil while it waits
 	missing int     // prompt tokens that the target must read
@@ -51,6 +54,14 @@
 	}
 }
 
+// rank tells apart requests of workspaces within their share, which go first.
+func (w *work) rank() int {
+	if w.excess > 0 {
+		return 1
+	}
+	return 0
+}
+
 // target is the owner's model of one target.
 type target struct {
 	info   api.Target
@@ -66,6 +77,9 @@
 	starts  []time.Duration // newest starts, oldest first
 	health  health
 	plan    []*work // requests that wait for this target
+	// planned counts the prompt tokens of the waiting requests: of workspaces within
+	// their share, and of the others.
+	planned [2]int
 
 	counted   time.Duration // when queued was computed; -1 = it has changed
 	queuedFor time.Duration
@@ -119,18 +133,40 @@
 // busy reports whether the target has prompts to read.
 func (t *target) busy(now time.Duration) bool { return len(t.queue) > 0 && t.backlog(now) > 0 }
 
-// plannedBefore returns the prompt tokens of the waiting requests that come before
-// another one.
+// plannedBefore returns the prompt tokens of the waiting requests that may come
+// before another one.
 func (t *target) plannedBefore(w *work) float64 {
-	n := 0
-	for _, p := range t.plan {
-		if p != w && before(p, w) < 0 {
-			n += p.plannedMissing
-		}
+	n := t.planned[0]
+	if w.rank() > 0 {
+		n += t.planned[1]
+	}
+	if w.planned == t {
+		n -= w.plannedMissing
 	}
 	return float64(n)
 }
 
+// enqueue has a request wait for the target.
+func (t *target) enqueue(w *work, missing int) {
+	w.planned, w.plannedMissing, w.plannedRank = t, missing, w.rank()
+	t.plan = append(t.plan, w)
+	t.planned[w.plannedRank] += missing
+}
+
+// leave ends the wait of a request.
+func (t *target) leave(w *work) {
+	if i := slices.Index(t.plan, w); i >= 0 {
+		t.plan = slices.Delete(t.plan, i, i+1)
+		t.planned[w.plannedRank] -= w.plannedMissing
+	}
+	w.planned = nil
+}
+
+// free reports whether the target takes another request now.
+func (t *target) free(w *work, startLimit float64, now time.Duration) bool {
+	return t.backlog(now) <= ahead && t.room(w) && t.startTime(startLimit, now) == 0
+}
+
 // room reports whether the target has a slot and memory for a request.
 func (t *target) room(w *work) bool {
 	if slots := t.slots(); slots > 0 && len(t.running) >= slots {
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -52,6 +52,9 @@
 	Running []Running `json:"r,omitempty"`
 	Began   []uint64  `json:"b,omitempty"`
 	Ends    []End     `json:"e,omitempty"`
+	// Refused counts the tokens of requests that the entry instance refused by
+	// itself, by workspace.
+	Refused map[string]int `json:"x,omitempty"`
 }
 
 // Grant answers an ask. Without a target it is a refusal.
@@ -67,6 +70,8 @@
 	// Least and LeastWaitMs describe the target that would have to read least.
 	Least       int   `json:"l,omitempty"`
 	LeastWaitMs int64 `json:"y,omitempty"`
+	// Term is the owner's; it is not sent.
+	Term uint64 `json:"-"`
 }
 
 // Down is what the owner tells an entry instance. One without grants tells that
--- a/internal/fleetrun/process.go
+++ b/internal/proc/proc.go
@@ -1,4 +1,5 @@
-package fleetrun
+// Package proc starts programs for tests and tools and ends them by their own ids.
+package proc
 
 import (
 	"os"
@@ -11,17 +12,20 @@
 	"github.com/pkg/errors"
 )
 
-// process is one started program.
-type process struct {
+// Process is one started program.
+type Process struct {
 	name string
 	cmd  *exec.Cmd
 	done chan struct{}
-	err  error // of Wait; valid once done is closed
+	err  error // of the program; valid once done is closed
 }
 
-// launch starts a program with its output appended to a log file. The kernel
+// Done is closed when the program has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Launch starts a program with its output appended to a log file. The kernel
 // kills it if this process dies first.
-func launch(name, bin, log string, args ...string) (*process, error) {
+func Launch(name, bin, log string, args ...string) (*Process, error) {
 	if err := os.MkdirAll(filepath.Dir(log), 0o755); err != nil {
 		return nil, errors.Wrap(err, "start "+name)
 	}
@@ -30,7 +34,7 @@
 		return nil, errors.Wrap(err, "start "+name)
 	}
 	defer out.Close()
-	p := &process{name: name, cmd: exec.Command(bin, args...), done: make(chan struct{})}
+	p := &Process{name: name, cmd: exec.Command(bin, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
@@ -43,7 +47,8 @@
 	return p, nil
 }
 
-func (p *process) running() bool {
+// Running reports whether the program has not ended.
+func (p *Process) Running() bool {
 	select {
 	case <-p.done:
 		return false
@@ -52,15 +57,16 @@
 	}
 }
 
-func (p *process) signal(s syscall.Signal) error {
-	if !p.running() {
+// Signal sends a signal to the program.
+func (p *Process) Signal(s syscall.Signal) error {
+	if !p.Running() {
 		return errors.Errorf("signal %s: it is not running", p.name)
 	}
 	return errors.Wrap(p.cmd.Process.Signal(s), "signal "+p.name)
 }
 
-// wait returns how the process ended.
-func (p *process) wait(limit time.Duration) error {
+// Wait returns how the process ended.
+func (p *Process) Wait(limit time.Duration) error {
 	select {
 	case <-p.done:
 		return p.err
@@ -69,13 +75,14 @@
 	}
 }
 
-// group holds the processes of a fleet by name.
-type group struct {
+// Group holds the processes of a fleet by name.
+type Group struct {
 	mu   sync.Mutex
-	list map[string]*process
+	list map[string]*Process
 }
 
-func (g *group) get(name string) (*process, error) {
+// Get returns the process with a name.
+func (g *Group) Get(name string) (*Process, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p := g.list[name]; p != nil {
@@ -84,11 +91,11 @@
 	return nil, errors.Errorf("%s was never started", name)
 }
 
-// put registers a process unless one of the name still runs.
-func (g *group) put(name string, start func() (*process, error)) error {
+// Put registers a process unless one of the name still runs.
+func (g *Group) Put(name string, start func() (*Process, error)) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p := g.list[name]; p != nil && p.running() {
+	if p := g.list[name]; p != nil && p.Running() {
 		return errors.Errorf("%s already runs", name)
 	}
 	p, err := start()
@@ -96,18 +103,18 @@
 		return err
 	}
 	if g.list == nil {
-		g.list = map[string]*process{}
+		g.list = map[string]*Process{}
 	}
 	g.list[name] = p
 	return nil
 }
 
-// killAll ends all processes and waits for them.
-func (g *group) killAll() {
+// KillAll ends all processes and waits for them.
+func (g *Group) KillAll() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.list {
-		if p.running() {
+		if p.Running() {
 			_ = p.cmd.Process.Kill()
 		}
 	}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -99,6 +99,9 @@
 		p.fault(p.find("routes"), "routes.ready", "must be set with listen")
 	}
 	p.address("mesh", s.Mesh)
+	if s.MeshListen != "" {
+		p.address("meshListen", s.MeshListen)
+	}
 	p.address("admin", s.Admin)
 	p.address("routes.directory.address", r.Directory.Address)
 	if len(r.Seeds) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,8 +21,11 @@
 	Admin string `json:"admin"`
 	// Mesh is the IP:port for other instances.
 	Mesh string `json:"mesh"`
+	// MeshListen is the IP:port at which connections of other instances arrive, if
+	// it differs from Mesh.
+	MeshListen string `json:"meshListen,omitempty"`
 	// Peers lists all instances of the fleet, this one included.
-	Peers []Peer `json:"peers"`
+	Peers []Peer `json:"peers,omitempty"`
 	// DataDir is the folder for durable state; empty on instances without a disk.
 	DataDir string `json:"dataDir,omitempty"`
 	// PlatformList is the URL of the platform's instance list; empty = none.
@@ -32,7 +35,7 @@
 	// Limits bound the use of memory and time.
 	Limits Limits `json:"limits"`
 	// Routes holds what only the profile "routes" uses.
-	Routes Routes `json:"routes,omitempty"`
+	Routes Routes `json:"routes,omitzero"`
 }
 
 // Profiles.
@@ -57,6 +60,14 @@
 	return s.Instance
 }
 
+// MeshBind returns the IP:port on which to listen for other instances.
+func (s *Settings) MeshBind() string {
+	if s.MeshListen != "" {
+		return s.MeshListen
+	}
+	return s.Mesh
+}
+
 // ServesCallers reports whether this instance takes requests of callers.
 func (s *Settings) ServesCallers() bool { return s.Listen != "" }
 
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -54,8 +54,11 @@
 
 // New listens on a free port of the loopback address. The target may be set
 // later with SetTarget.
-func New(target string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Relay, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt listens on a given address.
+func NewAt(address, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -70,8 +70,9 @@
 // refuse answers with a refusal.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, r *api.Refusal, req *api.ForwardRequest) {
 	g.stats.refusal(r.Code)
-	g.log.Warn("refused", "step", r.Step, "request", req.ID, "workspace", req.Workspace, "code", r.Code, "status", r.Status,
-		"run", string(r.Run), "reason", r.Message, "retry_after_ms", r.RetryAfter.Milliseconds(), "after_ms", (g.clock.Now() - req.Arrived).Milliseconds())
+	g.log.Warn("refused", append([]any{"step", r.Step, "request", req.ID, "workspace", req.Workspace, "code", r.Code, "status", r.Status,
+		"run", string(r.Run), "reason", r.Message, "retry_after_ms", r.RetryAfter.Milliseconds(),
+		"after_ms", (g.clock.Now() - req.Arrived).Milliseconds()}, r.Inputs...)...)
 	body, err := json.Marshal(refusalBody{r.Code, r.Message, r.Run})
 	if err != nil {
 		body = []byte(`{"code":"internal_error"}`) // strings always encode
--- a/plugin/mesh/setup.go
+++ b/plugin/mesh/setup.go
@@ -59,7 +59,7 @@
 
 // Provision implements kernel.Plugin.
 func (m *Mesh) Provision(c *kernel.Context) error {
-	m.self, m.listen = c.Settings.MeshName(), c.Settings.Mesh
+	m.self, m.listen = c.Settings.MeshName(), c.Settings.MeshBind()
 	m.boot = strconv.FormatUint(rand.Uint64(), 36)
 	m.clock, m.events, m.log = c.Clock, c.Events, c.Log.With("plugin", "mesh")
 	m.metrics = c.Metrics
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -235,6 +235,9 @@
 	for _, e := range u.Ends {
 		o.state.End(placement.Key{Entry: from, Number: e.Number}, e.Outcome, now)
 	}
+	for workspace, tokens := range u.Refused {
+		o.state.Refused(workspace, tokens, now)
+	}
 	for i := range u.Asks {
 		a := &u.Asks[i]
 		o.state.Ask(placement.Key{Entry: from, Number: a.Number}, a.Ask(u.DataCentre), now)
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -10,6 +10,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 )
 
@@ -17,6 +18,9 @@
 	// answerLimit is the silence of the owner after which waiting requests are
 	// placed here. The owner tells ten times a second that it is there.
 	answerLimit = 250 * time.Millisecond
+	// heldAdvice is when callers of a workspace that exceeds its share many times
+	// may come back.
+	heldAdvice = time.Second
 	// resendPause separates attempts to reach an owner without a link.
 	resendPause = 100 * time.Millisecond
 	// absentFor is how long an owner that did not answer is not asked.
@@ -42,6 +46,9 @@
 	if w.Engine == nil {
 		return asPlacement(p.placeLocal(w))
 	}
+	if r := p.holdBack(w); r != nil {
+		return nil, r
+	}
 	number, wt, ok := p.ask(w)
 	if !ok {
 		return asPlacement(p.placeEngineLocal(w, "no owner"))
@@ -58,6 +65,29 @@
 	return p.take(w, number, a.grant)
 }
 
+// holdBack refuses a request of a workspace that floods this instance.
+func (p *Placer) holdBack(w *api.Work) *api.Refusal {
+	if w.Resumes {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := p.flood.Held(w.Workspace, p.clock.Now())
+	if left == 0 {
+		return nil
+	}
+	p.held.Inc()
+	if p.up.Refused == nil {
+		p.up.Refused = map[string]int{}
+	}
+	p.up.Refused[w.Workspace] += w.PromptTokens + 2*w.OutputTokens // told with the next message
+	return &api.Refusal{
+		Code: placement.CodeShare, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: heldAdvice,
+		Message: "the workspace exceeds its share",
+		Inputs:  []any{"by", "entry", "held_ms", left.Milliseconds()},
+	}
+}
+
 func asPlacement(l *placed, err error) (api.Placement, error) {
 	if err != nil {
 		return nil, err
@@ -149,7 +179,6 @@
 	l, err := p.placeLocal(w)
 	p.fallback.Inc()
 	if err != nil {
-		p.log.Info("not placed", "step", "place", "request", w.RequestID, "by", "entry", "why", why, "error", err)
 		return nil, err
 	}
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "entry", "why", why, "target", l.target.ID)
@@ -172,7 +201,7 @@
 func (p *Placer) take(w *api.Work, number uint64, g placewire.Grant) (api.Placement, error) {
 	p.remote.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
-		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "least_missing_tokens", g.Least, "least_wait_ms", g.LeastWaitMs, "term", p.owner.term)
+		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "least_missing_tokens", g.Least, "least_wait_ms", g.LeastWaitMs, "term", g.Term)
 	l := &placed{p: p, work: w, begin: p.clock.Now(), by: "owner", number: number}
 	for _, t := range p.directory.Targets() {
 		if t.ID == g.Target {
@@ -187,11 +216,15 @@
 }
 
 func (p *Placer) refusal(w *api.Work, g placewire.Grant) *api.Refusal {
-	p.log.Info("not placed", "step", "place", "request", w.RequestID, "by", "owner", "code", g.Code,
-		"wait_ms", g.WaitMs, "excess", g.Excess, "retry_after_ms", g.RetryMs)
+	if g.Code == placement.CodeShare || g.Code == placement.CodeYield {
+		p.mu.Lock()
+		p.flood.Refused(w.Workspace, p.clock.Now())
+		p.mu.Unlock()
+	}
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
 		Message: "the targets cannot serve the request in time", RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
+		Inputs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "term", g.Term},
 	}
 }
 
@@ -306,5 +339,6 @@
 		return
 	}
 	delete(p.waiting, g.Number)
+	g.Term = p.owner.term
 	wt.answer <- answer{grant: g}
 }
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	local   *placement.Local
+	flood   *placement.Flood
 	owner   ownerState
 	number  uint64             // of the newest model request
 	waiting map[uint64]*waiter // asks without an answer
@@ -46,8 +47,8 @@
 	up      placewire.Up       // not sent yet
 	kick    chan struct{}      // up has content
 
-	remote, fallback, unanswered *metrics.Counter
-	wait                         *metrics.Histogram
+	remote, fallback, unanswered, held *metrics.Counter
+	wait                               *metrics.Histogram
 }
 
 // ownerState is what this instance knows of the owner.
@@ -73,10 +74,11 @@
 		return err
 	}
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
-	p.local = placement.NewLocal(p.dataCentre)
+	p.local, p.flood = placement.NewLocal(p.dataCentre), placement.NewFlood()
 	p.waiting, p.running, p.kick = map[uint64]*waiter{}, map[uint64]*placed{}, make(chan struct{}, 1)
 	p.remote = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
 	p.fallback = c.Metrics.NewCounter("nutmeg_placer_local_total")
+	p.held = c.Metrics.NewCounter("nutmeg_placer_held_back_total")
 	p.unanswered = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
 	p.wait = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
 	p.mesh.Handle(placewire.MethodDown, p.handleDown)
