--- /dev/null
+++ b/internal/placement/small_test.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/api"
+)
+
+// Guards against a memory model that forgets parts in use, keeps too much, or
+// reads parts behind a missing one as kept.
+func TestHeld(t *testing.T) {
+	is := is.New(t)
+	h := newHeld(1000)
+	a := []Part{{1, 300}, {2, 300}}
+	b := []Part{{1, 300}, {3, 300}}
+	c := []Part{{4, 500}}
+	is.Equal(h.missing(a), 600)
+	h.take(a, 0)
+	is.Equal(h.inUse, 600)
+	is.Equal(h.missing(b), 300)
+	h.take(b, 0)
+	is.Equal(h.inUse, 900) // the common part once
+	h.release(a, 0)
+	is.Equal(h.missing(a), 0)
+	h.take(c, 0) // over the capacity: part 2 yields, which nobody uses
+	is.Equal(h.missing(a), 300)
+	is.Equal(h.missing(b), 0)
+	h.release(b, 0)
+	h.release(c, 0)
+	is.Equal(h.inUse, 0)
+	is.True(h.used <= h.capacity)
+	h.yield(1000) // running requests take all
+	is.Equal(h.used, 0)
+	is.Equal(h.missing([]Part{{9, 10}, {1, 300}}), 310)
+}
+
+// Guards against a share that exceeds the capacity, or leaves some of it.
+func TestWaterLevel(t *testing.T) {
+	is := is.New(t)
+	is.Equal(waterLevel([]float64{10, 20, 30}, 100), math.Inf(1))
+	is.Equal(waterLevel([]float64{100, 10, 100}, 110), 50.0)
+	is.Equal(waterLevel([]float64{100, 100}, 0), 0.0)
+	is.Equal(waterLevel(nil, 10), math.Inf(1))
+}
+
+// Guards against shares that keep what lies before the window.
+func TestSharesWindow(t *testing.T) {
+	is := is.New(t)
+	s := newShares(4 * time.Second)
+	s.advance(0, 100)
+	s.ask("a", 1000)
+	s.begin("a", 300)
+	s.advance(time.Second, 100)
+	is.Equal(s.level, 400.0)
+	is.Equal(s.excess("a", 50), 0.0)
+	is.Equal(s.excess("a", 500), 2.0)
+	s.advance(5*time.Second, 100)
+	is.Equal(s.level, math.Inf(1))
+	is.Equal(len(s.byName), 0)
+}
+
+// Guards against an entry that sends to targets that must not be used, or all to
+// one of several equal ones.
+func TestLocalChoice(t *testing.T) {
+	is := is.New(t)
+	l := NewLocal("z1")
+	targets := []api.Target{
+		{ID: "leaving", Service: "s", DataCentre: "z1", Leaving: true}, {ID: "out", Service: "s", DataCentre: "z2"},
+		{ID: "cold", Service: "s", DataCentre: "z1", ColdUntil: 10 * second}, {ID: "other", Service: "x", DataCentre: "z1"},
+		{ID: "near", Service: "s", DataCentre: "z1"}, {ID: "far", Service: "s", DataCentre: "z3"},
+	}
+	q := Query{Service: "s", Targets: targets, Out: map[string]bool{"z2": true}}
+	choose := func() string {
+		got, ok := l.Choose(q)
+		is.True(ok)
+		return got.ID
+	}
+	is.Equal(choose(), "near")
+	l.Start(targets[4])
+	is.Equal(choose(), "far") // the load outweighs the way
+	l.Start(targets[5])
+	q.Tried = []string{"near"}
+	is.Equal(choose(), "far")
+	q.Tried = nil
+	l.End(targets[4], api.WorkBroken, 0, 0)
+	is.Equal(choose(), "far") // it has failed lately
+	q.Now = 20 * second
+	q.Targets = targets[:3]
+	is.Equal(choose(), "cold") // warm meanwhile
+	q.Now = 0
+	_, ok := l.Choose(q)
+	is.True(!ok)
+	q.Targets, q.MostRunning = targets, 1
+	_, ok = l.Choose(q)
+	is.True(ok) // near has ended its only request
+	l.Start(targets[4])
+	_, ok = l.Choose(q)
+	is.True(!ok) // the bound of this instance
+}
+
+// Guards against entries that read the same shared part on different targets while
+// no owner answers.
+func TestLocalHome(t *testing.T) {
+	is := is.New(t)
+	var targets []api.Target
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		targets = append(targets, api.Target{ID: id, Service: "s", DataCentre: id})
+	}
+	used := map[string]int{}
+	for part := PartID(1); part <= 200; part++ {
+		x, _ := NewLocal("a").Choose(Query{Service: "s", Targets: targets, Home: part, Random: 0.1})
+		y, _ := NewLocal("d").Choose(Query{Service: "s", Targets: targets, Home: part, Random: 0.9})
+		is.Equal(x.ID, y.ID)
+		used[x.ID]++
+	}
+	for _, n := range used {
+		is.True(n >= 20) // spread over all
+	}
+	is.Equal(len(used), 5)
+}
+
+// Guards against a workspace within its share that is held back, and one that stays
+// held back after its flood.
+func TestFloodHolds(t *testing.T) {
+	is := is.New(t)
+	f := NewFlood()
+	for range floodFree {
+		f.Refused("w", 0)
+	}
+	is.Equal(f.Held("w", 0), time.Duration(0))
+	for range 100 {
+		f.Refused("w", 0)
+	}
+	is.True(f.Held("w", 0) > 0)
+	is.True(f.Held("w", 0) <= floodMost)
+	is.Equal(f.Held("other", 0), time.Duration(0))
+	is.Equal(f.Held("w", floodMost), time.Duration(0))
+	is.Equal(f.Held("w", 10*second), time.Duration(0))
+	is.Equal(len(f.byName), 0)
+}
