--- a/plugin/control/harness_test.go
+++ b/plugin/control/harness_test.go
@@ -32,6 +32,10 @@
 	cut   map[[2]string]bool // links that lose messages
 	nodes map[string]*instance
 	wall  time.Time
+	// losses is the number of losses that a fleet which discovers its instances
+	// bears; 0 = the instances are listed in the settings.
+	losses  int
+	founded bool // the fleet has started for the first time
 }
 
 // instance is one running instance and its stand-ins for mesh, lease and fleet.
@@ -66,6 +70,9 @@
 }
 
 func (c *cluster) settings(name string) *settings.Settings {
+	if c.losses > 0 {
+		return c.routedSettings(name)
+	}
 	s := &settings.Settings{Instance: name}
 	for i, n := range c.names {
 		s.Peers = append(s.Peers, settings.Peer{Instance: n, Disk: i < c.disks})
@@ -92,7 +99,11 @@
 func (c *cluster) context(name string, inst *instance) *kernel.Context {
 	k := kernel.NewContext(c.settings(name), slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
 	c.is.NoErr(kernel.Provide[api.Mesh](k, inst))
-	c.is.NoErr(kernel.Provide[api.Lease](k, lease{inst}))
+	if c.losses > 0 {
+		c.is.NoErr(kernel.Provide[api.Topology](k, topology{inst}))
+	} else {
+		c.is.NoErr(kernel.Provide[api.Lease](k, lease{inst}))
+	}
 	c.is.NoErr(kernel.Provide[api.Fleet](k, fleet{inst}))
 	return k
 }
@@ -123,10 +134,14 @@
 			continue
 		}
 		ctl := inst.control
-		if ctl.replica != nil {
+		if ctl.replica != nil && !ctl.replica.failed {
 			ctl.drainRings(ctl.replica)
 			ctl.replica.tick()
-			c.is.NoErr(ctl.replica.flush())
+			if err := ctl.replica.flush(); err != nil {
+				c.is.True(c.losses > 0) // only with the profile "routes" a disk may refuse writes
+				ctl.replica.failAll()
+				ctl.replica.fail()
+			}
 		}
 		for _, p := range inst.Peers() { // as the lease plug-in does
 			if other := inst.peer(p); other != nil {
