Refuse floods before anything else is done for a request

Changes: a held back workspace is refused before its caller is watched; accepted connections get no keep-alive probes; the first byte of a request is not read by itself; a line beyond the volume is dropped before it is made.

--- a/cmd/nutmegsoak/main.go
+++ b/cmd/nutmegsoak/main.go
@@ -31,6 +31,7 @@
 	flags.IntVar(&o.Losses, "losses", 2, "control instances that may be lost at once")
 	flags.IntVar(&o.Network, "network", 20, "second byte of the loopback addresses")
 	flags.Float64Var(&o.RequestsPerS, "rate", 60, "requests a second")
+	flags.IntVar(&o.TokensPerS, "tokens", 400_000, "tokens a second that the engines produce together")
 	flags.DurationVar(&o.Duration, "for", 20*time.Second, "time of the faults")
 	flags.BoolVar(&o.Quiet, "quiet", false, "play no faults")
 	verbose := flags.Bool("v", false, "tell about each fault")
--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -87,6 +87,9 @@
 
 // Placer finds targets for requests.
 type Placer interface {
+	// Precheck refuses a request whose workspace floods this instance; nil
+	// otherwise.
+	Precheck(w *Work) *Refusal
 	// Place waits until the request may start on a target. The error is a
 	// *Refusal, or the context's.
 	Place(ctx context.Context, w *Work) (Placement, error)
@@ -126,6 +129,9 @@
 
 // Forwarder sends requests to targets.
 type Forwarder interface {
+	// Precheck refuses a request that need not be looked at further: its workspace
+	// sends many times its share. It is cheap, and nil otherwise.
+	Precheck(r *ForwardRequest) *Refusal
 	// Forward returns the answer once its head is known. The error is a *Refusal,
 	// or the context's when the caller went away.
 	Forward(ctx context.Context, r *ForwardRequest) (ForwardAnswer, error)
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -55,6 +55,9 @@
 		c.arrived()
 		return n, nil
 	}
+	if len(p) == 1 {
+		return c.readFirst(p)
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.arrived()
@@ -62,6 +65,23 @@
 	return n, err
 }
 
+// firstRead is how much is read when the server asks for one byte.
+const firstRead = 2 << 10 // bytes
+
+// readFirst serves the server's question for the first byte of a request, which it
+// asks without a buffer. What arrives with it is kept for the next read.
+func (c *Conn) readFirst(p []byte) (int, error) {
+	buf := make([]byte, firstRead)
+	n, err := c.Conn.Read(buf)
+	if n > 0 {
+		c.arrived()
+		p[0] = buf[0]
+		c.saved = buf[1:n]
+		return 1, err
+	}
+	return 0, err
+}
+
 // reading notes that the server wants to read: at the beginning of a request the
 // answer before it has been written. It sets the deadline of the read.
 func (c *Conn) reading() error {
--- a/internal/logqueue/handler.go
+++ b/internal/logqueue/handler.go
@@ -210,6 +210,11 @@
 	case r.Level == slog.LevelWarn && ofRequest:
 		c = &h.q.failed
 	}
+	if c.used.Load() > c.limit {
+		c.bytes.Add(averageLine)
+		c.dropped.Inc()
+		return nil
+	}
 	h.buf.Lock()
 	h.buf.line = make([]byte, 0, 2*averageLine)
 	err := h.json.Handle(ctx, r)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -28,6 +28,7 @@
 	Entries        int
 	Engines, Plain int // targets of the two services
 	RequestsPerS   float64
+	TokensPerS     int           // what the engines produce together; workspaces beyond their share are refused
 	Duration       time.Duration // of the load
 	Quiet          bool          // no faults
 	Log            func(format string, args ...any)
@@ -114,6 +115,7 @@
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("entry-%d", i), ip: w.ip(100 + i), dc: dataCentres[i%len(dataCentres)]})
 	}
 	w.config = baseConfig()
+	w.config.TokensPerSecond = o.TokensPerS
 	return w, nil
 }
 
@@ -122,7 +124,7 @@
 // baseConfig has a route of each kind.
 func baseConfig() standin.Config {
 	return standin.Config{
-		Version: 1, TokensPerSecond: 400_000,
+		Version:  1,
 		Services: []standin.Service{{Name: "model", Engine: true, Slots: 16}, {Name: "orders"}},
 		Routes: []standin.Route{
 			{Name: "chat", Host: "fleet.example", Prefix: "/chat/", Service: "model", Kind: "streaming", TimeoutMs: 8000, ObjectiveMs: 500, MaxAttempts: 1},
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -70,6 +70,14 @@
 	answer *plainAnswer
 }
 
+// Precheck implements api.Forwarder.
+func (f *Forwarder) Precheck(r *api.ForwardRequest) *api.Refusal {
+	if r.Engine == nil {
+		return nil
+	}
+	return f.placer.Precheck((&call{f: f, r: r}).work())
+}
+
 // Forward implements api.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, r *api.ForwardRequest) (api.ForwardAnswer, error) {
 	c := &call{f: f, r: r, ctx: ctx, log: f.log.With("request", r.ID)}
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -91,6 +91,9 @@
 func (known) Known() bool           { return true }
 func (known) OnChange(func())       {}
 
+// Precheck implements api.Placer.
+func (r *rig) Precheck(*api.Work) *api.Refusal { return nil }
+
 // Place implements api.Placer.
 func (r *rig) Place(ctx context.Context, w *api.Work) (api.Placement, error) {
 	r.mu.Lock()
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -160,7 +160,10 @@
 
 // Start implements kernel.Starter.
 func (g *Gateway) Start(d *kernel.Duties) error {
-	ln, err := net.Listen("tcp", g.kernel.Settings.Listen)
+	// The idle limit ends connections whose caller is gone; probes would cost calls
+	// of the system for each of the many short ones.
+	lc := net.ListenConfig{KeepAlive: -1}
+	ln, err := lc.Listen(d.Context(), "tcp", g.kernel.Settings.Listen)
 	if err != nil {
 		return errors.WithMessage(err, "listen for callers")
 	}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -46,9 +46,6 @@
 	if w.Engine == nil {
 		return asPlacement(p.placeLocal(w))
 	}
-	if r := p.holdBack(w); r != nil {
-		return nil, r
-	}
 	number, wt, ok := p.ask(w)
 	if !ok {
 		return asPlacement(p.placeEngineLocal(w, "no owner"))
@@ -65,11 +62,8 @@
 	return p.take(w, number, a.grant)
 }
 
-// holdBack refuses a request of a workspace that floods this instance.
-func (p *Placer) holdBack(w *api.Work) *api.Refusal {
-	if w.Resumes {
-		return nil
-	}
+// Precheck implements api.Placer.
+func (p *Placer) Precheck(w *api.Work) *api.Refusal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left := p.flood.Held(w.Workspace, p.clock.Now())
