Refuse at once what an instance has no processor time for; mend lint and the operators' page

Ruled out: memory (bounded before), the owner (answers in time), the log volume (about a tenth of the processor time).

Change: internal/overload bounds the accepted rate by how late a duty runs and shares it max-min among workspaces; refused requests are told to retry at once, because the retry reaches another instance. An idle connection is closed only if its socket is empty, and a request read while its connection closes is not served.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -42,6 +42,8 @@
 	state  state
 	since  time.Time // beginning of the idle state, or of the request
 	linger bool
+	// closed is set before the socket closes, so that a request read at that moment
+	// is not served.
 	closed bool
 
 	place *list.Element // among the idle connections; guarded by the tracker
@@ -57,15 +59,17 @@
 	if len(c.saved) > 0 {
 		n := copy(p, c.saved)
 		c.saved = c.saved[n:]
-		c.arrived()
+		if !c.arrived() {
+			return 0, net.ErrClosed
+		}
 		return n, nil
 	}
 	if len(p) == 1 {
 		return c.readFirst(p)
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.arrived()
+	if n > 0 && !c.arrived() {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
@@ -78,8 +82,10 @@
 func (c *Conn) readFirst(p []byte) (int, error) {
 	buf := make([]byte, firstRead)
 	n, err := c.Conn.Read(buf)
+	if n > 0 && !c.arrived() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
-		c.arrived()
 		p[0] = buf[0]
 		c.saved = buf[1:n]
 		return 1, err
@@ -113,9 +119,14 @@
 	return c.Conn.SetReadDeadline(since.Add(l.Whole()))
 }
 
-// arrived notes the first bytes of a request.
-func (c *Conn) arrived() {
+// arrived notes the first bytes of a request. It reports false if the connection is
+// being closed: the request must not be served, because its answer would be lost.
+func (c *Conn) arrived() bool {
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
 	begins := c.state == stateIdle
 	if begins {
 		c.state, c.since = stateHead, time.Now()
@@ -124,6 +135,7 @@
 	if begins {
 		c.conns.nowBusy(c)
 	}
+	return true
 }
 
 // HeadRead notes that the head of a request has been read.
@@ -189,14 +201,19 @@
 	return c.state != stateIdle
 }
 
-// closeIfIdle closes a connection on which no request has begun for a while. A
-// request that is on its way to a connection that closes is lost.
+// closeIfIdle closes a connection on which no request has begun for a while. On a
+// busy instance a request may have waited longer than that to be read, so the socket
+// must be empty too.
 func (c *Conn) closeIfIdle() {
 	c.mu.Lock()
-	quiet := c.state == stateIdle && time.Since(c.since) >= quietTime
+	quiet := !c.closed && c.state == stateIdle && time.Since(c.since) >= quietTime && !targetconn.Readable(c.Conn)
+	if quiet {
+		c.closed = true
+	}
 	c.mu.Unlock()
 	if quiet {
-		c.Close()
+		c.conns.remove(c)
+		_ = c.Conn.Close() // nothing was written that could be lost
 	}
 }
 
--- a/internal/doccheck/doccheck_test.go
+++ b/internal/doccheck/doccheck_test.go
@@ -48,12 +48,12 @@
 // Guards against a metric that the operators' page does not explain. Names that
 // the code completes at run time are matched by their beginning.
 func TestMetricsAreDocumented(t *testing.T) {
-	page := read(t, "docs/operations.md")
+	page := read(t, "docs/OPERATIONS.md")
 	for _, dir := range []string{"plugin", "internal/kernel"} {
 		for path, text := range sources(t, dir, notTest) {
 			for _, name := range metricName.FindAllString(text, -1) {
 				if !strings.Contains(page, name) {
-					t.Errorf("%s: metric %s is not in docs/operations.md", path, name)
+					t.Errorf("%s: metric %s is not in docs/OPERATIONS.md", path, name)
 				}
 			}
 		}
@@ -62,14 +62,14 @@
 
 // Guards against a rejection that the operators' page does not explain.
 func TestRejectionsAreDocumented(t *testing.T) {
-	page := read(t, "docs/operations.md")
+	page := read(t, "docs/OPERATIONS.md")
 	found := 0
 	for path, text := range sources(t, "plugin", notTest) {
 		codes := append(codeName.FindAllStringSubmatch(text, -1), queueCode.FindAllStringSubmatch(text, -1)...)
 		for _, m := range codes {
 			found++
 			if !strings.Contains(page, "`"+m[1]+"`") {
-				t.Errorf("%s: rejection %s is not in docs/operations.md", path, m[1])
+				t.Errorf("%s: rejection %s is not in docs/OPERATIONS.md", path, m[1])
 			}
 		}
 	}
--- /dev/null
+++ b/internal/overload/gate_test.go
@@ -0,0 +1,89 @@
+package overload
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// processor is an instance that serves accepted and refuses other requests, each at a
+// cost, and ticks later the more work waits.
+type processor struct {
+	gate          *Gate
+	serve, refuse time.Duration
+	share         float64 // of a core
+	backlog       time.Duration
+	served        map[string]int
+}
+
+// run plays periods with requests a second of each workspace.
+func (p *processor) run(periods int, rates map[string]float64) {
+	for range periods {
+		took := Period + time.Duration(float64(p.backlog)/p.share)
+		work := time.Duration(0)
+		for w, rate := range rates {
+			for range int(rate * took.Seconds()) {
+				if p.gate.Allow(w) {
+					p.served[w]++
+					work += p.serve
+				} else {
+					work += p.refuse
+				}
+			}
+		}
+		p.backlog = max(0, p.backlog+work-time.Duration(p.share*float64(took)))
+		p.gate.Tick(took)
+	}
+}
+
+func newProcessor() *processor {
+	return &processor{gate: New(), serve: 650 * time.Microsecond, refuse: 80 * time.Microsecond, share: 0.19, served: map[string]int{}}
+}
+
+// Guards against an instance that accepts more than it can carry, so that every
+// request waits and none is answered in time.
+func TestBoundsOverload(t *testing.T) {
+	is := is.New(t)
+	p := newProcessor()
+	p.run(100, map[string]float64{"large": 900, "small": 20})
+	clear(p.served)
+	p.run(100, map[string]float64{"large": 900, "small": 20})
+	is.True(p.gate.Late() < 100*time.Millisecond)
+	is.True(p.served["large"] > 10*100) // 100/s of the 190/s that fit beside the refusals
+	is.True(p.served["small"] > 150)    // of 200
+	is.True(p.backlog < 40*time.Millisecond)
+}
+
+// Guards against a bound where there is processor time left, or after the load has gone.
+func TestNoBoundWithoutOverload(t *testing.T) {
+	is := is.New(t)
+	p := newProcessor()
+	p.run(50, map[string]float64{"w": 250})
+	is.True(math.IsInf(p.gate.Rate(), 1))
+	is.Equal(p.served["w"], 50*25)
+	p.run(50, map[string]float64{"w": 2000})
+	is.True(!math.IsInf(p.gate.Rate(), 1))
+	p.run(60, map[string]float64{"w": 50})
+	is.True(math.IsInf(p.gate.Rate(), 1))
+}
+
+// Guards against a process that was frozen and refuses its callers afterwards.
+func TestFrozen(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	g.Tick(10 * time.Second)
+	is.True(math.IsInf(g.Rate(), 1))
+	is.True(g.Allow("w"))
+}
+
+// Guards against a level that lets one workspace take what another one needs.
+func TestFill(t *testing.T) {
+	is := is.New(t)
+	is.Equal(fill(map[string]int{"a": 100, "b": 2}, 20), 18.0)
+	is.Equal(fill(map[string]int{"a": 10, "b": 10}, 8), 4.0)
+	is.Equal(fill(map[string]int{"a": 3, "b": 4}, 10), 7.0) // 3 are left beside the largest demand
+	is.Equal(fill(nil, 5), 5.0)
+	is.True(math.IsInf(fill(map[string]int{"a": 3}, math.Inf(1)), 1))
+}
--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -94,9 +94,3 @@
 		h.used -= part.Tokens
 	}
 }
-
-func (h *held) clear() {
-	h.used, h.inUse = 0, 0
-	clear(h.byID)
-	h.free.Init()
-}
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -23,7 +23,6 @@
 	number  uint64
 	calls   map[Key]*call
 	late    time.Duration // delay of messages to the owner
-	cold    float64       // most starts in a second on one engine
 }
 
 // engine is a simulated target.
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -158,6 +158,9 @@
 	return s == stateOpen || s == stateReadable
 }
 
+// Readable reports whether bytes of the peer wait to be read.
+func Readable(conn net.Conn) bool { return peek(conn) == stateReadable }
+
 type state int
 
 const (
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -26,6 +26,9 @@
 	defer conn.Served()
 	arrived := g.clock.Now() - time.Since(conn.Begin())
 	r, refusal := g.admit(ctx, arrived)
+	if refusal == nil {
+		refusal = g.load.allow(r.Workspace)
+	}
 	if refusal == nil {
 		refusal = g.forwarder.Precheck(r)
 	}
--- /dev/null
+++ b/plugin/gateway/load.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/overload"
+)
+
+// elsewhere is the advice to callers of an instance without processor time. It is
+// short, because the balancer sends the retry to another instance.
+const elsewhere = 50 * time.Millisecond
+
+// loadGate shares the gate among the handlers of requests.
+type loadGate struct {
+	mu   sync.Mutex
+	gate *overload.Gate
+}
+
+func newLoadGate() *loadGate { return &loadGate{gate: overload.New()} }
+
+// allow returns the refusal of a request for which the instance has no processor
+// time, or nil.
+func (l *loadGate) allow(workspace string) *api.Refusal {
+	l.mu.Lock()
+	ok, rate, late := l.gate.Allow(workspace), l.gate.Rate(), l.gate.Late()
+	l.mu.Unlock()
+	if ok {
+		return nil
+	}
+	r := refuse(fasthttp.StatusServiceUnavailable, codeBusy, "the instance has no processor time left for the workspace")
+	r.RetryAfter = elsewhere
+	r.Inputs = []any{"rate", int(rate), "late_ms", late.Milliseconds()}
+	return r
+}
+
+// tick ends a period and reports whether the bound began or ended.
+func (l *loadGate) tick(took time.Duration) (bounded, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.gate.Bounded()
+	l.gate.Tick(took)
+	return l.gate.Bounded(), l.gate.Bounded() != before
+}
+
+// lateness returns the mean lateness of the ticks.
+func (l *loadGate) lateness() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gate.Late()
+}
+
+// watchLoad measures how late this duty runs, which is how long work waits for the
+// processor.
+func (g *Gateway) watchLoad(ctx context.Context) error {
+	timer := time.NewTicker(overload.Period)
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+		now := time.Now()
+		if bounded, changed := g.load.tick(now.Sub(last)); changed {
+			logqueue.Notice(g.log, "processor overload", "step", "load", "bounded", bounded, "late_ms", g.load.lateness().Milliseconds())
+		}
+		last = now
+	}
+}
+
+// memoryBudget bounds the memory of requests under way. A body is kept until its
+// answer has ended, because a further attempt sends it again.
+type memoryBudget struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// take counts a request with a body of so many bytes.
+func (b *memoryBudget) take(body int) *api.Refusal {
+	size := int64(body + requestBytes)
+	if b.held.Add(size) <= b.limit {
+		return nil
+	}
+	b.held.Add(-size)
+	r := refuse(fasthttp.StatusServiceUnavailable, codeMemoryFull, "the requests under way take all memory for requests")
+	r.RetryAfter = comeBack
+	return r
+}
+
+// free ends a request that was counted with take.
+func (b *memoryBudget) free(body int) { b.held.Add(-int64(body + requestBytes)) }
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +22,7 @@
 	codeTimeout      = "request_timeout"
 	codeNotReady     = "not_ready"
 	codeMemoryFull   = "memory_full"
+	codeBusy         = "instance_busy"
 	codeInternal     = "internal_error"
 )
 
@@ -109,25 +109,3 @@
 func (g *Gateway) headReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	return fasthttp.RequestConfig{MaxRequestBodySize: orInt(g.limits().BodyBytes, defaultBody) + 1}
 }
-
-// memoryBudget bounds the memory of requests under way. A body is kept until its
-// answer has ended, because a further attempt sends it again.
-type memoryBudget struct {
-	limit int64
-	held  atomic.Int64
-}
-
-// take counts a request with a body of so many bytes.
-func (b *memoryBudget) take(body int) *api.Refusal {
-	size := int64(body + requestBytes)
-	if b.held.Add(size) <= b.limit {
-		return nil
-	}
-	b.held.Add(-size)
-	r := refuse(fasthttp.StatusServiceUnavailable, codeMemoryFull, "the requests under way take all memory for requests")
-	r.RetryAfter = comeBack
-	return r
-}
-
-// free ends a request that was counted with take.
-func (b *memoryBudget) free(body int) { b.held.Add(-int64(body + requestBytes)) }
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -73,6 +73,7 @@
 	table    atomic.Pointer[routing.Table]
 	patience patience
 	memory   *memoryBudget
+	load     *loadGate
 	http     *fasthttp.Server
 	listener *callerconn.Listener
 	conns    *callerconn.Tracker
@@ -97,9 +98,10 @@
 	g.stats = newStats(c.Metrics)
 	memory := c.Settings.Routes.MemoryMB * (1 << 20)
 	g.memory = &memoryBudget{limit: int64(requestsShare * memory)}
+	g.load = newLoadGate()
 	g.conns = callerconn.NewTracker(g.stats.sent, &callerconn.Limits{Idle: g.idleLimit, Head: g.headLimit, Whole: g.wholeLimit})
 	g.conns.SetMost(int(min(callersShare*float64(c.Settings.Routes.MaxSockets()), idleShare*memory/idleBytes)))
-	g.stats.gauges(c.Metrics, g.conns, g.memory)
+	g.stats.gauges(c.Metrics, g.conns, g.memory, g.load)
 	g.fleet.OnChange(g.viewChanged)
 	g.http = &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.handleMalformed, HeaderReceived: g.headReceived,
@@ -177,6 +179,7 @@
 	}
 	g.listener = g.conns.Listen(ln)
 	d.Go("gateway server", g.serve)
+	d.Go("gateway load", g.watchLoad)
 	return g.startReady(d)
 }
 
