Add nutmegctl explain: the story of a request from log lines

Cause: on-call engineers have only logs; the lines of one request are spread over files of many instances, and what the instance believed stands far before them.

Change: internal/explain reads lines in any order of files, sorts those of a request, and keeps the newest belief of each kind at the first of them; it names instances that lines mention and that are missing from the input. Text and -json.

--- a/cmd/nutmegctl/main.go
+++ b/cmd/nutmegctl/main.go
@@ -47,6 +47,7 @@
 		{"wait", "[REVISION]", "wait until a revision is in force everywhere", (*tool).wait},
 		{"out", "DATA-CENTRE", "take a data centre out of service", (*tool).takeOut},
 		{"back", "DATA-CENTRE", "bring a data centre back into service", (*tool).bringBack},
+		{"explain", "[-json] REQUEST [LOG...]", "tell the story of a request from log files, or from standard input", (*tool).explain},
 		{"timeline", "[-since D] [-kind K] [-workspace W] [-target T] [-request R]", "print the merged events of all instances", (*tool).timeline},
 	}
 }
--- a/cmd/nutmegctl/main_test.go
+++ b/cmd/nutmegctl/main_test.go
@@ -159,3 +159,25 @@
 	is.Equal(code, exitOK)
 	is.Equal(len(f.changes), 1)
 }
+
+// Guards against an explanation that leaves out the outcome, or that succeeds without
+// any line of the request.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	name := filepath.Join(t.TempDir(), "e1.log")
+	lines := `{"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"admitted","instance":"e1","request":"r1","version":7}
+{"time":"2026-01-01T00:00:03.25Z","level":"WARN","msg":"refused","instance":"e1","request":"r1","code":"too_late","left_ms":80}
+`
+	is.NoErr(os.WriteFile(name, []byte(lines), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(run([]string{"explain", "r1", name}, nil, &out, &errOut), exitOK)
+	is.True(strings.Contains(out.String(), "outcome: refused code=too_late left_ms=80"))
+	out.Reset()
+	is.Equal(run([]string{"explain", "-json", "r1"}, strings.NewReader(lines), &out, &errOut), exitOK)
+	var story struct{ Outcome struct{ Msg string } }
+	is.NoErr(json.Unmarshal(out.Bytes(), &story))
+	is.Equal(story.Outcome.Msg, "refused")
+	is.Equal(run([]string{"explain", "r2", name}, nil, &out, &errOut), exitFailure)
+	is.True(strings.Contains(errOut.String(), "no line of request r2"))
+	is.Equal(run([]string{"explain"}, nil, &out, &errOut), exitUsage)
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,80 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Lines as two instances write them. The collector's prefix and a broken line are
+// what an engineer finds in real files.
+const (
+	entryLines = `
+{"time":"2026-01-01T00:00:01Z","level":"NOTICE","msg":"configuration in force","instance":"e1","step":"view","version":4}
+{"time":"2026-01-01T00:00:02Z","level":"NOTICE","msg":"configuration in force","instance":"e1","step":"view","version":7}
+{"time":"2026-01-01T00:00:02Z","level":"NOTICE","msg":"target known","instance":"e1","step":"directory","target":"t1","state":"ready"}
+{"time":"2026-01-01T00:00:02Z","level":"NOTICE","msg":"target known","instance":"e1","step":"directory","target":"t2","state":"ready"}
+e1 | {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"admitted","instance":"e1","step":"admit","request":"r1","version":7}
+{"time":"2026-01-01T00:00:03.2Z","level":"INFO","msg":"sent","instance":"e1","step":"send","request":"r1","target":"t1"}
+{"time":"2026-01-01T00:00:03.3Z","level":"INFO","msg":"admitted","instance":"e1","step":"admit","request":"other"}
+half a line {"time":
+{"time":"2026-01-01T00:00:03.4Z","level":"NOTICE","msg":"target gone","instance":"e1","step":"directory","target":"t1"}
+{"time":"2026-01-01T00:00:03.5Z","level":"WARN","msg":"attempt failed","instance":"e1","step":"head","request":"r1","target":"t1","outcome":"broken"}
+{"time":"2026-01-01T00:00:03.6Z","level":"WARN","msg":"refused","instance":"e1","step":"retry","request":"r1","code":"target_broken"}
+`
+	otherLines = `
+{"time":"2026-01-01T00:00:00Z","level":"NOTICE","msg":"leader known","instance":"e2","step":"leader","peer":"c1"}
+{"time":"2026-01-01T00:00:03.1Z","level":"INFO","msg":"placed","instance":"e2","step":"place","request":"r1","by":"owner"}
+`
+)
+
+func read(t *testing.T, request string, sources ...string) Story {
+	t.Helper()
+	r := NewReader(request)
+	for _, src := range sources {
+		is.New(t).NoErr(r.Read(strings.NewReader(strings.TrimSpace(src))))
+	}
+	return r.Story()
+}
+
+// Guards against a story that is out of order, mixes requests or misses its end.
+func TestStory(t *testing.T) {
+	is := is.New(t)
+	s := read(t, "r1", entryLines, otherLines)
+	var told []string
+	for _, l := range s.Lines {
+		told = append(told, l.Message)
+	}
+	is.Equal(told, []string{"admitted", "placed", "sent", "attempt failed", "refused"})
+	is.True(s.Outcome != nil)
+	is.Equal(s.Outcome.Fields["code"], "target_broken")
+	is.Equal(s.Unreadable, 1)
+	is.Equal(s.Instances, []string{"e1", "e2"})
+	is.Equal(s.Missing, []string{"c1"}) // its lines would tell who was leader
+}
+
+// Guards against beliefs that came later than the request, or about other targets.
+func TestBeliefsAtThatTime(t *testing.T) {
+	is := is.New(t)
+	s := read(t, "r1", entryLines)
+	var about []string
+	for _, b := range s.Beliefs {
+		about = append(about, b.Message)
+		if b.Step == "view" {
+			is.Equal(b.Fields["version"], 7.0)
+			is.Equal(b.Age, time.Second)
+		}
+	}
+	is.Equal(about, []string{"target known", "configuration in force"})
+}
+
+// Guards against an invented story where the lines are not there.
+func TestNoLines(t *testing.T) {
+	is := is.New(t)
+	s := read(t, "r9", entryLines)
+	is.Equal(len(s.Lines), 0)
+	is.True(s.Outcome == nil)
+	is.Equal(len(s.Beliefs), 0)
+}
--- a/internal/logqueue/handler.go
+++ b/internal/logqueue/handler.go
@@ -21,6 +21,9 @@
 // LevelNotice marks changes of what the process believes.
 const LevelNotice = slog.LevelInfo + 2
 
+// NoticeName is the name of LevelNotice in lines.
+const NoticeName = "NOTICE"
+
 // RequestKey is the attribute that holds a request's id.
 const RequestKey = "request"
 
@@ -184,7 +187,7 @@
 // nameLevels gives the level of changed beliefs its name.
 func nameLevels(_ []string, a slog.Attr) slog.Attr {
 	if a.Key == slog.LevelKey && a.Value.Any() == LevelNotice {
-		return slog.String(slog.LevelKey, "NOTICE")
+		return slog.String(slog.LevelKey, NoticeName)
 	}
 	return a
 }
