Share the budget for repeats among all entry instances; bound sudden floods before ticks are late

Cause: each entry instance used the whole slack of the budget for repeats, because the number of instances was never told to it: 81 instances could send 60 percent of the slack each.

Ruled out: the ratio part of the budget counts own requests only and was right.

Change: the forwarder asks the topology every second; an instance that does not know the number uses no slack. The gate accepts in a period at most 1.5 times as many requests as in the period before (30 at least), shared max-min.

Before: TestBudgetIsShared sent 5 repeats instead of 1; TestSuddenFlood left more than 500 ms of work. After: both pass.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -37,6 +37,15 @@
 	leastRate = 10.0
 	// freeAfter is the number of ticks without a refusal after which the bound ends.
 	freeAfter = 20
+	// ramp bounds the requests of a period by a multiple of those in the period before
+	// also where the processor is not late yet: one second of a flood of 2,000 requests
+	// leaves 5 s of work on an instance with 0.2 of a core before a tick shows it.
+	ramp = 1.5
+	// burstKept is the part of a period's bound that holds in the next one, so that a
+	// pause in the load does not begin the ramp anew.
+	burstKept = 0.9
+	// leastBurst is accepted in every period while the rate is not bounded.
+	leastBurst = 30
 )
 
 // Gate decides which requests an instance accepts. While its rate is bounded, the
@@ -49,12 +58,14 @@
 	level   float64
 	wanted  map[string]int // requests of each workspace in this period
 	taken   int            // requests accepted in this period
+	burst   int            // requests of this period above which the level holds
+	over    bool           // the burst is used up, and the level follows from it
 	refused int
 }
 
 // New returns a gate without a bound.
 func New() *Gate {
-	return &Gate{rate: math.Inf(1), level: math.Inf(1), wanted: map[string]int{}}
+	return &Gate{rate: math.Inf(1), level: math.Inf(1), wanted: map[string]int{}, burst: leastBurst}
 }
 
 // Rate returns the bound in requests a second; +Inf = none.
@@ -70,6 +81,10 @@
 func (g *Gate) Allow(workspace string) bool {
 	n := g.wanted[workspace]
 	g.wanted[workspace] = n + 1
+	if g.taken >= g.burst && !g.over {
+		g.over = true
+		g.level = min(g.level, fill(g.wanted, float64(g.burst)))
+	}
 	if float64(n) >= g.level {
 		g.refused++
 		return false
@@ -92,7 +107,7 @@
 	case g.late > lateLimit && late > lateLimit/2:
 		g.rate = max(leastRate, cut*min(g.rate, max(accepted, leastRate)))
 		g.quiet = 0
-	case math.IsInf(g.rate, 1):
+	case !g.Bounded():
 	case g.refused == 0:
 		if g.quiet++; g.quiet >= freeAfter {
 			g.rate = math.Inf(1)
@@ -107,6 +122,8 @@
 // next begins a period. The level is what each workspace may send, so that all
 // together reach the rate if they send as much as in the period before.
 func (g *Gate) next(took time.Duration) {
+	g.burst = max(leastBurst, int(ramp*float64(g.taken)), int(burstKept*float64(g.burst)))
+	g.over = false
 	g.level = fill(g.wanted, g.rate*took.Seconds())
 	clear(g.wanted)
 	g.taken, g.refused = 0, 0
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -15,6 +15,7 @@
 	serve, refuse time.Duration
 	share         float64 // of a core
 	backlog       time.Duration
+	longest       time.Duration // backlog
 	served        map[string]int
 }
 
@@ -34,6 +35,7 @@
 			}
 		}
 		p.backlog = max(0, p.backlog+work-time.Duration(p.share*float64(took)))
+		p.longest = max(p.longest, p.backlog)
 		p.gate.Tick(took)
 	}
 }
@@ -87,3 +89,25 @@
 	is.Equal(fill(nil, 5), 5.0)
 	is.True(math.IsInf(fill(map[string]int{"a": 3}, math.Inf(1)), 1))
 }
+
+// Guards against a flood that leaves seconds of work behind before the first late tick
+// shows it: the requests accepted then wait until their callers have given up.
+func TestSuddenFlood(t *testing.T) {
+	is := is.New(t)
+	p := newProcessor()
+	p.run(50, map[string]float64{"large": 50, "small": 20})
+	p.run(30, map[string]float64{"large": 1500, "small": 20})
+	is.True(time.Duration(float64(p.longest)/p.share) < 500*time.Millisecond)
+	is.True(p.served["small"] >= 120) // of 160
+}
+
+// Guards against a ramp that holds back an instance with enough processor time.
+func TestRampFollowsLoad(t *testing.T) {
+	is := is.New(t)
+	p := newProcessor()
+	p.share = 1
+	p.run(10, map[string]float64{"w": 1000})
+	clear(p.served)
+	p.run(10, map[string]float64{"w": 1000})
+	is.Equal(p.served["w"], 1000)
+}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -49,11 +49,15 @@
 	return &Budget{cfg: c, share: 1, services: map[string]*window{}}
 }
 
-// SetInstances sets the number of instances that share the slack.
+// SetInstances sets the number of instances that share the slack. While it is not
+// known (0), this instance uses none of it.
 func (b *Budget) SetInstances(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.share = 1 / float64(max(1, n))
+	b.share = 0
+	if n > 0 {
+		b.share = 1 / float64(n)
+	}
 }
 
 // Request counts a request for a service.
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -29,14 +29,15 @@
 
 // Forwarder implements api.Forwarder. It must be provisioned before use.
 type Forwarder struct {
-	placer  api.Placer
-	dialect api.Dialect
-	clock   kernel.Clock
-	log     *slog.Logger
-	conns   *targetconn.Pool
-	budget  *retrybudget.Budget
-	outputs *outputs
-	stats   *stats
+	placer   api.Placer
+	dialect  api.Dialect
+	topology api.Topology
+	clock    kernel.Clock
+	log      *slog.Logger
+	conns    *targetconn.Pool
+	budget   *retrybudget.Budget
+	outputs  *outputs
+	stats    *stats
 }
 
 // Bounds of connections to targets.
@@ -62,9 +63,13 @@
 	if f.dialect, err = kernel.Lookup[api.Dialect](c); err != nil {
 		return err
 	}
+	if f.topology, err = kernel.Lookup[api.Topology](c); err != nil {
+		return err
+	}
 	f.clock, f.log = c.Clock, c.Log.With("plugin", "forward")
 	f.stats, f.outputs = newStats(c.Metrics), newOutputs()
 	f.budget = newBudget(c.Settings.Routes.Bounds)
+	f.shareBudget()
 	f.conns = targetconn.NewPool(targetconn.Options{
 		DialTimeout: dialLimit, IdleLimit: idleLimit, Control: setUserTimeout,
 		KeepAlive: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
@@ -79,6 +84,13 @@
 	})
 }
 
+// budgetInterval is how often the number of entry instances is asked for. It changes
+// far more slowly than the window of the budget ends.
+const budgetInterval = time.Second
+
+// shareBudget takes this instance's part of the slack that all entry instances share.
+func (f *Forwarder) shareBudget() { f.budget.SetInstances(f.topology.Entries()) }
+
 // setUserTimeout ends a connection whose peer has gone silent without a reset.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
@@ -93,6 +105,7 @@
 
 // Start implements kernel.Starter.
 func (f *Forwarder) Start(d *kernel.Duties) error {
+	d.Every("forward budget", budgetInterval, func(context.Context) { f.shareBudget() })
 	d.Every("forward idle connections", targetconn.SweepInterval, func(context.Context) { f.conns.Sweep() })
 	return nil
 }
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -51,6 +51,12 @@
 // newRig starts a gateway. Requests go to the targets in order, each attempt to the
 // next one.
 func newRig(t *testing.T, targets ...*target) *rig {
+	t.Helper()
+	return newRigOf(t, 1, targets...)
+}
+
+// newRigOf starts a gateway that is one of so many entry instances.
+func newRigOf(t *testing.T, entries int, targets ...*target) *rig {
 	t.Helper()
 	r := &rig{t: t, is: is.New(t), targets: targets}
 	s := &settings.Settings{Profile: settings.ProfileRoutes, Instance: "e", DataCentre: "z", Listen: "127.0.0.1:0"}
@@ -62,6 +68,7 @@
 	r.is.NoErr((&platform.Dialect{}).Provision(k))
 	r.is.NoErr(kernel.Provide[api.Directory](k, known{}))
 	r.is.NoErr(kernel.Provide[api.Placer](k, r))
+	r.is.NoErr(kernel.Provide[api.Topology](k, alone(entries)))
 	f := &forward.Forwarder{}
 	r.is.NoErr(f.Provision(k))
 	r.gateway = &Gateway{}
@@ -91,6 +98,14 @@
 func (known) Known() bool           { return true }
 func (known) OnChange(func())       {}
 
+// alone is a topology with so many entry instances; no control instance is known.
+type alone int
+
+func (alone) Controls() []string            { return nil }
+func (alone) Leader() (string, uint64)      { return "", 0 }
+func (a alone) Entries() int                { return int(a) }
+func (alone) OnLeader(func(string, uint64)) {}
+
 // Precheck implements api.Placer.
 func (r *rig) Precheck(*api.Work) *api.Refusal { return nil }
 
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -390,3 +391,25 @@
 		r.is.True(time.Since(begin) < x.limit+300*time.Millisecond)
 	}
 }
+
+// Guards against entry instances that each use the whole slack of the budget for
+// repeats: 100 instances together sent 60 times as many repeats as allowed.
+func TestBudgetIsShared(t *testing.T) {
+	fail := func(c net.Conn, r *http.Request, _ int) { write(c, whole(500, idOf(r), "failed")) }
+	repeats := func(entries int) int {
+		first, second := newTarget(t, "t1", fail), newTarget(t, "t2", fail)
+		r := newRigOf(t, entries, first, second).configured(1)
+		c := r.dial()
+		for i := range 5 {
+			c.send(request("GET", "/look/1", fmt.Sprintf("id%d", i), ""))
+			c.want(500, "failed")
+		}
+		n, _ := second.count()
+		m, _ := first.count()
+		return n + m - 5
+	}
+	is := is.New(t)
+	is.True(repeats(1) >= 5)  // the slack of 100 is this instance's alone
+	is.Equal(repeats(100), 1) // 0.6 of the slack, 0.85 for the 5 requests
+	is.Equal(repeats(0), 0)   // the number of instances is not known yet
+}
