Keep reads of the list of targets within the platform's rate

Cause: the leader read all pages of the list in a row every 400 ms. Where the list has more pages than the platform allows calls, a page is refused each time, the read begins anew, and no target is ever known.

Ruled out: dropping the pages already read is needed: targets on a missing page would look gone.

Before: TestReadsKeepToTheRate (6 pages, 11 calls a second) knew no target after 5 s. After: it knows all and no call is refused.

--- /dev/null
+++ b/plugin/directory/directory_test.go
@@ -0,0 +1,141 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
+	"nutmegrouter/platform"
+)
+
+// platformList is a list of targets in pages of one that refuses calls beyond a rate.
+type platformList struct {
+	mu      sync.Mutex
+	targets int
+	gap     time.Duration // least time between two calls
+	last    time.Time
+	calls   int
+	refused int
+}
+
+func (l *platformList) handle(ctx *fasthttp.RequestCtx) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	if time.Since(l.last) < l.gap {
+		l.refused++
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
+	l.last = time.Now()
+	n := 0
+	fmt.Sscanf(string(ctx.QueryArgs().Peek("page_token")), "p%d", &n)
+	next := "null"
+	if n+1 < l.targets {
+		next = fmt.Sprintf(`"p%d"`, n+1)
+	}
+	fmt.Fprintf(ctx, `{"instances":[{"id":"t%d","service":"s","address":"10.0.0.%d:80","zone":"z","slots":4,"state":"ready"}],"next":%s}`, n, n+1, next)
+}
+
+func (l *platformList) start(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := &fasthttp.Server{Handler: l.handle}
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+// fleetOf is a control leader with linked peers that take notifications.
+type fleetOf struct {
+	api.Mesh
+	api.Control
+	peers []string
+	mu    sync.Mutex
+	told  map[string]int
+}
+
+func (f *fleetOf) Peers() []string               { return f.peers }
+func (f *fleetOf) Handle(string, api.Handler)    {}
+func (f *fleetOf) Status() api.ControlStatus     { return api.ControlStatus{Role: "leader", Term: 3} }
+func (f *fleetOf) Dial([]string)                 {}
+func (f *fleetOf) OnLink(func(api.LinkChange))   {}
+func (f *fleetOf) Controls() []string            { return []string{"c"} }
+func (f *fleetOf) Leader() (string, uint64)      { return "c", 3 }
+func (f *fleetOf) Entries() int                  { return len(f.peers) }
+func (f *fleetOf) OnLeader(func(string, uint64)) {}
+func (f *fleetOf) Notify(to, method string, params any) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told[to]++
+	return nil
+}
+
+func newDirectory(t *testing.T, address string, rate float64) (*Directory, *fleetOf) {
+	t.Helper()
+	is := is.New(t)
+	s := &settings.Settings{Profile: settings.ProfileRoutes, Instance: "c"}
+	s.Routes.Directory = settings.Directory{Address: address, CallsPerSecond: rate}
+	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
+	f := &fleetOf{peers: []string{"e1", "e2"}, told: map[string]int{}}
+	is.NoErr((&platform.Dialect{}).Provision(k))
+	is.NoErr(kernel.Provide[api.Mesh](k, f))
+	is.NoErr(kernel.Provide[api.Topology](k, f))
+	is.NoErr(kernel.Provide[api.Roster](k, f))
+	is.NoErr(kernel.Provide[api.Control](k, f))
+	d := &Directory{}
+	is.NoErr(d.Provision(k))
+	ctx, cancel := context.WithCancel(context.Background())
+	duties := kernel.NewDuties(ctx)
+	is.NoErr(d.Start(duties))
+	t.Cleanup(func() {
+		cancel()
+		_ = duties.Wait()
+	})
+	return d, f
+}
+
+// Guards against a list of many pages that is never read to its end, because calls
+// beyond the platform's rate are refused and the read begins anew.
+func TestReadsKeepToTheRate(t *testing.T) {
+	is := is.New(t)
+	list := &platformList{targets: 6, gap: 90 * time.Millisecond}
+	d, f := newDirectory(t, list.start(t), 10)
+	for begin := time.Now(); !d.Known() || len(d.Targets()) < 6; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Since(begin) < 5*time.Second)
+	}
+	list.mu.Lock()
+	is.Equal(list.refused, 0)
+	list.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.True(f.told["e1"] > 0 && f.told["e2"] > 0)
+}
+
+// Guards against a list with a page missing that makes its targets look gone.
+func TestFailedReadKeepsTheList(t *testing.T) {
+	is := is.New(t)
+	list := &platformList{targets: 3}
+	d, _ := newDirectory(t, list.start(t), 0)
+	for begin := time.Now(); len(d.Targets()) < 3; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Since(begin) < 5*time.Second)
+	}
+	list.mu.Lock()
+	list.gap = time.Hour // from now on each call is refused
+	list.mu.Unlock()
+	time.Sleep(2 * readInterval)
+	is.Equal(len(d.Targets()), 3)
+	is.True(d.failures.Get() > 0)
+}
--- a/plugin/directory/read.go
+++ b/plugin/directory/read.go
@@ -19,6 +19,9 @@
 	readInterval = 400 * time.Millisecond
 	// readLimit bounds one page.
 	readLimit = 800 * time.Millisecond
+	// rateShare is the part of the calls a second that the platform allows which is
+	// used: a new leader and the one before it may both read for a moment.
+	rateShare = 0.8
 	// maxPages bounds a list whose pages refer to each other.
 	maxPages = 1000
 	// shareInterval is how often an unchanged list is announced, so that an
@@ -77,6 +80,9 @@
 	var out []api.DirectoryEntry
 	token := ""
 	for range maxPages {
+		if err := d.pace(ctx); err != nil {
+			return nil, err
+		}
 		p, err := d.page(ctx, token)
 		if err != nil {
 			return nil, err
@@ -91,6 +97,24 @@
 	return nil, errors.Errorf("directory: more than %d pages", maxPages)
 }
 
+// pace waits until a further call keeps to the rate that the platform allows. A list
+// of many pages is otherwise never read to its end: calls beyond the rate are refused.
+func (d *Directory) pace(ctx context.Context) error {
+	var gap time.Duration
+	if rate := d.kernel.Settings.Routes.Directory.CallsPerSecond; rate > 0 {
+		gap = time.Duration(float64(time.Second) / (rateShare * rate))
+	}
+	if wait := d.calledAt + gap - d.kernel.Clock.Now(); wait > 0 && d.calledAt > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	d.calledAt = d.kernel.Clock.Now()
+	return nil
+}
+
 func (d *Directory) page(ctx context.Context, token string) (api.DirectoryPage, error) {
 	if ctx.Err() != nil {
 		return api.DirectoryPage{}, ctx.Err()
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -40,6 +40,7 @@
 	list      targetlist.List
 	sharedAt  time.Duration // time of the last update sent to all
 	listeners []func()
+	calledAt  time.Duration // time of the last call to the platform; owned by the duty
 
 	targets atomic.Pointer[[]api.Target]
 	readAt  atomic.Int64 // time of the last answer of the platform or news of it
