--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -46,6 +46,25 @@
 	mu       sync.Mutex
 	outcomes []api.WorkOutcome
 	placed   int
+	lines    lines
+}
+
+// lines collects what is logged.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // newRig starts a gateway. Requests go to the targets in order, each attempt to the
@@ -61,7 +80,7 @@
 	r := &rig{t: t, is: is.New(t), targets: targets}
 	s := &settings.Settings{Profile: settings.ProfileRoutes, Instance: "e", DataCentre: "z", Listen: "127.0.0.1:0"}
 	s.Routes = settings.Routes{Ready: "127.0.0.1:0", MemoryMB: 64, MaxFiles: 1000, Bounds: settings.Bounds{StopMs: 5000, RetryRatio: 0.2, RetrySlack: 100, RetryWindowMs: 10000}}
-	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
+	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(&r.lines, &slog.HandlerOptions{Level: slog.LevelDebug})), kernel.NewClock())
 	holder := &fleet.Holder{}
 	r.is.NoErr(holder.Provision(k))
 	r.fleet = holder
