Elect the first leader after a loss of power sooner

Cause: after all processes are stopped at once, control instances wait a whole election timeout (0.7 to 1.4 s) before the first asks for votes; entry instances have no configuration until then and refuse everything.

Ruled out: slow links (all were up 0.2 s after the start); serving from the disk without a leader (the log does not store what is committed).

Change: until a replica has known a leader since its start its timeout is 200 to 400 ms. Pre-votes keep such a replica harmless where a leader lives.

Before: TestRestartTogether had no leader after 8 ticks. After: passes, also the generated sequences with short first timeouts.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -78,7 +78,7 @@
 }
 
 func (n *Node) becomeLeader() {
-	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
+	n.role, n.leader, n.votes, n.led = Leader, n.cfg.ID, nil, true
 	n.transfer = transfer{}
 	n.reads.clear()
 	n.peers = map[string]*progress{}
@@ -91,7 +91,7 @@
 	if n.role != Follower {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.leader, n.heard = m.From, n.now
+	n.leader, n.heard, n.led = m.From, n.now, true
 	n.resetTimer()
 	switch m.Type {
 	case MsgAppend:
--- a/internal/consensus/fault_test.go
+++ b/internal/consensus/fault_test.go
@@ -314,3 +314,27 @@
 	}
 	is.Equal(n.Role(), Follower) // the removal is committed
 }
+
+// TestRestartTogether guards against a group that stays without a leader for a whole
+// election timeout after all its replicas were stopped, though none can be led.
+func TestRestartTogether(t *testing.T) {
+	is := is.New(t)
+	s := simOf(t, 5)
+	s.commit(3)
+	s.first = 3
+	for _, id := range s.ids {
+		s.crash(id)
+	}
+	s.network = nil
+	for _, id := range s.ids[1:] {
+		s.start(id)
+	}
+	s.settle(8) // less than the 10 ticks of the shortest usual timeout
+	is.True(s.leader() != "")
+	s.start(s.ids[0]) // the last one does not disturb the others
+	l := s.leader()
+	s.settle(30)
+	is.Equal(s.leader(), l)
+	s.commit(3)
+	s.checkAll()
+}
--- a/internal/consensus/generated_test.go
+++ b/internal/consensus/generated_test.go
@@ -19,6 +19,7 @@
 			return int(seed>>33) % n
 		}
 		s := newSim(t, random, rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "voters"))
+		s.first = rapid.SampledFrom([]int{0, 3}).Draw(t, "first timeout")
 		steps := rapid.IntRange(200, 600).Draw(t, "steps")
 		for range steps {
 			s.fault(t)
@@ -128,6 +129,7 @@
 		}
 		s := newSim(t, random, rapid.SampledFrom([]int{2, 3, 4, 5}).Draw(t, "voters"))
 		s.waitLeader()
+		s.first = rapid.SampledFrom([]int{0, 3}).Draw(t, "first timeout")
 		for range rapid.IntRange(5, 30).Draw(t, "rounds") {
 			s.round(t)
 		}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -14,6 +14,7 @@
 	heard   uint64 // tick of the last message from the leader
 	started uint64 // tick at which the election timer was reset
 	timeout uint64 // ticks until the next election attempt
+	led     bool   // a leader has been known since the start
 
 	votes    map[string]bool
 	peers    map[string]*progress
@@ -95,8 +96,12 @@
 func (n *Node) members() Membership { return n.log.members() }
 
 func (n *Node) resetTimer() {
+	ticks := n.cfg.ElectionTicks
+	if !n.led && n.cfg.FirstTicks > 0 {
+		ticks = n.cfg.FirstTicks
+	}
 	n.started = n.now
-	n.timeout = uint64(n.cfg.ElectionTicks + n.cfg.Random(n.cfg.ElectionTicks))
+	n.timeout = uint64(ticks + n.cfg.Random(ticks))
 }
 
 func (n *Node) becomeFollower(term uint64, leader string) {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -37,6 +37,7 @@
 	side    map[string]int // messages pass only between replicas on one side
 
 	frozen string // replica whose process is stopped
+	first  int    // FirstTicks of replicas that start from now on
 
 	leaders   map[uint64]string // term -> leader
 	committed []Entry           // by index-2, as first applied anywhere
@@ -94,7 +95,7 @@
 
 func (s *sim) start(id string) {
 	b := s.boxes[id]
-	cfg := Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 64, ChunkBytes: 5, Random: s.random}
+	cfg := Config{ID: id, ElectionTicks: 10, FirstTicks: s.first, HeartbeatTicks: 2, MaxAppendBytes: 64, ChunkBytes: 5, Random: s.random}
 	b.node = New(cfg, b.hard, b.snap, slices.Clone(b.entries))
 	b.applied, b.sum = b.snap.Index, decodeSum(b.snap.Data)
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -153,6 +153,9 @@
 	// ElectionTicks is the shortest election timeout. The timeout is random
 	// below twice this value.
 	ElectionTicks int
+	// FirstTicks replaces ElectionTicks until the node has known a leader since its
+	// start, so that a group that was stopped as a whole is soon led again. 0 = the same.
+	FirstTicks int
 	// HeartbeatTicks is the interval of the leader's heartbeats.
 	HeartbeatTicks int
 	// MaxAppendBytes bounds the entries of one message; one entry always fits.
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -117,7 +117,7 @@
 
 func (r *replica) config() consensus.Config {
 	return consensus.Config{
-		ID: r.id, ElectionTicks: r.c.pace().election, HeartbeatTicks: r.c.pace().heartbeat,
+		ID: r.id, ElectionTicks: r.c.pace().election, FirstTicks: r.c.pace().first, HeartbeatTicks: r.c.pace().heartbeat,
 		MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, Random: rand.IntN,
 	}
 }
