--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -56,16 +56,22 @@
 // ends are the messages that end a request.
 var ends = []string{"answered", "refused", "caller left", "answer cut", "stream broken", "stream cancelled"}
 
-// peerFields name other instances.
-var peerFields = []string{"peer", "from", "leader", "owner"}
+const (
+	// peerField names another instance, or the address of its mesh where instances
+	// are discovered.
+	peerField = "peer"
+	// meshField is the address of an instance's own mesh, in its first line.
+	meshField = "mesh"
+)
 
 // Reader collects lines. It keeps those of one request and the beliefs before them.
 type Reader struct {
-	story   Story
-	seen    map[string]bool            // instances with lines
-	named   map[string]bool            // instances named by lines
-	beliefs map[string]map[string]Line // by instance and subject
-	held    map[string]map[string]Line // beliefs at the first line of the request
+	story     Story
+	seen      map[string]bool            // instances with lines, and their addresses
+	addresses map[string]bool            // those of seen that are addresses
+	named     map[string]bool            // instances named by lines
+	beliefs   map[string]map[string]Line // by instance and subject
+	held      map[string]map[string]Line // beliefs at the first line of the request
 }
 
 // NewReader returns a reader for the lines of a request.
@@ -113,10 +119,12 @@
 
 func (r *Reader) take(l Line) {
 	r.seen[l.Instance] = true
-	for _, f := range peerFields {
-		if name, ok := l.Fields[f].(string); ok && name != "" {
-			r.named[name] = true
-		}
+	if name, ok := l.Fields[peerField].(string); ok && name != "" {
+		r.named[name] = true
+	}
+	if address, ok := l.Fields[meshField].(string); ok {
+		r.seen[address] = true
+		r.addresses[address] = true
 	}
 	if id, _ := l.Fields[logqueue.RequestKey].(string); id == r.story.Request {
 		if r.held[l.Instance] == nil {
@@ -160,7 +168,9 @@
 	}
 	s.Beliefs = r.relevant(s.Lines)
 	for name := range r.seen {
-		s.Instances = append(s.Instances, name)
+		if !r.addresses[name] {
+			s.Instances = append(s.Instances, name)
+		}
 	}
 	for name := range r.named {
 		if !r.seen[name] {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,8 @@
 {"time":"2026-01-01T00:00:03.6Z","level":"WARN","msg":"refused","instance":"e1","step":"retry","request":"r1","code":"target_broken"}
 `
 	otherLines = `
+{"time":"2025-12-31T00:00:00Z","level":"NOTICE","msg":"started","instance":"e2","step":"start","mesh":"10.0.0.2:7400"}
+{"time":"2025-12-31T00:00:01Z","level":"NOTICE","msg":"link up","instance":"e2","step":"link","peer":"10.0.0.2:7400"}
 {"time":"2026-01-01T00:00:00Z","level":"NOTICE","msg":"leader known","instance":"e2","step":"leader","peer":"c1"}
 {"time":"2026-01-01T00:00:03.1Z","level":"INFO","msg":"placed","instance":"e2","step":"place","request":"r1","by":"owner"}
 `
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -51,7 +51,7 @@
 		_ = d.Wait() // the failed start is the cause to report
 		return joinCleanup(plugins, err)
 	}
-	logqueue.Notice(c.Log, "started", "step", "start", "data_centre", s.DataCentre, "profile", s.Profile)
+	logqueue.Notice(c.Log, "started", "step", "start", "data_centre", s.DataCentre, "profile", s.Profile, "mesh", s.Mesh)
 	c.Events.Record(Event{Kind: "instance", Step: "start"})
 	d.Go("signals", func(ctx context.Context) error {
 		waitStop(ctx, c, plugins, host.Stop)
