--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -78,7 +78,7 @@
 func NewReader(request string) *Reader {
 	return &Reader{
 		story: Story{Request: request},
-		seen:  map[string]bool{}, named: map[string]bool{},
+		seen:  map[string]bool{}, addresses: map[string]bool{}, named: map[string]bool{},
 		beliefs: map[string]map[string]Line{}, held: map[string]map[string]Line{},
 	}
 }
