Recover sooner after a loss of power; measure the processor's lateness rightly

(2) The new leader read the list of targets at its next interval, 0.4 s later; until then all requests were refused with no_target.

Ruled out: the election itself (short first timeouts were in force and made it no sooner), slow disks.

Change: an accepted hello ends the pause of the own link to that peer; pauses grow by half instead of doubling; a new leader reads the list at once; the gate's timer is set anew after each tick.

Before: TestRedialsPeerThatDials and TestNewLeaderReadsAtOnce fail. After: they pass.

--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -65,11 +65,24 @@
 	peers []string
 	mu    sync.Mutex
 	told  map[string]int
+	role  string
+	watch func(api.ControlStatus)
 }
 
-func (f *fleetOf) Peers() []string               { return f.peers }
-func (f *fleetOf) Handle(string, api.Handler)    {}
-func (f *fleetOf) Status() api.ControlStatus     { return api.ControlStatus{Role: "leader", Term: 3} }
+func (f *fleetOf) Peers() []string            { return f.peers }
+func (f *fleetOf) Handle(string, api.Handler) {}
+func (f *fleetOf) Status() api.ControlStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return api.ControlStatus{Role: f.role, Term: 3}
+}
+func (f *fleetOf) OnStatus(w func(api.ControlStatus)) { f.watch = w }
+func (f *fleetOf) setRole(role string) {
+	f.mu.Lock()
+	f.role = role
+	f.mu.Unlock()
+	f.watch(f.Status())
+}
 func (f *fleetOf) Dial([]string)                 {}
 func (f *fleetOf) OnLink(func(api.LinkChange))   {}
 func (f *fleetOf) Controls() []string            { return []string{"c"} }
@@ -89,7 +102,7 @@
 	s := &settings.Settings{Profile: settings.ProfileRoutes, Instance: "c"}
 	s.Routes.Directory = settings.Directory{Address: address, CallsPerSecond: rate}
 	k := kernel.NewContext(s, slog.New(slog.NewTextHandler(io.Discard, nil)), kernel.NewClock())
-	f := &fleetOf{peers: []string{"e1", "e2"}, told: map[string]int{}}
+	f := &fleetOf{peers: []string{"e1", "e2"}, told: map[string]int{}, role: "leader"}
 	is.NoErr((&platform.Dialect{}).Provision(k))
 	is.NoErr(kernel.Provide[api.Mesh](k, f))
 	is.NoErr(kernel.Provide[api.Topology](k, f))
@@ -139,3 +152,20 @@
 	is.Equal(len(d.Targets()), 3)
 	is.True(d.failures.Get() > 0)
 }
+
+// Guards against a new leader that reads the list only at its next interval, while no
+// instance knows any target.
+func TestNewLeaderReadsAtOnce(t *testing.T) {
+	is := is.New(t)
+	list := &platformList{targets: 2}
+	d, f := newDirectory(t, list.start(t), 0)
+	f.setRole("follower")
+	time.Sleep(2*readInterval + readInterval/4) // between two intervals
+	list.mu.Lock()
+	list.targets = 4
+	list.mu.Unlock()
+	f.setRole("leader")
+	for begin := time.Now(); len(d.Targets()) < 4; time.Sleep(time.Millisecond) {
+		is.True(time.Since(begin) < readInterval/2)
+	}
+}
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	list      targetlist.List
 	sharedAt  time.Duration // time of the last update sent to all
 	listeners []func()
+	led       chan struct{} // signalled when this instance begins to lead
 	calledAt  time.Duration // time of the last call to the platform; owned by the duty
 
 	targets atomic.Pointer[[]api.Target]
@@ -63,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	d.kernel, d.log = c, c.Log.With("plugin", "directory")
+	d.kernel, d.log, d.led = c, c.Log.With("plugin", "directory"), make(chan struct{}, 1)
 	d.client = &fasthttp.HostClient{
 		Addr: c.Settings.Routes.Directory.Address, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }, NoDefaultUserAgentHeader: true,
@@ -87,10 +89,31 @@
 		return nil // an entry instance only listens
 	}
 	d.control = control
-	duties.Every("directory read", readInterval, d.read)
+	control.OnStatus(func(s api.ControlStatus) {
+		if s.Role == "leader" {
+			kernel.Signal(d.led)
+		}
+	})
+	duties.Go("directory read", d.readLoop)
 	return nil
 }
 
+// readLoop reads the list at an interval, and at once when this instance begins to
+// lead: after a loss of power no instance knows any target until then.
+func (d *Directory) readLoop(ctx context.Context) error {
+	t := time.NewTicker(readInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.led:
+		case <-t.C:
+		}
+		d.read(ctx)
+	}
+}
+
 // Targets implements api.Directory.
 func (d *Directory) Targets() []api.Target {
 	if p := d.targets.Load(); p != nil {
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -57,9 +57,10 @@
 }
 
 // watchLoad measures how late this duty runs, which is how long work waits for the
-// processor.
+// processor. The timer is set anew after each tick: the ticks of a ticker keep their
+// distance where all of them come equally late.
 func (g *Gateway) watchLoad(ctx context.Context) error {
-	timer := time.NewTicker(overload.Period)
+	timer := time.NewTimer(overload.Period)
 	defer timer.Stop()
 	last := time.Now()
 	for {
@@ -73,6 +74,7 @@
 			logqueue.Notice(g.log, "processor overload", "step", "load", "bounded", bounded, "late_ms", g.load.lateness().Milliseconds())
 		}
 		last = now
+		timer.Reset(overload.Period)
 	}
 }
 
--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -303,3 +303,21 @@
 		}
 	})
 }
+
+// Guards against an instance that waits for its next attempt to reach a peer which has
+// just reached it: after a loss of power control instances had no leader for 0.7 s
+// longer than their processes needed to start.
+func TestRedialsPeerThatDials(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(t, "a", "b")
+	w.nodes["b"].stop()
+	time.Sleep(4 * time.Second) // the pauses have grown to 0.5 s and more
+	for range 3 {
+		w.start("b")
+		w.await("link to a", func() bool { return w.nodes["b"].Reachable("a") && w.nodes["b"].links["a"].up() != nil })
+		back := w.await("link from a", func() bool { return w.nodes["a"].links["b"].up() != nil })
+		is.True(back < 100*time.Millisecond)
+		w.nodes["b"].stop()
+		time.Sleep(2 * time.Second)
+	}
+}
--- a/plugin/mesh/link.go
+++ b/plugin/mesh/link.go
@@ -22,6 +22,7 @@
 	silenceCheck  = 200 * time.Millisecond  // silence is noticed within 1.7 s
 	backoffMin    = 50 * time.Millisecond
 	backoffMax    = time.Second            // short, because a healed partition must rejoin within a lease time
+	backoffGrowth = 1.5                    // a peer that starts late is found within a third of that time
 	freezeAllowed = 500 * time.Millisecond // a checker that ran later than this was itself frozen
 )
 
@@ -44,6 +45,18 @@
 	address string
 	count   *counters
 	session atomic.Pointer[session] // nil while the link is down
+	retry   chan struct{}           // ends the pause before the next attempt
+}
+
+// retryNow ends the pause before the next attempt: the peer is there.
+func (l *link) retryNow() {
+	if l.up() == nil {
+		kernel.Signal(l.retry)
+	}
+}
+
+func newLink(m *Mesh, peer, address string, count *counters) *link {
+	return &link{mesh: m, peer: peer, address: address, count: count, retry: make(chan struct{}, 1)}
 }
 
 // up returns the open session or nil.
@@ -61,10 +74,12 @@
 			l.mesh.log.Debug("connect failed", "step", "dial", "peer", l.peer, "error", err)
 		}
 		wait := backoff/2 + rand.N(backoff/2)
-		backoff = min(2*backoff, backoffMax)
+		backoff = min(time.Duration(backoffGrowth*float64(backoff)), backoffMax)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
+		case <-l.retry:
+			backoff = backoffMin
 		}
 	}
 	return ctx.Err()
--- a/plugin/mesh/roster.go
+++ b/plugin/mesh/roster.go
@@ -59,7 +59,7 @@
 }
 
 func (m *Mesh) dial(address string) *dialled {
-	l := &link{mesh: m, peer: address, address: address, count: m.origin("").count}
+	l := newLink(m, address, address, m.origin("").count)
 	ctx, stop := context.WithCancel(m.duties.Context())
 	m.duties.Go("mesh.link."+address, func(context.Context) error {
 		_ = l.run(ctx) // ends with the context
@@ -102,6 +102,19 @@
 	return m.incoming[name]
 }
 
+// linkTo returns the link that is dialled from here to the named instance, or nil.
+func (m *Mesh) linkTo(name string) *link {
+	if m.roster == nil {
+		return m.links[name]
+	}
+	m.roster.mu.Lock()
+	defer m.roster.mu.Unlock()
+	if d := m.roster.links[name]; d != nil {
+		return d.link
+	}
+	return nil
+}
+
 // linkedNames returns the names of all linked instances, sorted.
 func (m *Mesh) linkedNames() []string {
 	var out []string
--- a/plugin/mesh/serve.go
+++ b/plugin/mesh/serve.go
@@ -112,6 +112,9 @@
 		reply(in.mesh.hello(""), nil)
 	}
 	in.mesh.linkChanged(h, true)
+	if l := in.mesh.linkTo(h.Instance); l != nil {
+		l.retryNow()
+	}
 }
 
 func (m *Mesh) checkHello(req *jsonrpc2.Request) (hello, error) {
--- a/plugin/mesh/setup.go
+++ b/plugin/mesh/setup.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		m.peers = append(m.peers, p.Instance)
-		m.links[p.Instance] = &link{mesh: m, peer: p.Instance, address: p.Mesh, count: m.origin(p.Instance).count}
+		m.links[p.Instance] = newLink(m, p.Instance, p.Mesh, m.origin(p.Instance).count)
 	}
 	sort.Strings(m.peers)
 	if c.Settings.Routed() {
