Refuse requests that come late in a planned stop

The listener closes only once no caller comes, and where a data centre has too few instances the balancer goes on sending.

Ruled out: idle connections kept open (it was a new one); the margin of the stop.

Before: TestStopTakesNoLateRequest served requests to the end. After: it passes.

--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -26,6 +26,10 @@
 	defer conn.Served()
 	arrived := g.clock.Now() - time.Since(conn.Begin())
 	r, refusal := g.admit(ctx, arrived)
+	if refusal == nil && g.stopping.Load() {
+		refusal = refuse(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
+		refusal.RetryAfter = elsewhere
+	}
 	if refusal == nil {
 		refusal = g.load.allow(r.Workspace)
 	}
--- a/plugin/gateway/load_test.go
+++ b/plugin/gateway/load_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -36,3 +40,36 @@
 	r.is.True(strings.Contains(body, codeBusy))
 	r.is.Equal(refused.Header.Get("Retry-After"), "0.050")
 }
+
+// Guards against a stopping instance that takes requests to its end and cuts them: on
+// the Quito site the balancer had too few instances left and sent a request 7.3 s after
+// SIGTERM; its stream was cut 0.5 s later.
+func TestStopTakesNoLateRequest(t *testing.T) {
+	x := newTarget(t, "t1", echo("ok"))
+	r := newRig(t, x).configured(1)
+	done := make(chan error, 1)
+	go func() { done <- r.gateway.Drain(context.Background()) }()
+	begin := time.Now()
+	served, refused := 0, 0
+	for i := 0; time.Since(begin) < lastTaken+500*time.Millisecond; i++ { // callers keep coming
+		c, err := net.Dial("tcp", r.gateway.listener.Addr().String())
+		if err != nil {
+			break // the listener may close once nobody comes
+		}
+		one := &caller{t, c, bufio.NewReader(c)}
+		one.send(request("GET", "/look/1", fmt.Sprintf("id%d", i), ""))
+		a, body, err := one.answer()
+		r.is.NoErr(err) // never cut
+		c.Close()
+		if a.StatusCode == http.StatusOK {
+			served++
+			r.is.True(time.Since(begin) < lastTaken+200*time.Millisecond)
+		} else {
+			refused++
+			r.is.True(strings.Contains(body, codeStopping))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	r.is.True(served > 20 && refused > 5)
+	r.is.NoErr(<-done)
+}
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -23,6 +23,7 @@
 	codeNotReady     = "not_ready"
 	codeMemoryFull   = "memory_full"
 	codeBusy         = "instance_busy"
+	codeStopping     = "stopping"
 	codeInternal     = "internal_error"
 )
 
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -77,7 +77,8 @@
 	http     *fasthttp.Server
 	listener *callerconn.Listener
 	conns    *callerconn.Tracker
-	draining atomic.Bool
+	draining atomic.Bool // a planned stop has begun
+	stopping atomic.Bool // no further request is taken
 }
 
 // Provision implements kernel.Plugin.
