Predict waits for slots and starts with those that wait before; use more of the starts allowed

Cause: a request that waits for a target with its shared parts counted the reading of those before it, but not the slots and starts they take; all of them expected the next slot. The time of a run was guessed with 4 s. Besides, 0.8 of the bound on starts of a target that may be cold is what binds most on the grown sites: 12 a second on each of 140 targets, 1,680 for a usual load of 1,505. Counted on two runs of the Quito site, a target gets at most one more in a second than the owner granted (17 for 16, bound 20).

Ruled out: longer queues at the targets (100 ms instead of 60: no better), a lower price for reading parts again (worse beyond the load that fits).

Change: waits count the requests planned before by rank; the time of runs is learned; 0.92 of the bound is used for targets not known to be cold.

TestTakeoverUnderLoad now sums 16 seeds at 0.9 instead of 0.85 a seed, because single seeds come near the load that fits.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,8 +34,11 @@
 	// requests are served, too.
 	longFactor = 1.6
 	// startShare is the part of the bound on starts of a cold target that is used:
-	// starts are counted here when they are granted, and at the target later.
-	startShare = 0.8
+	// starts are counted here when they are granted, and at the target later. On the
+	// Quito site a target got at most one more in a second than was granted.
+	startShare = 0.92
+	// coldShare is the part of its own rate that a target known to be cold gets.
+	coldShare = 0.8
 	// margin is left of the objective for the way of the answer to the caller.
 	margin = 15 * time.Millisecond
 )
@@ -83,10 +86,11 @@
 	c := choice{target: t, missing: t.held.missing(w.ask.Prompt)}
 	queue := t.backlog(now) + t.readTime(t.plannedBefore(w))
 	c.wait = max(0, queue-ahead)
-	if !t.room(w) {
-		c.wait = max(c.wait, t.roomTime())
+	first := t.plannedFirst(w)
+	if !t.room(w) || t.freeSlots() <= first {
+		c.wait = max(c.wait, t.roomTime(first, o.runTime(t.info.Service)))
 	}
-	c.wait = max(c.wait, t.startTime(o.startLimit(t, now), now))
+	c.wait = max(c.wait, t.startTime(o.startLimit(t, now), first, now))
 	read := t.readTime(float64(c.missing))
 	c.begin = max(queue, c.wait) + read + baseTime
 	c.score = c.begin + time.Duration(rereadWeight*float64(read)) + time.Duration(len(t.running))*crowdCost +
@@ -112,7 +116,7 @@
 		return 0
 	}
 	if t.info.ColdUntil > now {
-		return s.ColdPerSecond * startShare
+		return s.ColdPerSecond * coldShare
 	}
 	return (s.ColdPerSecond*o.cfg.ColdOverage + o.cfg.ColdSlack) * startShare
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -88,13 +88,14 @@
 	works   map[Key]*work
 	waiting int
 	shares  *shares
+	runs    map[string]time.Duration // mean time of a request on a target, by service
 	out     []Decision
 	looked  time.Duration // last look at all waiting requests
 }
 
 // NewOwner returns an owner that knows no targets.
 func NewOwner(c Config) *Owner {
-	return &Owner{cfg: c, targets: map[string]*target{}, works: map[Key]*work{}, shares: newShares(c.ShareWindow)}
+	return &Owner{cfg: c, targets: map[string]*target{}, works: map[Key]*work{}, shares: newShares(c.ShareWindow), runs: map[string]time.Duration{}}
 }
 
 // SetView takes a newer view. Targets that are gone keep their running requests
@@ -218,6 +219,9 @@
 	}
 	w.target.end(w)
 	w.target.health.note(outcome, now)
+	if outcome == api.WorkServed {
+		o.runs[w.target.info.Service] += time.Duration(runWeight * float64(now-w.sentAt-o.runTime(w.target.info.Service)))
+	}
 	switch outcome {
 	case api.WorkUnreachable, api.WorkUnsent, api.WorkFull, api.WorkOther:
 		o.shares.begin(w.ask.Workspace, -w.cost)
@@ -229,6 +233,14 @@
 	o.serve(w.target, now)
 }
 
+// runTime returns the mean time of a request of a service on a target.
+func (o *Owner) runTime(service string) time.Duration {
+	if _, ok := o.runs[service]; !ok {
+		o.runs[service] = usualRun
+	}
+	return o.runs[service]
+}
+
 // Forget drops all requests of an entry instance that is gone.
 func (o *Owner) Forget(entry string) {
 	for k, w := range o.works {
--- a/internal/placement/owner_test.go
+++ b/internal/placement/owner_test.go
@@ -345,16 +345,55 @@
 // Guards against a new owner that takes the targets for busier than they are: on the
 // Quito site it granted next to nothing for half a second after a takeover.
 func TestTakeoverUnderLoad(t *testing.T) {
-	for seed := range uint64(4) {
+	asked, inTime := 0, 0
+	for seed := range uint64(16) {
 		s := newLoad(seed)
 		for i := range 6 {
 			mixOf(s, fmt.Sprint("w", i), 2, 0, 12*second)
 		}
 		s.after(6*second, s.takeOver)
 		s.run(30 * second)
-		before := s.sum(5*second, 6*second, func(*call) bool { return true })
-		after := s.sum(6*second, 7*second, func(*call) bool { return true })
-		t.Logf("before %+v after %+v", before, after)
-		is.New(t).True(after.share() >= 0.85)
+		o := s.sum(6*second, 7*second, func(*call) bool { return true })
+		asked, inTime = asked+o.asked, inTime+o.inTime
+	}
+	t.Logf("%d of %d in time in the second after the takeover", inTime, asked)
+	is.New(t).True(float64(inTime) >= 0.9*float64(asked))
+}
+
+// slotBound is a load whose bound are the slots of the targets, not their reading: 35
+// targets with 12 slots that read 57 tokens a millisecond.
+func slotBound(seed uint64, factor float64, until time.Duration) *sim {
+	s := newSim(seed, 35, 12, 392_000, 550_000)
+	s.pause = 0
+	s.view.Services["m"].ColdPerSecond = 6.9
+	for _, e := range s.engines {
+		e.speed = 56
+	}
+	s.owner.SetView(s.view, 0)
+	s.tick()
+	for i := range 8 {
+		w, n := fmt.Sprint("w", i), factor/8
+		s.play(stream{w, "compare", 100 * n, 6610, 5382, 40, 378, 800 * time.Millisecond, 12 * time.Second}, 0, until)
+		s.play(stream{w, "answer", 96 * n, 628, 198, 40, 288, 300 * time.Millisecond, 10 * time.Second}, 0, until)
+		s.play(stream{w, "label", 179 * n, 1800, 568, 40, 27, 400 * time.Millisecond, 2500 * time.Millisecond}, 0, until)
+	}
+	return s
+}
+
+// Guards against requests that wait for one target, because it keeps their shared parts,
+// behind others that wait for its next slot or start, while other targets stand idle. At
+// 1.3 times the load the slots have room for 0.82 of the requests.
+func TestWaitsCountThoseBefore(t *testing.T) {
+	for factor, least := range map[float64]float64{0.8: 0.97, 1: 0.9, 1.3: 0.9 * 0.82} {
+		asked, inTime := 0, 0
+		for seed := range uint64(8) {
+			s := slotBound(seed, factor, 8*second)
+			s.run(30 * second)
+			o := s.sum(0, 8*second, func(*call) bool { return true })
+			asked, inTime = asked+o.asked, inTime+o.inTime
+		}
+		share := float64(inTime) / float64(asked)
+		t.Logf("factor %.1f: %.3f of %d in time", factor, share, asked)
+		is.New(t).True(share >= least)
 	}
 }
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -23,6 +23,7 @@
 	number  uint64
 	calls   map[Key]*call
 	late    time.Duration // delay of messages to the owner
+	pause   float64       // milliseconds that a token takes beside its step
 }
 
 // engine is a simulated target.
@@ -74,7 +75,7 @@
 	s := &sim{
 		owner:   NewOwner(Config{ShareWindow: 4 * time.Second, ColdOverage: 1.5, ColdSlack: 5}),
 		rng:     rand.New(rand.NewPCG(seed, 7)),
-		engines: map[string]*engine{}, calls: map[Key]*call{}, late: 2 * time.Millisecond,
+		engines: map[string]*engine{}, calls: map[Key]*call{}, late: 2 * time.Millisecond, pause: 6,
 	}
 	e := &routing.Engine{Slots: slots, CacheTokens: memory, EventTokens: 5}
 	s.view = View{
@@ -143,7 +144,7 @@
 	s.after(e.busy-s.now, func() {
 		c.begin = s.now
 		s.after(s.late, func() { s.owner.Began(k, s.now) })
-		rest := time.Duration(float64(c.ask.OutputTokens) * (step + 6) * float64(time.Millisecond))
+		rest := time.Duration(float64(c.ask.OutputTokens) * (step + s.pause) * float64(time.Millisecond))
 		s.after(rest, func() {
 			e.running--
 			e.memory.release(c.ask.Prompt, 0)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -20,7 +20,8 @@
 	stuckMargin  = 250 * time.Millisecond // added to it
 	headShare    = 0.95                   // most of the first request's prompt that counts as read before its answer
 	startsWindow = time.Second            // over which the bound on starts of a cold target holds
-	usualRun     = 4 * time.Second        // time of a request on a target, to guess when one ends
+	usualRun     = 2 * time.Second        // time of a request on a target until some have ended
+	runWeight    = 0.02                   // share of the newest run in the mean time of a service's requests
 )
 
 // work is one request of an entry instance that waits or runs.
@@ -146,6 +147,17 @@
 	return float64(n)
 }
 
+// plannedFirst returns the number of waiting requests that may come before another one.
+func (t *target) plannedFirst(w *work) int {
+	n := 0
+	for _, p := range t.plan {
+		if p != w && p.plannedRank <= w.rank() {
+			n++
+		}
+	}
+	return n
+}
+
 // enqueue has a request wait for the target.
 func (t *target) enqueue(w *work, missing int) {
 	w.planned, w.plannedMissing, w.plannedRank = t, missing, w.rank()
@@ -164,7 +176,7 @@
 
 // free reports whether the target takes another request now.
 func (t *target) free(w *work, startLimit float64, now time.Duration) bool {
-	return t.backlog(now) <= ahead && t.room(w) && t.startTime(startLimit, now) == 0
+	return t.backlog(now) <= ahead && t.room(w) && t.startTime(startLimit, 0, now) == 0
 }
 
 // room reports whether the target has a slot and memory for a request.
@@ -184,20 +196,44 @@
 	return t.engine.Slots
 }
 
-// roomTime is a guess of the time until a request on a full target ends.
-func (t *target) roomTime() time.Duration { return usualRun / time.Duration(max(1, len(t.running))) }
+// freeSlots returns the slots without a request; without a number of slots there is
+// always one more.
+func (t *target) freeSlots() int {
+	if slots := t.slots(); slots > 0 {
+		return slots - len(t.running)
+	}
+	return len(t.plan) + 1
+}
+
+// roomTime is a guess of the time until a full target has room for a request that
+// comes after others: ends of runs are spread evenly over their usual time.
+func (t *target) roomTime(others int, run time.Duration) time.Duration {
+	ends := max(1, others+1-max(0, t.freeSlots()))
+	return run * time.Duration(ends) / time.Duration(max(1, len(t.running)))
+}
 
-// startTime returns the time until one more start stays within a number of starts
-// a second; 0 = no bound.
-func (t *target) startTime(perSecond float64, now time.Duration) time.Duration {
+// startTime returns the time until one more start, after those of others that wait,
+// stays within a number of starts a second; 0 = no bound.
+func (t *target) startTime(perSecond float64, others int, now time.Duration) time.Duration {
 	for len(t.starts) > 0 && now-t.starts[0] >= startsWindow {
 		t.starts = t.starts[1:]
 	}
 	most := max(1, int(perSecond))
-	if perSecond <= 0 || len(t.starts) < most {
+	if perSecond <= 0 {
 		return 0
 	}
-	return t.starts[len(t.starts)-most] + startsWindow - now
+	// The start before which this one must wait is the most-th one before it, a start
+	// that was or one of the others.
+	i := len(t.starts) + others - most
+	rounds := time.Duration(0)
+	for i >= len(t.starts) && len(t.starts) > 0 {
+		i -= most
+		rounds++
+	}
+	if i < 0 || len(t.starts) == 0 {
+		return rounds * startsWindow
+	}
+	return t.starts[i] + startsWindow*(rounds+1) - now
 }
 
 // start puts a request on the target that is sent there now, or was sent before.
