Tell a flood from the others soon after a takeover

Cause: a new owner measured shares by a whole window from the start, so that a flooding workspace counted as within its share until it had got as much as in 4 s.

Ruled out: the local placing before the takeover as the only cause (the targets' queues of 0.3 s are gone by 3.5 s).

Change: the counts of a young owner are compared with the capacity of the time that they cover, at least 2 s.

--- a/internal/placement/owner_test.go
+++ b/internal/placement/owner_test.go
@@ -397,3 +397,23 @@
 		is.New(t).True(share >= least)
 	}
 }
+
+// Guards against a new owner that cannot tell a flood from the others until a whole
+// window has passed: on the grown Quito site it took the flooding workspace for one
+// within its share for 2.2 s, and all others waited behind it.
+func TestFloodAtTakeover(t *testing.T) {
+	asked, inTime := 0, 0
+	for seed := range uint64(8) {
+		s := newLoad(seed)
+		for i := range 6 {
+			mixOf(s, fmt.Sprint("small", i), 0.5, 0, 12*second)
+		}
+		mixOf(s, "large", 30, 2*second, 12*second)
+		s.after(6*second, s.takeOver)
+		s.run(30 * second)
+		o := s.sum(6500*time.Millisecond, 8500*time.Millisecond, func(c *call) bool { return c.workspace != "large" })
+		asked, inTime = asked+o.asked, inTime+o.inTime
+	}
+	t.Logf("%d of %d in time", inTime, asked)
+	is.New(t).True(float64(inTime) >= 0.9*float64(asked))
+}
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -20,15 +20,16 @@
 
 // shares keeps what each workspace asked for and got, and its max-min share.
 type shares struct {
-	window time.Duration
-	slot   int64
-	byName map[string]*usage
+	window  time.Duration
+	beganAt time.Duration // of the counts; negative before the first
+	slot    int64
+	byName  map[string]*usage
 	// level is the share of a workspace that asks for more, in tokens a window.
 	level float64
 }
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1)}
+	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1), beganAt: -1}
 }
 
 func (s *shares) slotAt(now time.Duration) int64 { return int64(now / (s.window / shareSlots)) }
@@ -50,7 +51,21 @@
 		}
 	}
 	s.slot = slot
-	s.level = waterLevel(s.demands(), capacity*s.window.Seconds())
+	if s.beganAt < 0 {
+		s.beganAt = now
+	}
+	s.level = waterLevel(s.demands(), capacity*s.counted(now).Seconds())
+}
+
+// leastCounted is the shortest time over which shares are told apart: in less than
+// half a window a few large requests look like a flood.
+const leastCounted = 2 * time.Second
+
+// counted returns the time that the counts cover: the window, or less for an owner
+// that has just taken over. Measured by the whole window, a flood would count as
+// within its share until it has got as much as in a whole one.
+func (s *shares) counted(now time.Duration) time.Duration {
+	return min(s.window, max(now-s.beganAt, leastCounted))
 }
 
 func (u *usage) clear(i int64) {
