Do not count a resumed stream as new work in the stand-in

The timeline of r5: a stream from engine-02 broke when r5 was thawed after 6 s (its silence limit is 5 s); the attempt to resume it at 38.316 had no lease, the one at 38.367, after view 2 and the lease at 38.339, reached engine-02.

Ruled out: a request sent on an old view (the lease was lost at 38.319, gained with revision 2), a write between check and freeze.

Change: the times of starts leave resumed streams out; their number still counts them. The engine grants a resume only for a stream that it knows, so new work cannot pass for one. The scenario and its bound are unchanged.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -130,7 +130,8 @@
 }
 
 // fill returns the level at which the demands, each cut to the level, sum up to an
-// amount; +Inf if they do not reach it.
+// amount. If they do not reach it, one workspace may take what is left beside the
+// largest demand.
 func fill(wanted map[string]int, amount float64) float64 {
 	demands := make([]int, 0, len(wanted))
 	for _, n := range wanted {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -99,7 +99,7 @@
 		ctx.Error("cannot resume this stream", fasthttp.StatusConflict)
 		return
 	}
-	w := e.t.begin(ctx, r.User)
+	w := e.t.begin(ctx, r.User, id != "")
 	if w == nil {
 		return
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -187,8 +187,8 @@
 }
 
 // begin admits a request or tells the caller by a closed connection.
-func (t *target) begin(ctx *fasthttp.RequestCtx, tag string) *work {
-	w, breach := t.gate.admit(time.Now(), tag)
+func (t *target) begin(ctx *fasthttp.RequestCtx, tag string, resumes bool) *work {
+	w, breach := t.gate.admit(time.Now(), tag, resumes)
 	if breach {
 		t.restart()
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -25,7 +25,7 @@
 	body := append([]byte(nil), ctx.PostBody()...)
 	var r CallRequest
 	_ = json.Unmarshal(body, &r) // other bodies are fine too
-	w := t.begin(ctx, r.User)
+	w := t.begin(ctx, r.User, false)
 	if w == nil {
 		return
 	}
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -16,7 +16,8 @@
 	ColdCapacity int    `json:"cold_capacity"`
 	Counters
 	BreachList []Breach `json:"breach_list,omitempty"`
-	// StartsMs are the wall times of the newest starts of work, oldest first.
+	// StartsMs are the wall times of the newest starts of new work, oldest first;
+	// resumed streams are not among them.
 	StartsMs []int64 `json:"starts_ms,omitempty"`
 	// Weights counts the downloads of a weight store.
 	Weights *WeightStats `json:"weights,omitempty"`
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -96,8 +96,10 @@
 }
 
 // admit starts work. It returns nil while the target is down, and breach true
-// if the work was too much, after which the caller must restart the target.
-func (g *gate) admit(now time.Time, request string) (w *work, breach bool) {
+// if the work was too much, after which the caller must restart the target. The time
+// of work that resumes a stream is not recorded: it is the work that began before, and
+// may go on while its data centre is out.
+func (g *gate) admit(now time.Time, request string, resumes bool) (w *work, breach bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Before(g.downTill) {
@@ -118,7 +120,10 @@
 		g.coldRunning++
 		g.count.PeakCold = max(g.count.PeakCold, load+1)
 	}
-	g.addStart(now.UnixMilli())
+	g.count.Starts++
+	if !resumes {
+		g.addStart(now.UnixMilli())
+	}
 	return w, false
 }
 
@@ -137,7 +142,6 @@
 }
 
 func (g *gate) addStart(ms int64) {
-	g.count.Starts++
 	if len(g.starts) < maxStarts {
 		g.starts = append(g.starts, ms)
 		return
