--- a/plugin/mesh/fault_test.go
+++ b/plugin/mesh/fault_test.go
@@ -329,17 +329,17 @@
 // two control instances linked the others 1.0 s after their own start.
 func TestRedialsWhileConnecting(t *testing.T) {
 	is := is.New(t)
-	w := newNetwork(t, "a", "b")
 	var dark atomic.Bool
-	dark.Store(true)
-	a := w.nodes["a"]
-	a.dialer = func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if dark.Load() { // the host is off: nothing answers
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
+	w := newNetworkWith(t, dialer, "a", "b")
+	a := w.nodes["a"]
+	dark.Store(true)
 	w.nodes["b"].stop()
 	w.await("loss of the link", func() bool { return a.links["b"].up() == nil && a.links["b"].abort.Load() != nil })
 	time.Sleep(2 * connectLimit)
--- a/plugin/mesh/mesh_test.go
+++ b/plugin/mesh/mesh_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -41,10 +42,16 @@
 	names []string
 	grid  *relay.Grid
 	nodes map[string]*node
+	// dialer replaces the one of the node a; nil keeps it.
+	dialer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newNetwork(t *testing.T, names ...string) *network {
-	w := &network{t: t, names: names, nodes: map[string]*node{}}
+	return newNetworkWith(t, nil, names...)
+}
+
+func newNetworkWith(t *testing.T, dialer func(context.Context, string, string) (net.Conn, error), names ...string) *network {
+	w := &network{t: t, names: names, nodes: map[string]*node{}, dialer: dialer}
 	var err error
 	if w.grid, err = relay.NewGrid(names...); err != nil {
 		t.Fatal(err)
@@ -79,6 +86,9 @@
 	if err := n.Provision(k); err != nil {
 		w.t.Fatal(err)
 	}
+	if w.dialer != nil && name == "a" {
+		n.dialer = w.dialer
+	}
 	n.Handle("note", func(ctx context.Context, from string, p json.RawMessage) (any, error) {
 		select {
 		case n.heard <- from + " " + string(p):
