Use one piece each for serving, kicked intervals, random identities and dropped library lines

The change since had written again: a server that ends with the duties (admin, operators, readiness), an interval that can be kicked (members, directory), a random identity (entry, operators), a logger that drops lines (entry, operators, gateway), and the linked instances that are no control instances (members, twice). They are now kernel.Duties.Serve and EveryOr, kernel.NewID, logqueue.Discard and linkedEntries.

--- a/internal/kernel/duties.go
+++ b/internal/kernel/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,11 @@
 
 // Every runs f at a fixed interval until the duties end.
 func (d *Duties) Every(name string, interval time.Duration, f func(ctx context.Context)) {
+	d.EveryOr(name, interval, nil, f)
+}
+
+// EveryOr runs f at a fixed interval, and at once when kick is signalled.
+func (d *Duties) EveryOr(name string, interval time.Duration, kick <-chan struct{}, f func(ctx context.Context)) {
 	d.Go(name, func(ctx context.Context) error {
 		t := time.NewTicker(interval)
 		defer t.Stop()
@@ -43,12 +49,22 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
+			case <-kick:
 			case <-t.C:
-				f(ctx)
 			}
+			f(ctx)
 		}
 	})
 }
 
+// Serve runs a server on a listener, which closes when the duties end.
+func (d *Duties) Serve(name string, ln net.Listener, serve func(net.Listener) error) {
+	d.Go(name, func(context.Context) error { return serve(ln) })
+	d.Go(name+" stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		return ln.Close()
+	})
+}
+
 // Wait returns the first error after all duties have ended.
 func (d *Duties) Wait() error { return d.group.Wait() }
--- a/internal/logqueue/handler.go
+++ b/internal/logqueue/handler.go
@@ -169,6 +169,13 @@
 	l.Log(context.Background(), LevelNotice, msg, args...)
 }
 
+// Discard drops the lines of a library that logs the faults of its callers; they are
+// counted instead.
+type Discard struct{}
+
+// Printf implements the loggers of fasthttp.
+func (Discard) Printf(string, ...any) {}
+
 // Handler implements slog.Handler on a queue.
 type Handler struct {
 	q       *Queue
--- a/plugin/admin/setup.go
+++ b/plugin/admin/setup.go
@@ -93,11 +93,7 @@
 
 // Start implements kernel.Starter.
 func (a *Admin) Start(d *kernel.Duties) error {
-	d.Go("admin", func(context.Context) error { return a.server.Serve(a.listener) })
-	d.Go("admin stop", func(ctx context.Context) error {
-		<-ctx.Done()
-		return a.listener.Close()
-	})
+	d.Serve("admin", a.listener, a.server.Serve)
 	return nil
 }
 
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -3,7 +3,6 @@
 package directory
 
 import (
-	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -94,26 +93,12 @@
 			kernel.Signal(d.led)
 		}
 	})
-	duties.Go("directory read", d.readLoop)
+	// A new leader reads at once: after a loss of power no instance knows any target
+	// until then.
+	duties.EveryOr("directory read", readInterval, d.led, d.read)
 	return nil
 }
 
-// readLoop reads the list at an interval, and at once when this instance begins to
-// lead: after a loss of power no instance knows any target until then.
-func (d *Directory) readLoop(ctx context.Context) error {
-	t := time.NewTicker(readInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-d.led:
-		case <-t.C:
-		}
-		d.read(ctx)
-	}
-}
-
 // Targets implements api.Directory.
 func (d *Directory) Targets() []api.Target {
 	if p := d.targets.Load(); p != nil {
--- a/plugin/entry/refuse.go
+++ b/plugin/entry/refuse.go
@@ -12,6 +12,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/callerconn"
+	"nutmegrouter/internal/kernel"
 )
 
 // Codes of refusals that this plug-in makes. They are stable words for callers.
@@ -128,7 +129,7 @@
 	}
 	id := string(ctx.Request.Header.Peek(headerID))
 	if !visible(id, maxRequestID) {
-		id = newID()
+		id = kernel.NewID()
 	}
 	s.writeRefusal(ctx, r, id)
 }
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/rand"
-	"encoding/hex"
 	"math"
 	"strconv"
 	"strings"
@@ -13,6 +11,7 @@
 
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
 )
 
 // Bounds of header values.
@@ -55,7 +54,7 @@
 // not copied: it is valid until the answer has been written.
 func (s *Server) parse(ctx *fasthttp.RequestCtx) (*api.Request, *api.Refusal) {
 	h := &ctx.Request.Header
-	r := &api.Request{ID: newID()}
+	r := &api.Request{ID: kernel.NewID()}
 	if id := string(h.Peek(headerID)); id != "" {
 		if !visible(id, maxRequestID) {
 			return r, badRequest(headerID + " must be 1 to 128 visible ASCII characters")
@@ -227,12 +226,6 @@
 	return false
 }
 
-func newID() string {
-	var b [12]byte
-	rand.Read(b[:]) //nolint:errcheck // never fails
-	return hex.EncodeToString(b[:])
-}
-
 // visible reports whether a value has 1 to limit visible ASCII characters.
 func visible(s string, limit int) bool {
 	if s == "" || len(s) > limit {
--- a/plugin/entry/setup.go
+++ b/plugin/entry/setup.go
@@ -15,6 +15,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 )
 
 func init() {
@@ -89,7 +90,7 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		SecureErrorLogMessage:        true,
-		Logger:                       quiet{},
+		Logger:                       logqueue.Discard{},
 	}
 }
 
@@ -124,9 +125,3 @@
 
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
-
-// quiet drops the server's own log lines. Faults of callers are counted.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
--- a/plugin/gateway/ready.go
+++ b/plugin/gateway/ready.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -9,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/logqueue"
 )
 
 // startReady serves the balancer's question for readiness.
@@ -18,14 +18,10 @@
 		return errors.WithMessage(err, "listen for the balancer")
 	}
 	s := &fasthttp.Server{
-		Handler: g.handleReady, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{},
+		Handler: g.handleReady, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: logqueue.Discard{},
 		ReadTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 	}
-	d.Go("gateway ready", func(context.Context) error { return s.Serve(ln) })
-	d.Go("gateway ready stop", func(ctx context.Context) error {
-		<-ctx.Done()
-		return ln.Close()
-	})
+	d.Serve("gateway ready", ln, s.Serve)
 	return nil
 }
 
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -109,17 +109,11 @@
 		ReadBufferSize: headBuffer, WriteBufferSize: writeBuffer, MaxRequestBodySize: bodyBuffer,
 		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
-		SecureErrorLogMessage: true, Logger: quiet{}, CloseOnShutdown: true,
+		SecureErrorLogMessage: true, Logger: logqueue.Discard{}, CloseOnShutdown: true,
 	}
 	return nil
 }
 
-// quiet drops the library's lines about faults of callers.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
 // viewChanged puts the routes of a newer document in force. A document that this
 // version of the program cannot read leaves the one before in force.
 func (g *Gateway) viewChanged(v *api.View) {
--- a/plugin/members/messages.go
+++ b/plugin/members/messages.go
@@ -149,11 +149,7 @@
 // announce tells the linked instances about a view. Control instances have it
 // from the log.
 func (m *Members) announce(revision uint64) {
-	controls := m.Controls()
-	for _, peer := range m.mesh.Peers() {
-		if slices.Contains(controls, peer) {
-			continue
-		}
+	for _, peer := range m.linkedEntries() {
 		if err := m.mesh.Notify(peer, changedMethod, changedNote{revision}); err != nil {
 			m.log.Debug("view not announced", "step", "view", "peer", peer, "error", err) // the next beat tells
 		}
--- a/plugin/members/setup.go
+++ b/plugin/members/setup.go
@@ -127,7 +127,7 @@
 		m.fleet.OnChange(func(v *api.View) { m.announce(v.Revision) })
 	}
 	m.redial()
-	d.Go("members.beat", m.beatLoop)
+	d.EveryOr("members.beat", beatInterval, m.kick, m.beat)
 	d.Go("members.fetch", m.fetchLoop)
 	return nil
 }
@@ -190,12 +190,13 @@
 	if m.control == nil {
 		return int(m.entries.Load())
 	}
-	return len(m.mesh.Peers()) - len(m.linkedControls())
+	return len(m.linkedEntries())
 }
 
-func (m *Members) linkedControls() []string {
+// linkedEntries returns the linked instances that hold no control replica.
+func (m *Members) linkedEntries() []string {
 	controls := m.Controls()
-	return slices.DeleteFunc(m.mesh.Peers(), func(p string) bool { return !slices.Contains(controls, p) })
+	return slices.DeleteFunc(m.mesh.Peers(), func(p string) bool { return slices.Contains(controls, p) })
 }
 
 func (m *Members) noteEntries(n int) {
@@ -219,17 +220,7 @@
 	}
 }
 
-func (m *Members) beatLoop(ctx context.Context) error {
-	t := time.NewTicker(beatInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-m.kick:
-		case <-t.C:
-		}
-		m.redial()
-		m.sendBeats(ctx)
-	}
+func (m *Members) beat(ctx context.Context) {
+	m.redial()
+	m.sendBeats(ctx)
 }
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	"net"
 	"slices"
@@ -69,28 +67,18 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "nutmegd", ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		IdleTimeout: readTimeout, MaxRequestBodySize: maxBody, NoDefaultServerHeader: true,
-		SecureErrorLogMessage: true, Logger: quiet{},
+		SecureErrorLogMessage: true, Logger: logqueue.Discard{},
 	}
 	return nil
 }
 
-// quiet drops the library's lines about faults of callers.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
 // Start implements kernel.Starter.
 func (s *Server) Start(d *kernel.Duties) error {
 	ln, err := net.Listen("tcp", s.kernel.Settings.Routes.Operators)
 	if err != nil {
 		return errors.WithMessage(err, "listen for operators")
 	}
-	d.Go("operators", func(context.Context) error { return s.http.Serve(ln) })
-	d.Go("operators stop", func(ctx context.Context) error {
-		<-ctx.Done()
-		return ln.Close()
-	})
+	d.Serve("operators", ln, s.http.Serve)
 	return nil
 }
 
@@ -135,7 +123,7 @@
 		s.unavailable(ctx, errors.New("the caller has left"))
 		return
 	}
-	c.ChangeID, c.Newest = newID(), true
+	c.ChangeID, c.Newest = kernel.NewID(), true
 	limited, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	r, err := s.control.Submit(limited, c)
@@ -186,9 +174,3 @@
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	ctx.SetBodyString("not decided, ask again\n")
 }
-
-func newID() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
