Let both callers' servers share what they do alike

The gateway had written again what the entry plug-in has: serving until the listener closes, telling apart why a request could not be read, and a bound on the memory of requests; gateway and owner each read the view's document; three questions about the number of connections took the lock three times for an accept. Now callerconn.Serve and ReadFaultOf, overload.Bytes, View.Table and Tracker.taken serve all of them, and one orDefault replaces two. Behaviour is unchanged; the tests keep their assertions.

--- a/internal/api/document.go
+++ b/internal/api/document.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/routing"
 )
 
 // maxDocument bounds a document after decompression, in bytes.
@@ -28,3 +30,15 @@
 	}
 	return raw, errors.WithMessage(err, "decompress document")
 }
+
+// Table reads the document of the view. A view without one has no table.
+func (v *View) Table(d Dialect) (*routing.Table, error) {
+	if v.Version == 0 {
+		return nil, nil
+	}
+	raw, err := UnpackDocument(v.Document)
+	if err != nil {
+		return nil, err
+	}
+	return d.Document(raw)
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -52,10 +53,16 @@
 
 // Crowded reports whether crowdedPart of the connections that may be open are, so that
 // callers should close theirs after an answer.
-func (t *Tracker) Crowded() bool {
+func (t *Tracker) Crowded() bool { return t.taken() > crowdedPart }
+
+// taken returns the open connections as a multiple of the bound; 0 without one.
+func (t *Tracker) taken() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.most > 0 && float64(len(t.open)) > crowdedPart*float64(t.most)
+	if t.most <= 0 {
+		return 0
+	}
+	return float64(len(t.open)) / float64(t.most)
 }
 
 // shedAtOnce is the number of idle connections closed together.
@@ -66,21 +73,13 @@
 // 4,700 connections took 107 of 112 MB on an entry of the grown Quito site.
 const fullFactor = 1.3
 
-// full reports whether no further connection may be open.
-func (t *Tracker) full() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.most > 0 && float64(len(t.open)) >= fullFactor*float64(t.most)
-}
-
-// limit closes idle connections beyond the bound.
-func (t *Tracker) limit() {
-	t.mu.Lock()
-	full := t.most > 0 && len(t.open) >= t.most
-	t.mu.Unlock()
-	if full {
+// limit closes idle connections beyond the bound. It reports false if no further
+// connection may be open.
+func (t *Tracker) limit() bool {
+	if t.taken() >= 1 {
 		t.shed(shedAtOnce)
 	}
+	return t.taken() < fullFactor
 }
 
 // shed closes up to n connections, those that are idle for longest.
@@ -205,9 +204,8 @@
 		if err != nil {
 			return nil, err
 		}
-		l.conns.limit()
 		l.last.Store(int64(time.Since(epoch)))
-		if !l.conns.full() {
+		if l.conns.limit() {
 			return l.conns.add(nc), nil
 		}
 		l.conns.TurnedAway.Add(1)
@@ -227,6 +225,23 @@
 	return nc, err
 }
 
+// Serve runs a server on the listener. The end of the context closes the listener and
+// all connections. An end of the server before that is an error, unless stopping
+// reports that a planned stop has closed the listener.
+func (l *Listener) Serve(ctx context.Context, serve func(net.Listener) error, stopping func() bool) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		l.conns.CloseAll()
+	})
+	defer stop()
+	err := serve(l)
+	if ctx.Err() != nil || stopping() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errors.WithMessage(err, "serve callers")
+}
+
 // Quiet reports whether no connection has arrived for a while. One that the
 // kernel has accepted but the server has not is reset when the listener closes.
 func (l *Listener) Quiet() bool { return time.Since(epoch)-time.Duration(l.last.Load()) >= quietTime }
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -111,3 +111,16 @@
 	p.run(10, map[string]float64{"w": 1000})
 	is.Equal(p.served["w"], 1000)
 }
+
+// Guards against a refused request whose memory stays counted.
+func TestBytes(t *testing.T) {
+	is := is.New(t)
+	b := NewBytes(3)
+	is.True(b.Take(2))
+	is.True(!b.Take(2))
+	is.Equal(b.Held(), int64(2))
+	is.True(b.Take(1))
+	b.Free(2)
+	b.Free(1)
+	is.Equal(b.Held(), int64(0))
+}
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"nutmegrouter/fleetconfig"
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/overload"
 	"nutmegrouter/internal/settings"
 	"nutmegrouter/plugin/fleet"
 )
@@ -217,7 +218,7 @@
 func TestBodyBudget(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t, &fakeDispatcher{})
-	s.bodies.limit = 3
+	s.bodies = overload.NewBytes(3)
 	post := "POST /v1/pools/svc/x HTTP/1.1\r\n" + auth + "Content-Length: "
 	for range 3 {
 		resp, _ := exchange(t, s, post+"2\r\n\r\nhi")
@@ -226,7 +227,7 @@
 	resp, _ := exchange(t, s, post+"4\r\n\r\nhigh")
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(resp.Header.Get("X-Run")+resp.Header.Get("Retry-After"), "not-run1")
-	is.Equal(s.bodies.held.Load(), int64(0))
+	is.Equal(s.bodies.Held(), int64(0))
 }
 
 // Guards against requests that are wrongly taken as repeatable or not.
--- a/plugin/entry/handler.go
+++ b/plugin/entry/handler.go
@@ -32,7 +32,7 @@
 	r, refusal := s.parse(ctx)
 	var free func()
 	if refusal == nil {
-		free, refusal = s.bodies.take(len(r.Body))
+		free, refusal = s.takeBody(len(r.Body))
 	}
 	if refusal != nil {
 		s.writeRefusal(ctx, refusal, r.ID)
--- a/plugin/entry/refuse.go
+++ b/plugin/entry/refuse.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"net"
 	"strconv"
 	"time"
 
@@ -113,15 +112,13 @@
 // the request is discarded for a moment so that the caller gets the refusal.
 func (s *Server) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	r := badRequest("the request is malformed")
-	var small *fasthttp.ErrSmallBuffer
-	var ne net.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	switch callerconn.ReadFaultOf(err) {
+	case callerconn.BodyTooLarge:
 		r = s.tooLarge(&ctx.Request.Header)
-	case errors.As(err, &small):
+	case callerconn.HeadTooLarge:
 		r = refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadLarge,
 			"the head exceeds "+strconv.Itoa(headerBuffer)+" bytes")
-	case errors.As(err, &ne) && ne.Timeout():
+	case callerconn.TimedOut:
 		r = refuse(fasthttp.StatusRequestTimeout, codeTimeout, "the request did not arrive in time")
 	}
 	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
--- a/plugin/entry/setup.go
+++ b/plugin/entry/setup.go
@@ -16,6 +16,7 @@
 	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/overload"
 )
 
 func init() {
@@ -47,7 +48,7 @@
 	events   *kernel.Events
 	stats    *stats
 	routes   atomic.Pointer[routes]
-	bodies   *budget
+	bodies   *overload.Bytes
 
 	http     *fasthttp.Server
 	listener *callerconn.Listener
@@ -67,9 +68,9 @@
 	s.instance, s.listen = c.Settings.Instance, c.Settings.Listen
 	s.grace, s.maxBody = c.Settings.StopGrace(), c.Settings.MaxBodyBytes()
 	s.log, s.events = c.Log, c.Events
-	s.stats, s.bodies = newStats(c.Metrics), newBudget(s.maxBody)
+	s.stats, s.bodies = newStats(c.Metrics), overload.NewBytes(budgetBodies*int64(s.maxBody))
 	s.conns = callerconn.NewTracker(s.stats.sent, nil)
-	c.Metrics.NewGauge("nutmeg_entry_body_bytes", func() float64 { return float64(s.bodies.held.Load()) })
+	c.Metrics.NewGauge("nutmeg_entry_body_bytes", func() float64 { return float64(s.bodies.Held()) })
 	c.Metrics.NewGauge("nutmeg_entry_connections", func() float64 { open, _ := s.conns.Count(); return float64(open) })
 	c.Metrics.NewGauge("nutmeg_entry_busy_connections", func() float64 { _, busy := s.conns.Count(); return float64(busy) })
 	s.http = s.newHTTP()
@@ -110,17 +111,7 @@
 
 // serve accepts callers until the listener closes.
 func (s *Server) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		s.listener.Close()
-		s.conns.CloseAll()
-	})
-	defer stop()
-	err := s.http.Serve(s.listener)
-	if ctx.Err() != nil || s.draining.Load() {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return errors.WithMessage(err, "serve callers")
+	return s.listener.Serve(ctx, s.http.Serve, s.draining.Load)
 }
 
 // Addr returns the address on which the server listens.
--- a/plugin/gateway/callers_test.go
+++ b/plugin/gateway/callers_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"nutmegrouter/internal/overload"
 )
 
 // Guards against requests that reach a target although their host, path or key
@@ -238,7 +240,7 @@
 		write(c, whole(200, idOf(r), "ok"))
 	})
 	r := newRig(t, x).configured(1)
-	r.gateway.memory.limit = 5 * (requestBytes + 100)
+	r.gateway.memory = overload.NewBytes(5 * (requestBytes + 100))
 	var first []*caller
 	for i := range 5 {
 		c := r.dial()
--- a/plugin/gateway/check.go
+++ b/plugin/gateway/check.go
@@ -17,7 +17,7 @@
 // exceeds the limits.
 func checkHead(h *fasthttp.RequestHeader, limits routing.CallerLimits) *api.Refusal {
 	raw := h.RawHeaders()
-	if len(raw) > orInt(limits.HeaderBytes, defaultHeads) {
+	if len(raw) > orDefault(limits.HeaderBytes, defaultHeads) {
 		return refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadLarge, "the head exceeds the limit")
 	}
 	if !wellFormed(raw) {
@@ -99,10 +99,3 @@
 	}
 	return true
 }
-
-func orInt(n, fallback int) int {
-	if n > 0 {
-		return n
-	}
-	return fallback
-}
--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -15,9 +15,8 @@
 	// the instance has said that it is not ready: two questions a second apart.
 	rotationTime = 2500 * time.Millisecond
 	// lastTaken is when a stopping instance takes its last request, or half of its time
-	// if that is less. Where the balancer
-	// has too few instances it sends callers here to the end, and a stream taken then
-	// would be cut; refused, it is served elsewhere.
+	// if that is less. Where the balancer has too few instances it sends callers here to
+	// the end, and a stream taken then would be cut; refused, it is served elsewhere.
 	lastTaken = 3 * time.Second
 	// stopMargin is left of the time after which the process is killed.
 	stopMargin = 300 * time.Millisecond
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -37,7 +37,7 @@
 		refusal = g.forwarder.Precheck(r)
 	}
 	if refusal == nil {
-		refusal = g.memory.take(len(r.Body))
+		refusal = g.takeMemory(len(r.Body))
 	}
 	if refusal != nil {
 		g.refuse(ctx, refusal, r)
@@ -58,7 +58,7 @@
 	end := func() {
 		stop()
 		cancel()
-		g.memory.free(len(r.Body))
+		g.memory.Free(len(r.Body) + requestBytes)
 	}
 	g.forward(ctx, work, r, end)
 	g.closeIfDraining(ctx)
@@ -90,7 +90,7 @@
 		return r, refuse(fasthttp.StatusBadRequest, codeBadRequest, err.Error())
 	}
 	r.Body = ctx.Request.Body()
-	if limit := orInt(t.Callers.BodyBytes, defaultBody); len(r.Body) > limit {
+	if limit := orDefault(t.Callers.BodyBytes, defaultBody); len(r.Body) > limit {
 		ctx.SetConnectionClose()
 		return r, refuse(fasthttp.StatusRequestEntityTooLarge, codeTooLarge, "the body exceeds the limit")
 	}
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,8 +12,8 @@
 	"nutmegrouter/internal/overload"
 )
 
-// elsewhere is the advice to callers of an instance without processor time. It is
-// short, because the balancer sends the retry to another instance.
+// elsewhere is the advice to callers of an instance that stops or has no processor time.
+// It is short, because the balancer sends the retry to another instance.
 const elsewhere = 50 * time.Millisecond
 
 // loadGate shares the gate among the handlers of requests.
@@ -78,24 +77,13 @@
 	}
 }
 
-// memoryBudget bounds the memory of requests under way. A body is kept until its
+// takeMemory counts a request with a body of so many bytes. A body is kept until its
 // answer has ended, because a further attempt sends it again.
-type memoryBudget struct {
-	limit int64
-	held  atomic.Int64
-}
-
-// take counts a request with a body of so many bytes.
-func (b *memoryBudget) take(body int) *api.Refusal {
-	size := int64(body + requestBytes)
-	if b.held.Add(size) <= b.limit {
+func (g *Gateway) takeMemory(body int) *api.Refusal {
+	if g.memory.Take(body + requestBytes) {
 		return nil
 	}
-	b.held.Add(-size)
 	r := refuse(fasthttp.StatusServiceUnavailable, codeMemoryFull, "the requests under way take all memory for requests")
 	r.RetryAfter = comeBack
 	return r
 }
-
-// free ends a request that was counted with take.
-func (b *memoryBudget) free(body int) { b.held.Add(-int64(body + requestBytes)) }
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,14 +89,12 @@
 // request is discarded for a moment so that the caller gets the refusal.
 func (g *Gateway) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	r := badRequest("the request is malformed")
-	var small *fasthttp.ErrSmallBuffer
-	var ne net.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	switch callerconn.ReadFaultOf(err) {
+	case callerconn.BodyTooLarge:
 		r = refuse(fasthttp.StatusRequestEntityTooLarge, codeTooLarge, "the body exceeds the limit")
-	case errors.As(err, &small):
+	case callerconn.HeadTooLarge:
 		r = refuse(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadLarge, "the head exceeds the limit")
-	case errors.As(err, &ne) && ne.Timeout():
+	case callerconn.TimedOut:
 		r = refuse(fasthttp.StatusRequestTimeout, codeTimeout, "the request did not arrive in time")
 	}
 	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
@@ -108,5 +105,5 @@
 
 // headReceived bounds the body before it is read.
 func (g *Gateway) headReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: orInt(g.limits().BodyBytes, defaultBody) + 1}
+	return fasthttp.RequestConfig{MaxRequestBodySize: orDefault(g.limits().BodyBytes, defaultBody) + 1}
 }
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -18,6 +18,7 @@
 	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/overload"
 	"nutmegrouter/internal/routing"
 )
 
@@ -72,7 +73,7 @@
 
 	table    atomic.Pointer[routing.Table]
 	patience patience
-	memory   *memoryBudget
+	memory   *overload.Bytes
 	load     *loadGate
 	http     *fasthttp.Server
 	listener *callerconn.Listener
@@ -98,7 +99,7 @@
 	g.kernel, g.clock, g.log = c, c.Clock, c.Log.With("plugin", "gateway")
 	g.stats = newStats(c.Metrics)
 	memory := c.Settings.Routes.MemoryMB * (1 << 20)
-	g.memory = &memoryBudget{limit: int64(requestsShare * memory)}
+	g.memory = overload.NewBytes(int64(requestsShare * memory))
 	g.load = newLoadGate()
 	g.conns = callerconn.NewTracker(g.stats.sent, &callerconn.Limits{Idle: g.idleLimit, Head: g.headLimit, Whole: g.wholeLimit})
 	g.conns.SetMost(int(min(callersShare*float64(c.Settings.Routes.MaxSockets()), idleShare*memory/idleBytes)))
@@ -121,11 +122,7 @@
 	if v.Version == 0 || (old != nil && old.Version == v.Version) {
 		return
 	}
-	raw, err := api.UnpackDocument(v.Document)
-	var t *routing.Table
-	if err == nil {
-		t, err = g.dialect.Document(raw)
-	}
+	t, err := v.Table(g.dialect)
 	if err != nil {
 		g.log.Error("configuration not readable", "step", "view", "version", v.Version, "error", err)
 		return
@@ -146,19 +143,20 @@
 // its end.
 func (g *Gateway) idleLimit() time.Duration {
 	const margin = time.Second
-	return orTime(g.limits().IdleTimeout, defaultIdle) + margin
+	return orDefault(g.limits().IdleTimeout, defaultIdle) + margin
 }
 
 func (g *Gateway) headLimit() time.Duration {
 	const margin = 500 * time.Millisecond
-	return orTime(g.limits().HeaderTimeout, defaultHead) + margin
+	return orDefault(g.limits().HeaderTimeout, defaultHead) + margin
 }
 
 func (g *Gateway) wholeLimit() time.Duration { return g.headLimit() + bodyTime }
 
-func orTime(d, fallback time.Duration) time.Duration {
-	if d > 0 {
-		return d
+// orDefault returns a configured bound, or the fallback where none is set.
+func orDefault[T int | time.Duration](v, fallback T) T {
+	if v > 0 {
+		return v
 	}
 	return fallback
 }
@@ -180,15 +178,5 @@
 
 // serve accepts callers until the listener closes.
 func (g *Gateway) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		_ = g.listener.Close()
-		g.conns.CloseAll()
-	})
-	defer stop()
-	err := g.http.Serve(g.listener)
-	if ctx.Err() != nil || g.draining.Load() {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return errors.WithMessage(err, "serve callers")
+	return g.listener.Serve(ctx, g.http.Serve, g.draining.Load)
 }
--- a/plugin/gateway/stats.go
+++ b/plugin/gateway/stats.go
@@ -4,6 +4,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"nutmegrouter/internal/callerconn"
+	"nutmegrouter/internal/overload"
 )
 
 // stats are the counters of this plug-in. Codes are fixed words, so the number of
@@ -23,10 +24,10 @@
 	}
 }
 
-func (s *stats) gauges(set *metrics.Set, conns *callerconn.Tracker, memory *memoryBudget, load *loadGate) {
+func (s *stats) gauges(set *metrics.Set, conns *callerconn.Tracker, memory *overload.Bytes, load *loadGate) {
 	set.NewGauge("nutmeg_gateway_connections", func() float64 { open, _ := conns.Count(); return float64(open) })
 	set.NewGauge("nutmeg_gateway_busy_connections", func() float64 { _, busy := conns.Count(); return float64(busy) })
-	set.NewGauge("nutmeg_gateway_request_bytes", func() float64 { return float64(memory.held.Load()) })
+	set.NewGauge("nutmeg_gateway_request_bytes", func() float64 { return float64(memory.Held()) })
 	set.NewGauge("nutmeg_gateway_turned_away", func() float64 { return float64(conns.TurnedAway.Load()) })
 	set.NewGauge("nutmeg_gateway_late_seconds", func() float64 { return load.lateness().Seconds() })
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -171,19 +171,14 @@
 }
 
 func (o *Owner) readTable(v *api.View) {
-	if v.Version == 0 {
-		return
-	}
-	raw, err := api.UnpackDocument(v.Document)
-	var t *routing.Table
-	if err == nil {
-		t, err = o.dialect.Document(raw)
-	}
+	t, err := v.Table(o.dialect)
 	if err != nil {
 		o.log.Error("configuration not readable", "step", "view", "version", v.Version, "error", err)
 		return
 	}
-	o.table = t
+	if t != nil {
+		o.table = t
+	}
 }
 
 // linkChanged forgets the requests of an entry instance that stays away: its
