Decide once what was decided or read twice

In the change since: the head of a target's answer was decoded twice for each answer and three times for a resumed stream, whose opening repeated that of a first attempt; entries searched the whole list of targets twice for each request; the owner walked the waiting requests of every target for each decision; a mean was written by its getter; the home of a prompt was computed by two loops that must agree; the mesh looked up its dialled links in two ways; a map was cloned by hand. Now attempt.head, the directory's Target, counts kept with the tokens, noteRun, homeAmong, linkTo and maps.Clone.

--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -28,6 +28,8 @@
 	// Targets returns the targets in the list, also those that leave. The slice
 	// is shared and must not be changed.
 	Targets() []Target
+	// Target returns the target with an ID, if it is in the list.
+	Target(id string) (Target, bool)
 	// Known reports whether a list was received.
 	Known() bool
 	// OnChange registers a function called after the list has changed. It must
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -128,7 +129,7 @@
 	}
 	if id, _ := l.Fields[logqueue.RequestKey].(string); id == r.story.Request {
 		if r.held[l.Instance] == nil {
-			r.held[l.Instance] = clone(r.beliefs[l.Instance])
+			r.held[l.Instance] = maps.Clone(r.beliefs[l.Instance])
 		}
 		r.story.Lines = append(r.story.Lines, l)
 		return
@@ -149,14 +150,6 @@
 	return l.Step
 }
 
-func clone(m map[string]Line) map[string]Line {
-	out := make(map[string]Line, len(m))
-	for k, v := range m {
-		out[k] = v
-	}
-	return out
-}
-
 // Story returns what was found.
 func (r *Reader) Story() Story {
 	s := r.story
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -84,13 +84,13 @@
 // assess predicts a request's time on a target.
 func (o *Owner) assess(t *target, w *work, now time.Duration) choice {
 	c := choice{target: t, missing: t.held.missing(w.ask.Prompt)}
-	queue := t.backlog(now) + t.readTime(t.plannedBefore(w))
+	first := t.before(w)
+	queue := t.backlog(now) + t.readTime(float64(first.tokens))
 	c.wait = max(0, queue-ahead)
-	first := t.plannedFirst(w)
-	if !t.room(w) || t.freeSlots() <= first {
-		c.wait = max(c.wait, t.roomTime(first, o.runTime(t.info.Service)))
+	if !t.room(w) || t.freeSlots() <= first.requests {
+		c.wait = max(c.wait, t.roomTime(first.requests, o.runTime(t.info.Service)))
 	}
-	c.wait = max(c.wait, t.startTime(o.startLimit(t, now), first, now))
+	c.wait = max(c.wait, t.startTime(o.startLimit(t, now), first.requests, now))
 	read := t.readTime(float64(c.missing))
 	c.begin = max(queue, c.wait) + read + baseTime
 	c.score = c.begin + time.Duration(rereadWeight*float64(read)) + time.Duration(len(t.running))*crowdCost +
@@ -121,21 +121,33 @@
 	return (s.ColdPerSecond*o.cfg.ColdOverage + o.cfg.ColdSlack) * startShare
 }
 
-// home returns the target on which the shared parts of a prompt are read first:
-// the one with the highest hash of part and target.
+// home returns the target on which the shared parts of a prompt are read first.
 func (o *Owner) home(w *work) *target {
-	part := HomePart(w.ask.Prompt)
-	if part == 0 {
+	i := homeAmong(HomePart(w.ask.Prompt), len(o.byName), func(i int) (uint64, bool) {
+		t := o.byName[i]
+		return t.hash, t.info.Service == w.ask.Service && o.inService(t)
+	})
+	if i < 0 {
 		return nil
 	}
-	var best *target
-	highest := uint64(0)
-	for _, t := range o.byName {
-		if t.info.Service != w.ask.Service || !o.inService(t) {
+	return o.byName[i]
+}
+
+// homeAmong returns which of n targets is the home of a part: the one with the highest
+// hash of part and target, so that all who know the same targets choose alike. The
+// function tells the hash of a target's name, and whether the target may be used. -1 = none.
+func homeAmong(part PartID, n int, target func(i int) (hash uint64, usable bool)) int {
+	best, highest := -1, uint64(0)
+	if part == 0 {
+		return best
+	}
+	for i := range n {
+		hash, usable := target(i)
+		if !usable {
 			continue
 		}
-		if h := mix(uint64(part), t.hash); best == nil || h > highest {
-			best, highest = t, h
+		if h := mix(uint64(part), hash); best < 0 || h > highest {
+			best, highest = i, h
 		}
 	}
 	return best
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -70,19 +70,19 @@
 // lately or were tried before only if there is no other.
 func (l *Local) Choose(q Query) (api.Target, bool) {
 	best, cost := -1, math.Inf(1)
-	home := homeOf(q)
+	home := q.home()
 	shift := int(q.Random * float64(len(q.Targets)))
 	for i := range q.Targets {
 		j := (i + shift) % len(q.Targets)
 		t := &q.Targets[j]
-		if t.Service != q.Service || t.Leaving || q.Out[t.DataCentre] || t.ColdUntil > q.Now {
+		if !q.usable(t) {
 			continue
 		}
 		if q.MostRunning > 0 && l.load(t).running >= q.MostRunning {
 			continue
 		}
 		c := l.cost(t, q)
-		if t.ID == home {
+		if j == home {
 			c -= homeSaves
 		}
 		if c < cost {
@@ -95,23 +95,21 @@
 	return q.Targets[best], true
 }
 
-// homeOf returns the ID of the target on which all instances read a prompt first,
-// or "".
-func homeOf(q Query) (id string) {
-	if q.Home == 0 {
-		return ""
-	}
-	highest := uint64(0)
-	for i := range q.Targets {
+// usable reports whether a target may get requests of the query at all.
+func (q *Query) usable(t *api.Target) bool {
+	return t.Service == q.Service && !t.Leaving && !q.Out[t.DataCentre] && t.ColdUntil <= q.Now
+}
+
+// home returns the index of the target on which all instances read the prompt first,
+// or -1.
+func (q *Query) home() int {
+	return homeAmong(q.Home, len(q.Targets), func(i int) (uint64, bool) {
 		t := &q.Targets[i]
-		if t.Service != q.Service || t.Leaving || q.Out[t.DataCentre] || t.ColdUntil > q.Now {
-			continue
-		}
-		if h := mix(uint64(q.Home), hashName(t.ID)); id == "" || h > highest {
-			id, highest = t.ID, h
+		if !q.usable(t) {
+			return 0, false
 		}
-	}
-	return id
+		return hashName(t.ID), true
+	})
 }
 
 func (l *Local) cost(t *api.Target, q Query) float64 {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -220,7 +220,7 @@
 	w.target.end(w)
 	w.target.health.note(outcome, now)
 	if outcome == api.WorkServed {
-		o.runs[w.target.info.Service] += time.Duration(runWeight * float64(now-w.sentAt-o.runTime(w.target.info.Service)))
+		o.noteRun(w.target.info.Service, now-w.sentAt)
 	}
 	switch outcome {
 	case api.WorkUnreachable, api.WorkUnsent, api.WorkFull, api.WorkOther:
@@ -235,10 +235,16 @@
 
 // runTime returns the mean time of a request of a service on a target.
 func (o *Owner) runTime(service string) time.Duration {
-	if _, ok := o.runs[service]; !ok {
-		o.runs[service] = usualRun
+	if mean, ok := o.runs[service]; ok {
+		return mean
 	}
-	return o.runs[service]
+	return usualRun
+}
+
+// noteRun counts the time of a request in the mean.
+func (o *Owner) noteRun(service string, took time.Duration) {
+	mean := o.runTime(service)
+	o.runs[service] = mean + time.Duration(runWeight*float64(took-mean))
 }
 
 // Forget drops all requests of an entry instance that is gone.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -78,9 +78,9 @@
 	starts  []time.Duration // newest starts, oldest first
 	health  health
 	plan    []*work // requests that wait for this target
-	// planned counts the prompt tokens of the waiting requests: of workspaces within
-	// their share, and of the others.
-	planned [2]int
+	// planned counts the waiting requests: those of workspaces within their share, and
+	// the others.
+	planned [2]waiting
 
 	counted   time.Duration // when queued was computed; -1 = it has changed
 	queuedFor time.Duration
@@ -134,26 +134,21 @@
 // busy reports whether the target has prompts to read.
 func (t *target) busy(now time.Duration) bool { return len(t.queue) > 0 && t.backlog(now) > 0 }
 
-// plannedBefore returns the prompt tokens of the waiting requests that may come
-// before another one.
-func (t *target) plannedBefore(w *work) float64 {
+// waiting sums up requests that wait for a target.
+type waiting struct{ requests, tokens int }
+
+func (n *waiting) add(requests, tokens int) {
+	n.requests, n.tokens = n.requests+requests, n.tokens+tokens
+}
+
+// before returns the waiting requests that may come before another one.
+func (t *target) before(w *work) waiting {
 	n := t.planned[0]
 	if w.rank() > 0 {
-		n += t.planned[1]
+		n.add(t.planned[1].requests, t.planned[1].tokens)
 	}
 	if w.planned == t {
-		n -= w.plannedMissing
-	}
-	return float64(n)
-}
-
-// plannedFirst returns the number of waiting requests that may come before another one.
-func (t *target) plannedFirst(w *work) int {
-	n := 0
-	for _, p := range t.plan {
-		if p != w && p.plannedRank <= w.rank() {
-			n++
-		}
+		n.add(-1, -w.plannedMissing)
 	}
 	return n
 }
@@ -162,14 +157,14 @@
 func (t *target) enqueue(w *work, missing int) {
 	w.planned, w.plannedMissing, w.plannedRank = t, missing, w.rank()
 	t.plan = append(t.plan, w)
-	t.planned[w.plannedRank] += missing
+	t.planned[w.plannedRank].add(1, missing)
 }
 
 // leave ends the wait of a request.
 func (t *target) leave(w *work) {
 	if i := slices.Index(t.plan, w); i >= 0 {
 		t.plan = slices.Delete(t.plan, i, i+1)
-		t.planned[w.plannedRank] -= w.plannedMissing
+		t.planned[w.plannedRank].add(-1, -w.plannedMissing)
 	}
 	w.planned = nil
 }
@@ -226,9 +221,9 @@
 	// that was or one of the others.
 	i := len(t.starts) + others - most
 	rounds := time.Duration(0)
-	for i >= len(t.starts) && len(t.starts) > 0 {
-		i -= most
-		rounds++
+	if n := len(t.starts); n > 0 && i >= n {
+		full := (i-n)/most + 1
+		i, rounds = i-full*most, time.Duration(full)
 	}
 	if i < 0 || len(t.starts) == 0 {
 		return rounds * startsWindow
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -43,12 +43,18 @@
 	led       chan struct{} // signalled when this instance begins to lead
 	calledAt  time.Duration // time of the last call to the platform; owned by the duty
 
-	targets atomic.Pointer[[]api.Target]
+	targets atomic.Pointer[published]
 	readAt  atomic.Int64 // time of the last answer of the platform or news of it
 
 	reads, failures, unreadable, updates *metrics.Counter
 }
 
+// published is the list that other plug-ins see.
+type published struct {
+	list []api.Target
+	byID map[string]int // index in list
+}
+
 // Provision implements kernel.Plugin.
 func (d *Directory) Provision(c *kernel.Context) (err error) {
 	if d.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
@@ -102,11 +108,24 @@
 // Targets implements api.Directory.
 func (d *Directory) Targets() []api.Target {
 	if p := d.targets.Load(); p != nil {
-		return *p
+		return p.list
 	}
 	return nil
 }
 
+// Target implements api.Directory.
+func (d *Directory) Target(id string) (api.Target, bool) {
+	p := d.targets.Load()
+	if p == nil {
+		return api.Target{}, false
+	}
+	i, ok := p.byID[id]
+	if !ok {
+		return api.Target{}, false
+	}
+	return p.list[i], true
+}
+
 // Known implements api.Directory.
 func (d *Directory) Known() bool { return d.targets.Load() != nil }
 
@@ -121,8 +140,11 @@
 
 // publish makes the list visible and tells the listeners. The lock must be held.
 func (d *Directory) publish() []func() {
-	t := d.list.Targets()
-	d.targets.Store(&t)
+	p := &published{list: d.list.Targets(), byID: map[string]int{}}
+	for i := range p.list {
+		p.byID[p.list[i].ID] = i
+	}
+	d.targets.Store(p)
 	return append([]func(){}, d.listeners...)
 }
 
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -200,18 +200,21 @@
 
 // open sends the request to the target and reads the begin of the answer.
 func (a *attempt) open() (api.ForwardAnswer, *fault) {
-	c := a.c
-	c.tried = append(c.tried, a.place.Target().ID)
-	x, flt := a.exchange()
+	f, flt := a.head()
 	if flt != nil {
 		return nil, a.fail(flt)
 	}
-	a.x = x
-	if flt := a.ownAnswer(); flt != nil {
-		return nil, a.fail(flt)
+	a.c.f.stats.head.Update((a.c.f.clock.Now() - a.sent).Seconds())
+	return a.accept(f)
+}
+
+// head sends the request and reads the head of the target's own answer.
+func (a *attempt) head() (f api.AnswerFields, flt *fault) {
+	a.c.tried = append(a.c.tried, a.place.Target().ID)
+	if a.x, flt = a.exchange(); flt != nil {
+		return f, flt
 	}
-	c.f.stats.head.Update((c.f.clock.Now() - a.sent).Seconds())
-	return a.accept()
+	return a.ownAnswer()
 }
 
 // exchange connects and sends. A reused connection that the target closed without
@@ -327,25 +330,24 @@
 
 // ownAnswer skips answers to earlier requests and checks that the answer is the
 // target's own.
-func (a *attempt) ownAnswer() *fault {
+func (a *attempt) ownAnswer() (f api.AnswerFields, flt *fault) {
 	const maxStrays = 4
 	for range maxStrays {
-		f := a.c.f.dialect.Answer(&a.x.Resp.Header)
+		f = a.c.f.dialect.Answer(&a.x.Resp.Header)
 		if f.ID == "" || f.ID == a.c.r.Fields.ID {
-			return nil
+			return f, nil
 		}
 		a.c.f.stats.strays.Inc()
 		a.c.log.Warn("answer to another request dropped", "step", "head", "target", a.place.Target().ID, "belongs_to", f.ID)
 		if err := a.x.Skip(); err != nil {
-			return &fault{outcome: api.WorkBroken, step: "head", cause: err}
+			return f, &fault{outcome: api.WorkBroken, step: "head", cause: err}
 		}
 	}
-	return &fault{outcome: api.WorkBroken, step: "head", cause: errors.New("too many answers to other requests")}
+	return f, &fault{outcome: api.WorkBroken, step: "head", cause: errors.New("too many answers to other requests")}
 }
 
 // accept decides what an answer's head means.
-func (a *attempt) accept() (api.ForwardAnswer, *fault) {
-	f := a.c.f.dialect.Answer(&a.x.Resp.Header)
+func (a *attempt) accept(f api.AnswerFields) (api.ForwardAnswer, *fault) {
 	status := a.x.Resp.StatusCode()
 	a.x.Conn.IdleLimit = f.IdleLimit
 	switch {
--- a/plugin/forward/stream.go
+++ b/plugin/forward/stream.go
@@ -172,20 +172,13 @@
 		s.c.sends = s.c.r.Route.MaxAttempts // a further question would be answered alike
 		return false
 	}
-	x, flt := a.exchange()
-	s.c.tried = append(s.c.tried, a.place.Target().ID)
+	f, flt := a.head()
 	if flt != nil {
 		a.fail(flt)
 		return false
 	}
-	a.x = x
-	if flt := a.ownAnswer(); flt != nil {
-		a.fail(flt)
-		return false
-	}
-	f := s.c.f.dialect.Answer(&x.Resp.Header)
-	if !isStream(s.c.r.Route, &x.Resp.Header) || !f.Signed || f.NotRun {
-		a.fail(&fault{outcome: api.WorkFull, step: "resume", cause: errors.Errorf("status %d", x.Resp.StatusCode()), notRun: f.NotRun})
+	if !isStream(s.c.r.Route, &a.x.Resp.Header) || !f.Signed || f.NotRun {
+		a.fail(&fault{outcome: api.WorkFull, step: "resume", cause: errors.Errorf("status %d", a.x.Resp.StatusCode()), notRun: f.NotRun})
 		return false
 	}
 	a.place.Began()
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -113,9 +113,10 @@
 // known is a directory that is known and empty: the rig places by itself.
 type known struct{}
 
-func (known) Targets() []api.Target { return nil }
-func (known) Known() bool           { return true }
-func (known) OnChange(func())       {}
+func (known) Targets() []api.Target            { return nil }
+func (known) Target(string) (api.Target, bool) { return api.Target{}, false }
+func (known) Known() bool                      { return true }
+func (known) OnChange(func())                  {}
 
 // alone is a topology with so many entry instances; no control instance is known.
 type alone int
--- a/plugin/mesh/roster.go
+++ b/plugin/mesh/roster.go
@@ -91,11 +91,8 @@
 // dialled from here is reached over that link only: its silence is watched, while
 // a connection that it has opened may have been silent for long.
 func (m *Mesh) linked(name string) *session {
-	m.roster.mu.Lock()
-	d := m.roster.links[name]
-	m.roster.mu.Unlock()
-	if d != nil {
-		return d.up()
+	if l := m.linkTo(name); l != nil {
+		return l.up()
 	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -216,11 +216,7 @@
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
 		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "least_missing_tokens", g.Least, "least_wait_ms", g.LeastWaitMs, "term", g.Term)
 	l := &placed{p: p, work: w, begin: p.clock.Now(), by: "owner", number: number}
-	for _, t := range p.directory.Targets() {
-		if t.ID == g.Target {
-			l.target = t
-		}
-	}
+	l.target, _ = p.directory.Target(g.Target) // permit refuses one that is gone
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running[number] = l
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -119,10 +119,8 @@
 	if p.fleet.View().Out[t.DataCentre] {
 		return errOut
 	}
-	for _, have := range p.directory.Targets() {
-		if have.ID == t.ID && have.BornMs == t.BornMs && !have.Leaving {
-			return nil
-		}
+	if have, ok := p.directory.Target(t.ID); ok && have.BornMs == t.BornMs && !have.Leaving {
+		return nil
 	}
 	return errLeaving
 }
