Keep the platform's wire names in platform/, in tests too

The gateway's tests and the test that guards the names spelt them outside platform/. Assertions are as before.

--- a/internal/doccheck/doccheck_test.go
+++ b/internal/doccheck/doccheck_test.go
@@ -1,7 +1,6 @@
 package doccheck
 
 import (
-	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -16,15 +15,7 @@
 // sources returns the text of the Go files below dir for which keep is true.
 func sources(t *testing.T, dir string, keep func(path string) bool) map[string]string {
 	t.Helper()
-	out := map[string]string{}
-	err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || !keep(path) {
-			return err
-		}
-		raw, err := os.ReadFile(path)
-		out[path] = string(raw)
-		return err
-	})
+	out, err := Sources(filepath.Join(root, dir), keep)
 	is.New(t).NoErr(err)
 	return out
 }
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -5,7 +5,8 @@
 // many. A caller that is refused at once reaches another instance with its retry; one
 // whose request waits for processor time reaches nobody.
 //
-// The package is pure: the caller tells the time and how late its ticks came.
+// The gate is pure: the caller tells the time and how late its ticks came. Bytes bounds
+// what requests hold in memory.
 package overload
 
 import (
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -124,6 +124,7 @@
 // baseConfig has a route of each kind.
 func baseConfig() standin.Config {
 	return standin.Config{
+		Callers:  standin.UsualCallers,
 		Version:  1,
 		Services: []standin.Service{{Name: "model", Engine: true, Slots: 16}, {Name: "orders"}},
 		Routes: []standin.Route{
--- a/plugin/gateway/callers_test.go
+++ b/plugin/gateway/callers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"nutmegrouter/internal/overload"
+	"nutmegrouter/platform/standin"
 )
 
 // Guards against requests that reach a target although their host, path or key
@@ -40,7 +41,7 @@
 			c.t = t
 			c.send(x.text)
 			resp := c.want(x.status, "*")
-			r.is.Equal(resp.Header.Get("X-Response-Stamp"), "")
+			r.is.Equal(resp.Header.Get(standin.HeaderStamp), "")
 		})
 	}
 	n, _ := x.count()
@@ -50,7 +51,7 @@
 	c = r.dial()
 	c.send(strings.Replace(request("GET", "/look/1", "id3", ""), "Bearer key", "Bearer unknown", 1)) // public: no key is needed
 	c.want(200, "ok")
-	r.is.Equal(x.requests[0].Header.Get("X-Tenant"), "")
+	r.is.Equal(x.requests[0].Header.Get(standin.HeaderWorkspace), "")
 	r.is.Equal(x.requests[0].Header.Get("Authorization"), "")
 }
 
@@ -154,7 +155,7 @@
 	c.send(request("POST", "/order/1", "a", "x") + request("GET", "/look/2", "b", "") + request("POST", "/order/3", "c", "yy"))
 	for _, id := range []string{"a", "b", "c"} {
 		resp := c.want(200, "to "+id)
-		r.is.Equal(resp.Header.Get("X-Attempt-Id"), id)
+		r.is.Equal(resp.Header.Get(standin.HeaderAttempt), id)
 	}
 }
 
@@ -165,16 +166,17 @@
 	c := r.dial()
 	c.send(request("GET", "/look/1", "id1", ""))
 	c.want(200, "ok")
-	doc := strings.Replace(strings.Replace(document, "/look/", "/gaze/", 1), `["key"]`, `["new"]`, 1)
-	doc = strings.Replace(doc, "%d", "2", 1)
-	r.fleet.Install(apiView(2, doc))
+	newer := configOf(2)
+	newer.Routes[4].Prefix = "/gaze/"
+	newer.Workspaces["w"] = []string{"new"}
+	r.fleet.Install(apiView(2, newer.Document()))
 	c.send(request("GET", "/look/1", "id2", ""))
 	c.want(404, "*")
 	c.send(request("GET", "/gaze/1", "id3", ""))
 	c.want(200, "ok")
 	c.send(request("POST", "/chat/1", "id4", "x"))
 	c.want(401, "*")
-	r.fleet.Install(apiView(3, "{")) // a document that cannot be read leaves the one before in force
+	r.fleet.Install(apiView(3, []byte("{"))) // a document that cannot be read leaves the one before in force
 	c.send(request("GET", "/gaze/1", "id5", ""))
 	c.want(200, "ok")
 }
--- a/plugin/gateway/logs_test.go
+++ b/plugin/gateway/logs_test.go
@@ -11,6 +11,7 @@
 
 	"nutmegrouter/internal/explain"
 	"nutmegrouter/internal/overload"
+	"nutmegrouter/platform/standin"
 )
 
 // Guards against a key, a prompt or a body in a log line, on the way of a request that
@@ -29,7 +30,7 @@
 		}
 	}
 	r := newRig(t, newTarget(t, "t1", script), newTarget(t, "t2", script)).configured(1)
-	prompt := "X-Prompt-Prefix: " + secretPart + ":10"
+	prompt := standin.HeaderPrompt + ": " + secretPart + ":10"
 	send := func(text string) {
 		c := r.dial()
 		c.send(text)
@@ -38,9 +39,9 @@
 	for range 2 {
 		send(request("POST", "/look/1", "a1", secretBody, prompt))
 		send(request("POST", "/order/1", "a2", secretBody, prompt))
-		send(request("POST", "/draft/1", "a3", secretBody, prompt, "X-Model: m", "X-Token-Usage: 10,5"))
+		send(request("POST", "/draft/1", "a3", secretBody, prompt, standin.HeaderModel+": m", standin.HeaderTokens+": 10,5"))
 	}
-	send("POST /chat/1 HTTP/1.1\r\nHost: f.example\r\nX-Attempt-Id: a4\r\nAuthorization: Bearer " + secretKey + "\r\nContent-Length: 9\r\n\r\n" + secretBody)
+	send("POST /chat/1 HTTP/1.1\r\nHost: f.example\r\n" + standin.HeaderAttempt + ": a4\r\nAuthorization: Bearer " + secretKey + "\r\nContent-Length: 9\r\n\r\n" + secretBody)
 	send("POST /look/1 HTTP/1.1\r\nHost: f.example\r\nAuthorization: Bearer " + secretKey + "\r\nContent-Length: x" + secretBody + "\r\n\r\n")
 	send(request("POST", "/nothing/1", "a5", secretBody))
 	logged := r.lines.String()
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -20,20 +20,31 @@
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/settings"
 	"nutmegrouter/platform"
+	"nutmegrouter/platform/standin"
 	"nutmegrouter/plugin/fleet"
 	"nutmegrouter/plugin/forward"
 )
 
-// document has a route of each kind. Names on the wire are the platform's.
-const document = `{"version":%d,"routes":[
- {"name":"chat","hostname":"f.example","path_prefix":"/chat/","route_type":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"m","max_attempts":1,"resumable":false},
- {"name":"draft","hostname":"f.example","path_prefix":"/draft/","route_type":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"m","max_attempts":2,"resumable":true},
- {"name":"order","hostname":"f.example","path_prefix":"/order/","route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":100,"service":"s","max_attempts":1,"public":true},
- {"name":"twice","hostname":"f.example","path_prefix":"/twice/","route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":100,"service":"s","max_attempts":2,"public":true},
- {"name":"look","hostname":"f.example","path_prefix":"/look/","route_type":"idempotent","timeout_ms":1500,"target_latency_ms":100,"service":"s","max_attempts":2,"public":true}],
- "services":[{"name":"m","max_connections":9},{"name":"s","max_connections":9}],
- "limits":{"max_header_bytes":2000,"max_body_bytes":100000,"header_timeout_ms":300,"idle_timeout_ms":2000,"tokens_per_s":1000},
- "tenants":[{"name":"w","api_keys":["key"]}]}`
+// configOf is a configuration with a route of each kind.
+func configOf(version int) *standin.Config {
+	model := func(name string, attempts int, resumable bool) standin.Route {
+		return standin.Route{Name: name, Host: "f.example", Prefix: "/" + name + "/", Service: "m", Kind: "streaming",
+			TimeoutMs: 4000, ObjectiveMs: 400, MaxAttempts: attempts, Resumable: resumable}
+	}
+	plain := func(name, kind string, attempts int) standin.Route {
+		return standin.Route{Name: name, Host: "f.example", Prefix: "/" + name + "/", Service: "s", Kind: kind,
+			TimeoutMs: 1500, ObjectiveMs: 100, MaxAttempts: attempts, Public: true}
+	}
+	return &standin.Config{
+		Version: version, TokensPerSecond: 1000, Workspaces: map[string][]string{"w": {"key"}},
+		Routes: []standin.Route{
+			model("chat", 1, false), model("draft", 2, true),
+			plain("order", "non_idempotent", 1), plain("twice", "non_idempotent", 2), plain("look", "idempotent", 2),
+		},
+		Services: []standin.Service{{Name: "m"}, {Name: "s"}},
+		Callers:  standin.CallerLimits{HeadBytes: 2000, BodyBytes: 100000, HeadTimeoutMs: 300, IdleTimeoutMs: 2000},
+	}
+}
 
 // rig is a gateway with the forwarder behind it and targets that tests script.
 type rig struct {
@@ -106,7 +117,7 @@
 
 // configured puts a version of the document in force.
 func (r *rig) configured(version int) *rig {
-	r.fleet.Install(&api.View{Revision: uint64(version), Version: uint64(version), Document: api.PackDocument(fmt.Appendf(nil, document, version))})
+	r.fleet.Install(apiView(version, configOf(version).Document()))
 	return r
 }
 
@@ -240,7 +251,7 @@
 
 // signed is the head of an answer to a request.
 func signed(status int, id string, extra ...string) string {
-	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp-%s\r\n%s", status, id, id, strings.Join(append(extra, ""), "\r\n"))
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n"+standin.HeaderAttempt+": %s\r\n"+standin.HeaderStamp+": stamp-%s\r\n%s", status, id, id, strings.Join(append(extra, ""), "\r\n"))
 }
 
 func whole(status int, id, body string, extra ...string) string {
@@ -248,7 +259,7 @@
 }
 
 func notRun(id string) string {
-	return fmt.Sprintf("HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	return fmt.Sprintf("HTTP/1.1 503 X\r\n"+standin.HeaderAttempt+": %s\r\n"+standin.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n", id)
 }
 
 func streamHead(id string) string {
@@ -275,7 +286,7 @@
 
 func write(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
 
-func idOf(r *http.Request) string { return r.Header.Get("X-Attempt-Id") }
+func idOf(r *http.Request) string { return r.Header.Get(standin.HeaderAttempt) }
 
 // caller is a raw connection to the gateway.
 type caller struct {
@@ -296,7 +307,7 @@
 
 // request is the text of a request with usual headers.
 func request(method, path, id, body string, extra ...string) string {
-	h := []string{"Host: f.example", "X-Attempt-Id: " + id, "X-Deadline-Ms: 4000", "Authorization: Bearer key"}
+	h := []string{"Host: f.example", standin.HeaderAttempt + ": " + id, standin.HeaderDeadline + ": 4000", "Authorization: Bearer key"}
 	if body != "" {
 		h = append(h, fmt.Sprintf("Content-Length: %d", len(body)))
 	}
@@ -330,6 +341,6 @@
 	return resp
 }
 
-func apiView(version int, doc string) *api.View {
-	return &api.View{Revision: uint64(version), Version: uint64(version), Document: api.PackDocument([]byte(doc))}
+func apiView(version int, doc []byte) *api.View {
+	return &api.View{Revision: uint64(version), Version: uint64(version), Document: api.PackDocument(doc)}
 }
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/platform/standin"
 )
 
 func echo(body string) func(c net.Conn, r *http.Request, n int) {
@@ -28,10 +29,10 @@
 	})
 	r := newRig(t, x).configured(1)
 	c := r.dial()
-	c.send(request("POST", "/order/a%2Fb/../x?q=1&r", "id1", "body", "X-Tenant: forged", "X-Expect-Instance: forged", "X-Hold: 7", "Connection: X-Gone", "X-Gone: 1", "Te: gzip", "X-Kept: 1"))
+	c.send(request("POST", "/order/a%2Fb/../x?q=1&r", "id1", "body", standin.HeaderWorkspace+": forged", standin.HeaderExpect+": forged", standin.HeaderHold+": 7", "Connection: X-Gone", "X-Gone: 1", "Te: gzip", "X-Kept: 1"))
 	resp := c.want(201, "made")
-	r.is.Equal(resp.Header.Get("X-Response-Stamp"), "stamp-id1")
-	r.is.Equal(resp.Header.Get("X-Attempt-Id"), "id1")
+	r.is.Equal(resp.Header.Get(standin.HeaderStamp), "stamp-id1")
+	r.is.Equal(resp.Header.Get(standin.HeaderAttempt), "id1")
 	r.is.Equal(resp.Header.Get("X-Other"), "kept")
 	r.is.Equal(resp.Header.Get("Content-Type"), "text/odd")
 	r.is.Equal(resp.Header.Get("Keep-Alive"), "")
@@ -40,14 +41,14 @@
 	r.is.Equal(q.Method, "POST")
 	r.is.Equal(q.Host, "f.example")
 	r.is.Equal(x.bodies[0], "body")
-	r.is.Equal(q.Header.Get("X-Tenant"), "w")
-	r.is.Equal(q.Header.Get("X-Expect-Instance"), "t1")
+	r.is.Equal(q.Header.Get(standin.HeaderWorkspace), "w")
+	r.is.Equal(q.Header.Get(standin.HeaderExpect), "t1")
 	r.is.Equal(q.Header.Get("X-Kept"), "1")
-	for _, gone := range []string{"Authorization", "X-Hold", "X-Gone", "Te"} {
+	for _, gone := range []string{"Authorization", standin.HeaderHold, "X-Gone", "Te"} {
 		r.is.Equal(q.Header.Get(gone), "")
 	}
 	var left int
-	_, err := fmt.Sscan(q.Header.Get("X-Deadline-Ms"), &left)
+	_, err := fmt.Sscan(q.Header.Get(standin.HeaderDeadline), &left)
 	r.is.NoErr(err)
 	r.is.True(left > 1000 && left <= 1500) // the route's time limit is shorter than the caller's
 }
@@ -121,7 +122,7 @@
 			c.want(200, "good") // repeated elsewhere
 			c.send(request("POST", "/twice/1", "id2", "x"))
 			resp := c.want(502, "*")
-			r.is.Equal(resp.Header.Get("X-Response-Stamp"), "")
+			r.is.Equal(resp.Header.Get(standin.HeaderStamp), "")
 			n, _ := good.count()
 			r.is.Equal(n, 1) // the order was sent to no second target
 		})
@@ -145,7 +146,7 @@
 	for _, size := range []int{4000, 90000} {
 		x := newTarget(t, "t1", func(c net.Conn, r *http.Request, n int) {
 			if strings.Contains(r.URL.Path, "early") {
-				write(c, "HTTP/1.1 503 X\r\nX-Attempt-Id: "+idOf(r)+"\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				write(c, "HTTP/1.1 503 X\r\n"+standin.HeaderAttempt+": "+idOf(r)+"\r\n"+standin.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
 				time.Sleep(300 * time.Millisecond)
 				_, _ = io.Copy(io.Discard, r.Body) // it reads on later
 				return
@@ -172,7 +173,7 @@
 func TestRefusals(t *testing.T) {
 	refuse := func(c net.Conn, r *http.Request, _ int) { write(c, notRun(idOf(r))) }
 	other := func(c net.Conn, r *http.Request, _ int) {
-		write(c, "HTTP/1.1 421 X\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+		write(c, "HTTP/1.1 421 X\r\n"+standin.HeaderInstance+": i-9\r\nContent-Length: 0\r\n\r\n")
 	}
 	fail := func(c net.Conn, r *http.Request, _ int) { write(c, whole(500, idOf(r), "failed")) }
 	plain503 := func(c net.Conn, r *http.Request, _ int) { write(c, whole(503, idOf(r), "ran")) }
@@ -201,7 +202,7 @@
 			c.send(request(method, x.path, "id1", body))
 			resp := c.want(x.status, x.body)
 			if x.status == 500 {
-				r.is.Equal(resp.Header.Get("X-Response-Stamp"), "stamp-id1")
+				r.is.Equal(resp.Header.Get(standin.HeaderStamp), "stamp-id1")
 			}
 			n, _ := second.count()
 			r.is.Equal(n, x.second)
@@ -212,7 +213,7 @@
 	c := r.dial()
 	c.send(request("POST", "/order/1", "id1", "x"))
 	resp := c.want(502, "*") // a 503 would say that it has not run
-	r.is.Equal(resp.Header.Get("X-Response-Stamp"), "")
+	r.is.Equal(resp.Header.Get(standin.HeaderStamp), "")
 }
 
 // Guards against a dead target that uses up an attempt, and a request that waits
@@ -305,7 +306,7 @@
 			r.is.Equal(body, x.want)
 			r.is.Equal(err == nil, x.whole)
 			if x.second == 0 || !strings.Contains(x.name, "no event") {
-				r.is.Equal(resp.Header.Get("X-Response-Stamp"), "stamp-id1") // of the first target
+				r.is.Equal(resp.Header.Get(standin.HeaderStamp), "stamp-id1") // of the first target
 			}
 			n, _ := second.count()
 			r.is.Equal(n, x.second)
@@ -378,14 +379,14 @@
 	for _, x := range []struct {
 		path, deadline string
 		limit          time.Duration
-	}{{"/order/1", "X-Deadline-Ms: 9000", 1500 * time.Millisecond}, {"/look/1", "X-Deadline-Ms: 400", 400 * time.Millisecond}, {"/chat/1", "X-Deadline-Ms: 700", 700 * time.Millisecond}} {
+	}{{"/order/1", standin.HeaderDeadline + ": 9000", 1500 * time.Millisecond}, {"/look/1", standin.HeaderDeadline + ": 400", 400 * time.Millisecond}, {"/chat/1", standin.HeaderDeadline + ": 700", 700 * time.Millisecond}} {
 		c := r.dial()
 		begin := time.Now()
 		method, body := "POST", "x"
 		if x.path == "/look/1" {
 			method, body = "GET", ""
 		}
-		c.send(strings.Replace(request(method, x.path, "id1", body), "X-Deadline-Ms: 4000", x.deadline, 1))
+		c.send(strings.Replace(request(method, x.path, "id1", body), standin.HeaderDeadline+": 4000", x.deadline, 1))
 		c.want(504, "*")
 		r.is.True(time.Since(begin) >= x.limit-20*time.Millisecond)
 		r.is.True(time.Since(begin) < x.limit+300*time.Millisecond)
