Spend a flooding workspace's share on requests that can be on time

Requests beyond the share were also refused when their target only had a prompt to read.

Ruled out: full targets.

Change: the owner remembers refused requests by the last part of their prompt; repeats that are late are refused if their workspace asks for more than its share. Entries pass the part of a flood that the owner has granted lately, chosen by the request, so that a caller is decided on alike everywhere. Requests beyond the share yield only where their target has no room.

--- a/internal/placement/flood.go
+++ b/internal/placement/flood.go
@@ -1,91 +1,85 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// floodWindow is the time over which refusals of a workspace are counted.
-	floodWindow = time.Second
-	// floodFree is the number of refusals in the window that hold nothing back.
-	floodFree = 120
-	// floodStep is how long requests of a workspace are held back after a refusal,
-	// for each refusal in the window beyond the free ones; floodMost is the bound.
-	floodStep = 500 * time.Microsecond
-	floodMost = 100 * time.Millisecond
-	// floodAdvice is the advice for each floodFree refusals in the window: the more
-	// callers come, the longer it takes until one more has a chance. Callers seldom
-	// wait for longer than floodAdviceMost.
+	// passSlack is how much more of a workspace's requests reach the owner than it
+	// granted lately, so that it finds out when there is room for more.
+	passSlack = 1.5
+	// passLeast is the least part that reaches the owner.
+	passLeast = 0.05
+	// passFor is how long an entry instance goes by the newest part that it was told.
+	passFor = time.Second
+	// floodAdvice is the advice to held back callers if nearly all requests reach the
+	// owner. The fewer do, the longer it takes until one more has a chance. Callers
+	// seldom wait for longer than floodAdviceMost.
 	floodAdvice     = 500 * time.Millisecond
 	floodAdviceMost = 4 * time.Second
 )
 
-// Flood spares the owner the requests of a workspace that sends many times its
-// share through one entry instance: after a refusal its next requests are refused
-// here for a moment. It answers for the load of one workspace's callers that come
-// again at once. It is not safe for concurrent use.
+// passShare returns the part of a workspace's requests for which the owner is to be
+// asked: all of one within its share, else somewhat more than it was granted of what
+// it asked for.
+func (s *shares) passShare(name string) float64 {
+	u := s.byName[name]
+	if u == nil || u.askedSum <= s.level {
+		return 1
+	}
+	return min(1, max(passLeast, passSlack*u.begunSum/u.askedSum))
+}
+
+// Flood refuses requests at an entry instance on the owner's behalf: of a workspace
+// that asks for much more than it is granted, it lets pass the part that the owner has
+// told. It answers for the load of one workspace that sends many times its share
+// through one instance. It is not safe for concurrent use.
 type Flood struct {
-	byName map[string]*flooded
+	byName map[string]passing
 }
 
-type flooded struct {
-	slot     int64
-	refusals [2]int // of the window under way and the one before
-	until    time.Duration
+type passing struct {
+	share float64
+	until time.Duration
 }
 
 // NewFlood returns a Flood that holds nothing back.
-func NewFlood() *Flood { return &Flood{byName: map[string]*flooded{}} }
+func NewFlood() *Flood { return &Flood{byName: map[string]passing{}} }
 
-// Refused notes that the owner refused a request because its workspace exceeds its
-// share.
-func (f *Flood) Refused(workspace string, now time.Duration) {
-	s := f.byName[workspace]
-	if s == nil {
-		s = &flooded{}
-		f.byName[workspace] = s
-	}
-	s.advance(now)
-	s.refusals[0]++
-	if n := s.refusals[0] + s.refusals[1] - floodFree; n > 0 {
-		s.until = now + min(time.Duration(n)*floodStep, floodMost)
+// Tell notes the part of a workspace's requests that may pass, 1 for all.
+func (f *Flood) Tell(workspace string, share float64, now time.Duration) {
+	if share >= 1 {
+		delete(f.byName, workspace)
+		return
 	}
+	f.byName[workspace] = passing{share: share, until: now + passFor}
 }
 
-func (s *flooded) advance(now time.Duration) {
-	slot := int64(now / floodWindow)
-	switch slot - s.slot {
-	case 0:
-	case 1:
-		s.refusals = [2]int{0, s.refusals[0]}
-	default:
-		s.refusals = [2]int{}
+// Holds reports whether a request is refused here. The last part of its prompt decides,
+// so that a caller that comes again through another instance is decided on alike.
+func (f *Flood) Holds(workspace string, own PartID, now time.Duration) bool {
+	p, ok := f.byName[workspace]
+	if !ok {
+		return false
+	}
+	if p.until <= now {
+		delete(f.byName, workspace)
+		return false
 	}
-	s.slot = slot
+	return float64(mix(uint64(own), hashName(workspace)))/math.MaxUint64 >= p.share
 }
 
-// Held returns how long requests of a workspace are held back; 0 = not at all.
-func (f *Flood) Held(workspace string, now time.Duration) time.Duration {
-	s := f.byName[workspace]
-	if s == nil {
-		return 0
+// Share returns the part of a workspace's requests that passes.
+func (f *Flood) Share(workspace string) float64 {
+	if p, ok := f.byName[workspace]; ok {
+		return p.share
 	}
-	if s.until <= now {
-		if int64(now/floodWindow)-s.slot > 1 {
-			delete(f.byName, workspace) // no refusal in the window counts any more
-		}
-		return 0
-	}
-	s.advance(now)
-	s.refusals[0]++
-	return s.until - now
+	return 1
 }
 
 // Advice returns after what time a caller of a workspace that is held back may come
 // again.
 func (f *Flood) Advice(workspace string) time.Duration {
-	s := f.byName[workspace]
-	if s == nil {
-		return floodAdvice
-	}
-	n := float64(s.refusals[0]+s.refusals[1]) / floodFree
-	return max(floodAdvice, min(floodAdviceMost, time.Duration(n*float64(floodAdvice))))
+	return min(floodAdviceMost, time.Duration(float64(floodAdvice)/f.Share(workspace)))
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -46,6 +46,9 @@
 	// target has room, and by how much the workspace exceeds its share.
 	Wait   time.Duration
 	Excess float64
+	// Pass is the part of the workspace's requests that the entry instance is to ask
+	// for; 1 = all.
+	Pass float64
 	// Missing is the number of prompt tokens that the target must read, Least the
 	// smallest such number of any target, and LeastWait the time until that one has
 	// room.
@@ -88,6 +91,7 @@
 	works   map[Key]*work
 	waiting int
 	shares  *shares
+	repeats *repeats
 	runs    map[string]time.Duration // mean time of a request on a target, by service
 	out     []Decision
 	looked  time.Duration // last look at all waiting requests
@@ -95,7 +99,7 @@
 
 // NewOwner returns an owner that knows no targets.
 func NewOwner(c Config) *Owner {
-	return &Owner{cfg: c, targets: map[string]*target{}, works: map[Key]*work{}, shares: newShares(c.ShareWindow), runs: map[string]time.Duration{}}
+	return &Owner{cfg: c, targets: map[string]*target{}, works: map[Key]*work{}, shares: newShares(c.ShareWindow), repeats: newRepeats(), runs: map[string]time.Duration{}}
 }
 
 // SetView takes a newer view. Targets that are gone keep their running requests
@@ -145,18 +149,25 @@
 	}
 	o.advance(now)
 	w := newWork(k, a, now)
-	w.effective = max(w.due, now+time.Duration(longFactor*float64(o.readTime(a)+baseTime)))
 	o.works[k] = w
-	if !a.Resumes {
+	w.effective = max(w.due, now+time.Duration(longFactor*float64(o.readTime(a)+baseTime)))
+	if due, again := o.repeats.due(ownPart(a.Prompt)); again && !a.Resumes {
+		w.due = min(w.due, due)
+		w.effective = w.due
+	} else if !a.Resumes {
 		o.shares.ask(a.Workspace, w.cost)
 	}
 	o.decide(w, now)
 }
 
-// Refused counts what a workspace asked for and an entry instance refused.
-func (o *Owner) Refused(workspace string, tokens int, now time.Duration) {
+// Refused counts a request of a workspace that an entry instance refused: its tokens,
+// the last part of its prompt, and the time until its first event is due.
+func (o *Owner) Refused(workspace string, tokens int, own PartID, objective, now time.Duration) {
 	o.advance(now)
-	o.shares.ask(workspace, float64(tokens))
+	if _, again := o.repeats.due(own); !again {
+		o.shares.ask(workspace, float64(tokens))
+	}
+	o.repeats.note(own, now+objective, now)
 }
 
 // readTime returns the time that a whole prompt takes on a usual target of its
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -26,11 +26,11 @@
 	}
 	c, ok := o.choose(w, now)
 	if !ok {
-		o.refuse(w, c, CodeNoTarget, 0)
+		o.refuse(w, c, CodeNoTarget, 0, now)
 		return
 	}
 	if code := o.refusal(w, c, now); code != "" {
-		o.refuse(w, c, code, c.wait)
+		o.refuse(w, c, code, c.wait, now)
 		return
 	}
 	if c.wait > 0 {
@@ -52,9 +52,9 @@
 		o.shares.deny(w.ask.Workspace, now)
 	}
 	switch {
-	case w.excess > 0 && c.target.busy(now) && o.shares.overtakes(w.ask.Workspace, w.cost, now):
+	case w.excess > 0 && c.wait > 0 && o.shares.overtakes(w.ask.Workspace, w.cost, now):
 		return CodeYield
-	case late && w.excess > 0:
+	case late && (w.excess > 0 || o.shares.pressed(w.ask.Workspace)):
 		return CodeShare
 	case late && now+c.begin+margin > w.patience():
 		return CodeLate
@@ -68,12 +68,15 @@
 	return min(w.last, asked+max(lateLeast, lateFactor*w.ask.Allowed))
 }
 
-func (o *Owner) refuse(w *work, c choice, code string, wait time.Duration) {
+func (o *Owner) refuse(w *work, c choice, code string, wait, now time.Duration) {
 	delete(o.works, w.key)
+	if !w.ask.Resumes {
+		o.repeats.note(ownPart(w.ask.Prompt), w.due, now)
+	}
 	if code == CodeYield {
 		wait = o.shares.window / shareSlots
 	}
-	d := w.decision(c)
+	d := o.decision(w, c)
 	d.Code, d.RetryAfter = code, min(max(wait, adviceLeast), adviceMost)
 	o.out = append(o.out, d)
 }
@@ -83,14 +86,14 @@
 	if !w.ask.Resumes {
 		o.shares.begin(w.ask.Workspace, w.cost)
 	}
-	d := w.decision(c)
+	d := o.decision(w, c)
 	d.Target = c.target.info.ID
 	o.out = append(o.out, d)
 }
 
-func (w *work) decision(c choice) Decision {
+func (o *Owner) decision(w *work, c choice) Decision {
 	return Decision{
-		Key: w.key, Excess: w.excess, Wait: c.wait, Missing: c.missing, Least: c.least, LeastWait: c.leastWait,
+		Key: w.key, Excess: w.excess, Pass: o.shares.passShare(w.ask.Workspace), Wait: c.wait, Missing: c.missing, Least: c.least, LeastWait: c.leastWait,
 	}
 }
 
@@ -118,7 +121,7 @@
 			w.excess = o.shares.excess(w.ask.Workspace, w.cost)
 		}
 		if code := o.refusal(w, c, now); code != "" {
-			o.refuse(w, c, code, 0)
+			o.refuse(w, c, code, 0, now)
 			continue
 		}
 		o.grant(w, c, now)
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -150,6 +150,13 @@
 // leadRatio is how far one workspace that wants more may be ahead of another.
 const leadRatio = 1.25
 
+// pressed reports whether a workspace asks for more than its share. What it gets is
+// better spent on requests that can be on time than on late ones.
+func (s *shares) pressed(name string) bool {
+	u := s.byName[name]
+	return u != nil && u.askedSum > s.level
+}
+
 // excess returns by how much a workspace would exceed its share with further
 // tokens: 0 up to the share, else the ratio.
 func (s *shares) excess(name string, tokens float64) float64 {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -24,6 +24,7 @@
 	calls   map[Key]*call
 	late    time.Duration // delay of messages to the owner
 	pause   float64       // milliseconds that a token takes beside its step
+	again   bool          // refused callers come again once, as told
 }
 
 // engine is a simulated target.
@@ -51,6 +52,7 @@
 	refused   string
 	done      bool
 	read      int
+	again     bool // the caller has come again
 }
 
 type event struct {
@@ -116,6 +118,9 @@
 		c := s.calls[d.Key]
 		if d.Target == "" {
 			c.refused, c.done = d.Code, true
+			if s.again && !c.again {
+				s.comeAgain(d.Key, min(d.RetryAfter, (c.ask.Last-(s.now-c.askedAt))/3))
+			}
 			continue
 		}
 		c.target, c.sentAt = d.Target, s.now
@@ -123,6 +128,23 @@
 	}
 }
 
+// comeAgain has a refused caller ask once more, by another attempt that says nothing
+// of the first one. What becomes of it counts from the first one on.
+func (s *sim) comeAgain(k Key, wait time.Duration) {
+	first := s.calls[k]
+	s.after(wait, func() {
+		s.number++
+		next := Key{Entry: k.Entry, Number: s.number}
+		a := first.ask
+		a.Last -= s.now - first.askedAt
+		c := *first
+		c.again, c.refused, c.done = true, "", false
+		delete(s.calls, k)
+		s.calls[next] = &c
+		s.owner.Ask(next, a, s.now)
+	})
+}
+
 // start sends a request to an engine.
 func (s *sim) start(k Key, e *engine) {
 	c := s.calls[k]
@@ -202,6 +224,12 @@
 
 func (o outcome) share() float64 { return float64(o.inTime) / float64(max(1, o.asked)) }
 
+// add joins the outcomes of another run.
+func (o *outcome) add(p outcome) {
+	o.asked, o.inTime, o.begun, o.refused, o.read = o.asked+p.asked, o.inTime+p.inTime, o.begun+p.begun, o.refused+p.refused, o.read+p.read
+	o.tokensAsked, o.tokensBegun = o.tokensAsked+p.tokensAsked, o.tokensBegun+p.tokensBegun
+}
+
 func (s *sim) sum(from, to time.Duration, match func(*call) bool) (o outcome) {
 	for _, c := range s.calls {
 		if c.askedAt < from || c.askedAt >= to || !match(c) {
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -54,11 +54,28 @@
 	Running []Running `json:"r,omitempty"`
 	Began   []uint64  `json:"b,omitempty"`
 	Ends    []End     `json:"e,omitempty"`
-	// Refused counts the tokens of requests that the entry instance refused by
-	// itself, by workspace.
-	Refused map[string]int `json:"x,omitempty"`
+	// Refused are the requests that the entry instance refused by itself, by workspace.
+	Refused map[string][]Refused `json:"x,omitempty"`
 }
 
+// Refused is a request that an entry instance refused: its tokens as the share counts
+// them, the last part of its prompt, and the milliseconds until its first event is due.
+type Refused [3]int64
+
+// NewRefused describes a refused request.
+func NewRefused(w *api.Work, now time.Duration) Refused {
+	return Refused{int64(w.PromptTokens + 2*w.OutputTokens), int64(OwnPart(w.Prompt)), (w.Objective - now).Milliseconds()}
+}
+
+// Tokens returns the tokens of the request as the share counts them.
+func (r Refused) Tokens() int { return int(r[0]) }
+
+// Own returns the part of the prompt that belongs to the request alone.
+func (r Refused) Own() placement.PartID { return placement.PartID(r[1]) }
+
+// Objective returns the time until the first event is due.
+func (r Refused) Objective() time.Duration { return time.Duration(r[2]) * time.Millisecond }
+
 // Grant answers an ask. Without a target it is a refusal.
 type Grant struct {
 	Number  uint64 `json:"n"`
@@ -69,6 +86,9 @@
 	WaitMs  int64   `json:"w,omitempty"`
 	Excess  float64 `json:"x,omitempty"`
 	Missing int     `json:"m,omitempty"`
+	// HeldBack is the part of the workspace's requests that the entry instance refuses
+	// by itself from now on, in thousandths.
+	HeldBack int `json:"h,omitempty"`
 	// Least and LeastWaitMs describe the target that would have to read least.
 	Least       int   `json:"l,omitempty"`
 	LeastWaitMs int64 `json:"y,omitempty"`
@@ -76,6 +96,9 @@
 	Term uint64 `json:"-"`
 }
 
+// Pass returns the part of the workspace's requests that the owner is to be asked for.
+func (g *Grant) Pass() float64 { return 1 - float64(g.HeldBack)/1000 }
+
 // Down is what the owner tells an entry instance. One without grants tells that
 // the owner is there.
 type Down struct {
@@ -103,6 +126,14 @@
 	return placement.PartID(h.Sum32())
 }
 
+// OwnPart returns the part of a prompt that belongs to its request alone; 0 = none.
+func OwnPart(prompt []api.PromptPart) placement.PartID {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return PartID(prompt[len(prompt)-1].ID)
+}
+
 func parts(prompt []api.PromptPart) [][2]uint64 {
 	out := make([][2]uint64, len(prompt))
 	for i, p := range prompt {
@@ -129,6 +160,7 @@
 func NewGrant(d placement.Decision) Grant {
 	return Grant{
 		Number: d.Key.Number, Target: d.Target, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
-		WaitMs: d.Wait.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, Missing: d.Missing, Least: d.Least, LeastWaitMs: d.LeastWait.Milliseconds(),
+		WaitMs: d.Wait.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, Missing: d.Missing, HeldBack: int((1 - d.Pass) * 1000),
+		Least: d.Least, LeastWaitMs: d.LeastWait.Milliseconds(),
 	}
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -230,8 +230,10 @@
 	for _, e := range u.Ends {
 		o.state.End(placement.Key{Entry: from, Number: e.Number}, e.Outcome, now)
 	}
-	for workspace, tokens := range u.Refused {
-		o.state.Refused(workspace, tokens, now)
+	for workspace, requests := range u.Refused {
+		for _, r := range requests {
+			o.state.Refused(workspace, r.Tokens(), r.Own(), r.Objective(), now)
+		}
 	}
 	for i := range u.Asks {
 		a := &u.Asks[i]
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -64,19 +64,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	left := p.flood.Held(w.Workspace, now)
-	if left == 0 {
+	if !p.flood.Holds(w.Workspace, placewire.OwnPart(w.Prompt), now) {
 		return nil
 	}
 	p.held.Inc()
 	if p.up.Refused == nil {
-		p.up.Refused = map[string]int{}
+		p.up.Refused = map[string][]placewire.Refused{}
 	}
-	p.up.Refused[w.Workspace] += w.PromptTokens + 2*w.OutputTokens // told with the next message
+	p.up.Refused[w.Workspace] = append(p.up.Refused[w.Workspace], placewire.NewRefused(w, now)) // told with the next message
 	return &api.Refusal{
 		Code: placement.CodeShare, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: p.flood.Advice(w.Workspace),
 		Message: "the workspace exceeds its share",
-		Inputs:  []any{"by", "entry", "held_ms", left.Milliseconds()},
+		Inputs:  []any{"by", "entry", "passes", p.flood.Share(w.Workspace), "term", p.owner.term},
 	}
 }
 
@@ -189,9 +188,6 @@
 	l, err := p.placeLocal(w)
 	p.fallback.Inc()
 	if err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.flood.Refused(w.Workspace, p.clock.Now())
 		return nil, err
 	}
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "entry", "why", why, "target", l.target.ID)
@@ -225,11 +221,6 @@
 }
 
 func (p *Placer) refusal(w *api.Work, g placewire.Grant) *api.Refusal {
-	if g.Code == placement.CodeShare || g.Code == placement.CodeYield {
-		p.mu.Lock()
-		p.flood.Refused(w.Workspace, p.clock.Now())
-		p.mu.Unlock()
-	}
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
 		Message: "the targets cannot serve the request in time", RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
@@ -349,6 +340,7 @@
 		return
 	}
 	delete(p.waiting, g.Number)
+	p.flood.Tell(wt.work.Workspace, g.Pass(), p.clock.Now())
 	g.Term = p.owner.term
 	wt.answer <- answer{grant: g}
 }
