Let as much of each flood reach the owner as the best served one gets

The part of a flood that passes grew from what was granted, by half every 4 s, while another workspace took the idle room.

Ruled out: the entries' processors and lateness (instance_busy does not occur among its refusals).

Change: the part that passes follows the best served workspace of those beyond their share.

Failed try: closing the connections of callers while requests are refused for want of processor time.

--- a/internal/placement/flood.go
+++ b/internal/placement/flood.go
@@ -7,8 +7,8 @@
 
 const (
 	// passSlack is how much more of a workspace's requests reach the owner than its
-	// share, or than it was granted lately, so that the owner can choose and finds out
-	// when there is room for more.
+	// share, or than any workspace beyond its share was granted lately, so that the owner
+	// can choose and finds out when there is room for more.
 	passSlack = 1.5
 	// passLeast is the least part that reaches the owner.
 	passLeast = 0.05
@@ -23,13 +23,13 @@
 
 // passShare returns the part of a workspace's requests for which the owner is to be
 // asked: all of one within its share, else somewhat more than its share of what it asked
-// for, or than it was granted.
+// for, or than the best served one of those beyond their share was granted.
 func (s *shares) passShare(name string) float64 {
 	u := s.byName[name]
 	if u == nil || u.askedSum <= s.level {
 		return 1
 	}
-	return min(1, max(passLeast, passSlack*max(u.begunSum, s.level)/u.askedSum))
+	return min(1, max(passLeast, passSlack*max(u.begunSum, s.level, s.most)/u.askedSum))
 }
 
 // Flood refuses requests at an entry instance on the owner's behalf: of a workspace
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -26,6 +26,8 @@
 	byName  map[string]*usage
 	// level is the share of a workspace that asks for more, in tokens a window.
 	level float64
+	// most is what the best served workspace of those that ask for more has got.
+	most float64
 }
 
 func newShares(window time.Duration) *shares {
@@ -55,6 +57,12 @@
 		s.beganAt = now
 	}
 	s.level = waterLevel(s.demands(), capacity*s.counted(now).Seconds())
+	s.most = 0
+	for _, u := range s.byName {
+		if u.askedSum > s.level {
+			s.most = max(s.most, u.begunSum)
+		}
+	}
 }
 
 // leastCounted is the shortest time over which shares are told apart: in less than
