--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -14,7 +14,8 @@
 )
 
 // elsewhere is the advice to callers of an instance that stops or has no processor time.
-// It is short, because the balancer sends the retry to another instance.
+// It is short, because the instance is not ready meanwhile and a new connection reaches
+// another one.
 const elsewhere = 50 * time.Millisecond
 
 // loadGate shares the gate among the handlers of requests.
@@ -40,15 +41,22 @@
 	return r
 }
 
-// tick ends a period and reports whether the bound began or ended.
-func (l *loadGate) tick(took time.Duration) (bounded, changed bool) {
+// loadState is what the gate makes of the load: whether the rate is bounded, and
+// whether new callers are better off at another instance.
+type loadState struct{ bounded, shedding bool }
+
+// tick ends a period and reports whether the state has changed.
+func (l *loadGate) tick(took time.Duration) (now loadState, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.gate.Bounded()
+	before := l.state()
 	l.gate.Tick(took)
-	return l.gate.Bounded(), l.gate.Bounded() != before
+	return l.state(), l.state() != before
 }
 
+// state must be called with the lock held.
+func (l *loadGate) state() loadState { return loadState{l.gate.Bounded(), l.gate.Shedding()} }
+
 // shedding reports whether new callers are better off at another instance.
 func (l *loadGate) shedding() bool {
 	l.mu.Lock()
@@ -81,8 +89,9 @@
 		}
 		runtime.Gosched()
 		now := time.Now()
-		if bounded, changed := g.load.tick(now.Sub(last)); changed {
-			logqueue.Notice(g.log, "processor overload", "step", "load", "bounded", bounded, "late_ms", g.load.lateness().Milliseconds())
+		if state, changed := g.load.tick(now.Sub(last)); changed {
+			logqueue.Notice(g.log, "processor overload", "step", "load", "bounded", state.bounded, "shedding", state.shedding,
+				"late_ms", g.load.lateness().Milliseconds())
 		}
 		last = now
 		timer.Reset(overload.Period)
