Bound a flood also where targets have room while another one is refused

Ruled out: the entries' processors (90 of 2,050 refusals of puti290).

Change: a workspace beyond its share yields also on a target with room if it is 1.6 times ahead of another one that asks for more than its share and gets less than 0.6 of what it asks for.

--- a/internal/placement/owner_test.go
+++ b/internal/placement/owner_test.go
@@ -112,6 +112,31 @@
 	}
 }
 
+// Guards against one flood that gets more than twice as much as another one while the
+// targets have room for both: the requests of the first one may wait, those of the second
+// one must begin at once.
+func TestFloodsGetAlike(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newLoad(seed)
+		s.again = true
+		s.holdBack()
+		s.view.TokensPerSecond = 100_000 // the targets read three times as much
+		s.owner.SetView(s.view, 0)
+		s.play(stream{"first", "draft", 120, 2000, 900, 100, 50, time.Second, 15 * time.Second}, 0, 20*second)
+		s.play(stream{"second", "tag", 120, 2000, 900, 100, 20, 90 * time.Millisecond, 3 * time.Second}, 0, 20*second)
+		s.run(60 * second)
+		for from := 4 * second; from < 18*second; from += 2 * second {
+			var got [2]outcome
+			for i, w := range []string{"first", "second"} {
+				got[i] = s.sum(from, from+6*second, func(c *call) bool { return c.workspace == w })
+			}
+			ratio := got[1].tokensBegun / min(got[0].tokensBegun, got[1].tokensAsked)
+			t.Logf("from %v: %.2f of %.0f", from, ratio, got[0].tokensBegun)
+			is.New(t).True(ratio >= 0.5)
+		}
+	}
+}
+
 // leave takes the first n targets out of service, or puts them back.
 func (s *sim) leave(n int, out bool) {
 	for i := range n {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -54,6 +54,8 @@
 	switch {
 	case w.excess > 0 && c.wait > 0 && o.shares.overtakes(w.ask.Workspace, w.cost, now):
 		return CodeYield
+	case w.excess > 0 && o.shares.outruns(w.ask.Workspace, w.cost, now):
+		return CodeYield
 	case late && (w.excess > 0 || o.shares.pressed(w.ask.Workspace)):
 		return CodeShare
 	case late && now+c.begin+margin > w.patience():
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -143,20 +143,48 @@
 	u.deniedAt, u.denied = now, true
 }
 
-// overtakes reports whether a workspace beyond its share would get further ahead
-// of another one that wants more.
+// overtakes reports whether a workspace beyond its share would get further ahead of
+// another one that wants more.
 func (s *shares) overtakes(name string, tokens float64, now time.Duration) bool {
+	return s.leads(name, tokens, leadRatio, func(u *usage) bool { return u.deniedLately(now) })
+}
+
+// outruns reports whether a workspace beyond its share would get much further ahead of
+// another one that asks for more than its share and is refused most of it. It holds
+// where the targets have room, too.
+func (s *shares) outruns(name string, tokens float64, now time.Duration) bool {
+	return s.leads(name, tokens, roomLead, func(u *usage) bool {
+		return u.deniedLately(now) && u.askedSum > s.level && u.begunSum < enough*u.askedSum
+	})
+}
+
+const (
+	// leadRatio is how far one workspace that wants more may be ahead of another where
+	// targets are busy, and roomLead where they have room: half is promised, over spans
+	// that differ from the window of the shares.
+	leadRatio = 1.25
+	roomLead  = 1.6
+	// enough is the part of what it asks for above which a workspace bounds no other one
+	// where targets have room.
+	enough = 0.6
+)
+
+// leads reports whether a workspace that gets further tokens would be ahead of the
+// least served of some others by more than a ratio. All are taken to have their share.
+func (s *shares) leads(name string, tokens, ratio float64, counts func(*usage) bool) bool {
 	least := math.Inf(1)
 	for other, u := range s.byName {
-		if other != name && u.denied && now-u.deniedAt <= deniedFor {
+		if other != name && counts(u) {
 			least = min(least, u.begunSum)
 		}
 	}
-	return s.of(name).begunSum+tokens > leadRatio*max(least, s.level)
+	return s.of(name).begunSum+tokens > ratio*max(least, s.level)
 }
 
-// leadRatio is how far one workspace that wants more may be ahead of another.
-const leadRatio = 1.25
+// deniedLately reports whether the targets had no room for a request a moment ago.
+func (u *usage) deniedLately(now time.Duration) bool {
+	return u.denied && now-u.deniedAt <= deniedFor
+}
 
 // pressed reports whether a workspace asks for more than its share. What it gets is
 // better spent on requests that can be on time than on late ones.
--- a/internal/placement/small_test.go
+++ b/internal/placement/small_test.go
@@ -185,3 +185,26 @@
 	s.ask("huge", 4_000_000)
 	is.Equal(s.passShare("huge"), passLeast)
 }
+
+// Guards against a flood that takes the idle room while another one is refused most of
+// what it asks for, and against one that is bounded for no other's sake.
+func TestOutruns(t *testing.T) {
+	is := is.New(t)
+	s := newShares(4 * second)
+	s.ask("first", 100_000)
+	s.ask("second", 20_000)
+	s.ask("small", 100)
+	s.advance(2*second, 2000) // a share of 1,950 tokens in 2 s
+	s.begin("first", 6000)
+	s.begin("second", 3000)
+	now := 2 * second
+	is.True(!s.outruns("first", 100, now)) // nobody is refused
+	s.deny("small", now)
+	is.True(!s.outruns("first", 100, now)) // not beyond its share
+	s.deny("second", now)
+	is.True(s.outruns("first", 100, now)) // 6,100 of 1.6 times 3,000
+	is.True(!s.outruns("second", 100, now))
+	is.True(!s.outruns("first", 100, now+deniedFor+1))
+	s.begin("second", 10_000)
+	is.True(!s.outruns("first", 100, now)) // the other one gets most of what it asks for
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -131,9 +131,6 @@
 	return time.Duration(tokens / t.rate * float64(time.Millisecond))
 }
 
-// busy reports whether the target has prompts to read.
-func (t *target) busy(now time.Duration) bool { return len(t.queue) > 0 && t.backlog(now) > 0 }
-
 // waiting sums up requests that wait for a target.
 type waiting struct{ requests, tokens int }
 
--- a/plugin/gateway/cost_test.go
+++ b/plugin/gateway/cost_test.go
@@ -43,20 +43,25 @@
 		standin.HeaderModel+": m", standin.HeaderTokens+": 11992,425", standin.HeaderPrompt+": 5c1e07a2:512,91bd3f06:4870,"+id+":6610")
 }
 
-// BenchmarkRefused measures the processor time of a request that is refused at once: a
-// flooding workspace makes an instance do little else.
-func BenchmarkRefused(b *testing.B) {
-	r := newCostRig(b)
-	r.precheck = &api.Refusal{Code: "share_exceeded", Status: 503, Run: api.NotRun, Step: "place", RetryAfter: time.Second, Message: "the workspace exceeds its share"}
+// measure sends requests on one connection, each after a preparation.
+func (r *rig) measure(b *testing.B, status int, prepare func()) {
 	c := r.dial()
 	b.ResetTimer()
 	for i := range b.N {
-		r.gateway.load.free()
+		prepare()
 		c.send(longRequest(fmt.Sprintf("%08x", i)))
-		c.want(http.StatusServiceUnavailable, "*")
+		c.want(status, "*")
 	}
 }
 
+// BenchmarkRefused measures the processor time of a request that is refused at once: a
+// flooding workspace makes an instance do little else.
+func BenchmarkRefused(b *testing.B) {
+	r := newCostRig(b)
+	r.precheck = &api.Refusal{Code: "share_exceeded", Status: 503, Run: api.NotRun, Step: "place", RetryAfter: time.Second, Message: "the workspace exceeds its share"}
+	r.measure(b, http.StatusServiceUnavailable, r.gateway.load.free)
+}
+
 // BenchmarkBusy measures a request that is refused for want of processor time.
 func BenchmarkBusy(b *testing.B) {
 	r := newCostRig(b)
@@ -64,12 +69,7 @@
 		r.gateway.load.allow("w")
 		r.gateway.load.tick(200 * time.Millisecond)
 	}
-	c := r.dial()
-	b.ResetTimer()
-	for i := range b.N {
-		c.send(longRequest(fmt.Sprintf("%08x", i)))
-		c.want(http.StatusServiceUnavailable, "*")
-	}
+	r.measure(b, http.StatusServiceUnavailable, func() {})
 }
 
 // BenchmarkStream measures a stream of 40 events.
@@ -83,11 +83,5 @@
 		write(c, endChunk)
 	})
 	r := newCostRig(b, x)
-	c := r.dial()
-	b.ResetTimer()
-	for i := range b.N {
-		r.gateway.load.free()
-		c.send(longRequest(fmt.Sprintf("%08x", i)))
-		c.want(http.StatusOK, "*")
-	}
+	r.measure(b, http.StatusOK, r.gateway.load.free)
 }
