--- a/cmd/nutmegd/main.go
+++ b/cmd/nutmegd/main.go
@@ -58,10 +58,9 @@
 // rest holds what it does not count: bytes that wait in sockets.
 const memoryShare = 0.75
 
-// collectAt is the growth of the heap, in parts of a hundred of what is in use, after
-// which the runtime collects garbage. At 100 an entry instance with 2,000 connections
-// spends a seventh of its processor time on it; near the memory limit it collects
-// sooner in any case.
+// collectAt is the growth of the heap, in percent of what is in use, after which the
+// runtime collects garbage. At 100 the collector takes 15% of the time of
+// BenchmarkRefused; near the memory limit it runs sooner in any case.
 const collectAt = 300
 
 func serve(s *settings.Settings, load func() (*settings.Settings, error)) int {
--- a/internal/placement/repeats.go
+++ b/internal/placement/repeats.go
@@ -6,7 +6,8 @@
 	// repeatsFor is how long a refused request is remembered at least. Callers come
 	// again within a third of the time that they have left, 5 s on both users' sites.
 	repeatsFor = 6 * time.Second
-	// repeatsMost bounds the requests remembered in repeatsFor: 1.2 MB of memory.
+	// repeatsMost bounds the memory, in requests for each of two spans of repeatsFor.
+	// Both users' sites refuse less than 2,000 requests a second.
 	repeatsMost = 30_000
 )
 
