Serve requests that can be in time before late ones, and floods by what targets do

Cause: the plan of a target was ordered by due time alone. Where the configuration promises more than the targets do, a flood counted as within its share, too.

Change: waiting requests have ranks: streams that go on, in time, in time of a workspace that asks for more than its share, late, beyond the share. Predictions count the ranks before. What the targets did while full decides the order, not what is refused.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -98,7 +98,7 @@
 	if t.info.DataCentre != w.ask.DataCentre {
 		c.score += farCost
 	}
-	if now+c.begin+margin > w.effective {
+	if w.isLate(c, now) {
 		c.score += latePenalty
 	}
 	if t.health.until > now || slices.Contains(w.ask.Tried, t.info.ID) {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -153,7 +153,7 @@
 	w.effective = max(w.due, now+time.Duration(longFactor*float64(o.readTime(a)+baseTime)))
 	if due, again := o.repeats.due(ownPart(a.Prompt)); again && !a.Resumes {
 		w.due = min(w.due, due)
-		w.effective = w.due
+		w.effective, w.missed = w.due, true // late by its first attempt, not for want of room
 	} else if !a.Resumes {
 		o.shares.ask(a.Workspace, w.cost)
 	}
--- a/internal/placement/owner_test.go
+++ b/internal/placement/owner_test.go
@@ -344,7 +344,7 @@
 			t.Fatalf("%d requests are left", len(o.works))
 		}
 		for _, tg := range o.targets {
-			if tg.planned != [2]waiting{} || tg.held.inUse != 0 || len(tg.queue) != 0 {
+			if tg.planned != [ranks]waiting{} || tg.held.inUse != 0 || len(tg.queue) != 0 {
 				t.Fatalf("left on %s: %v %d %d", tg.info.ID, tg.planned, tg.held.inUse, len(tg.queue))
 			}
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,15 +17,28 @@
 	adviceMost  = 2 * time.Second
 	// reviewInterval is how often the plan of a waiting request is looked at again.
 	reviewInterval = 50 * time.Millisecond
+	// lateReviewInterval is the same for one that is late anyway: a look compares all
+	// targets.
+	lateReviewInterval = 200 * time.Millisecond
 )
 
-// decide grants or refuses a request, or plans it for the best target.
+// decide grants or refuses a request, or plans it for the best target. One that no
+// target can serve in time gets what the others leave.
 func (o *Owner) decide(w *work, now time.Duration) {
-	w.excess = 0
+	w.excess, w.late, w.pressed = 0, false, false
 	if !w.ask.Resumes {
 		w.excess = o.shares.excess(w.ask.Workspace, w.cost)
+		w.pressed = o.shares.pressed(w.ask.Workspace)
 	}
 	c, ok := o.choose(w, now)
+	if ok && !w.missed && !w.ask.Resumes && w.isLate(c, now) {
+		w.missed = true
+		o.shares.miss(w.cost)
+	}
+	if ok && w.rank() < rankLate && w.isLate(c, now) {
+		w.late = true
+		c, ok = o.choose(w, now)
+	}
 	if !ok {
 		o.refuse(w, c, CodeNoTarget, 0, now)
 		return
@@ -42,19 +56,25 @@
 	o.grant(w, c, now)
 }
 
+// isLate reports whether a request is predicted to be late on a target.
+func (w *work) isLate(c choice, now time.Duration) bool {
+	return now+c.begin+margin > w.effective
+}
+
 // refusal returns why a request is refused, or "".
 func (o *Owner) refusal(w *work, c choice, now time.Duration) string {
 	if w.ask.Resumes {
 		return ""
 	}
-	late := now+c.begin+margin > w.effective
+	late := w.isLate(c, now)
 	if late {
 		o.shares.deny(w.ask.Workspace, now)
 	}
+	beyond := o.shares.beyond(w.ask.Workspace, w.cost)
 	switch {
-	case w.excess > 0 && c.wait > 0 && o.shares.overtakes(w.ask.Workspace, w.cost, now):
+	case beyond && c.wait > 0 && o.shares.overtakes(w.ask.Workspace, w.cost, now):
 		return CodeYield
-	case w.excess > 0 && o.shares.outruns(w.ask.Workspace, w.cost, now):
+	case beyond && o.shares.outruns(w.ask.Workspace, w.cost, now):
 		return CodeYield
 	case late && (w.excess > 0 || o.shares.pressed(w.ask.Workspace)):
 		return CodeShare
@@ -107,10 +127,9 @@
 	}
 }
 
-// serve starts the requests that wait for a target as far as it has room: streams
-// that go on first, then workspaces within their share by due time, then the
-// others by how far they exceed it.
+// serve starts the requests that wait for a target as far as it has room, by rank.
 func (o *Owner) serve(t *target, now time.Duration) {
+	o.outdate(t, now)
 	for len(t.plan) > 0 {
 		w := slices.MinFunc(t.plan, before)
 		if !t.free(w, o.startLimit(t, now), now) {
@@ -130,38 +149,43 @@
 	}
 }
 
-// before orders waiting requests.
-func before(a, b *work) int {
-	switch {
-	case a.ask.Resumes != b.ask.Resumes:
-		if a.ask.Resumes {
-			return -1
-		}
-		return 1
-	case a.excess != b.excess:
-		if a.excess < b.excess {
-			return -1
-		}
-		return 1
-	case a.due != b.due:
-		if a.due < b.due {
-			return -1
+// outdate gives the requests that have waited for too long to be in time on a target
+// their rank.
+func (o *Owner) outdate(t *target, now time.Duration) {
+	for _, w := range t.plan {
+		begin := t.readTime(float64(w.plannedMissing)) + baseTime
+		if w.plannedRank < rankLate && !w.ask.Resumes && now+begin+margin > w.effective {
+			w.late = true
+			t.rerank(w)
 		}
-		return 1
 	}
-	return 0
+}
+
+// before orders waiting requests by rank, and within a rank by due time; those beyond
+// their share by how far they exceed it.
+func before(a, b *work) int {
+	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.excess, b.excess); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.due, b.due)
 }
 
 // review places anew the requests that wait for a target and have become late
 // there, or are better off elsewhere.
 func (o *Owner) review(t *target, now time.Duration) {
 	for _, w := range slices.Clone(t.plan) {
-		if w.planned != t || now-w.reviewedAt < reviewInterval {
+		interval := reviewInterval
+		if w.late {
+			interval = lateReviewInterval
+		}
+		if w.planned != t || now-w.reviewedAt < interval {
 			continue
 		}
 		w.reviewedAt = now
-		c := o.assess(t, w, now)
-		if now+c.begin+margin <= w.effective {
+		if !w.late && !w.isLate(o.assess(t, w, now), now) {
 			continue
 		}
 		o.unplan(w)
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -24,14 +24,21 @@
 	beganAt time.Duration // of the counts; negative before the first
 	slot    int64
 	byName  map[string]*usage
-	// level is the share of a workspace that asks for more, in tokens a window.
+	// level is the share of a workspace that asks for more, in tokens a window: its part
+	// of what the targets are to do.
 	level float64
+	// order is the same for what the targets have shown that they do, where that is less.
+	// It decides who goes first; what targets have room for is granted up to level.
+	order float64
 	// most is what the best served workspace of those that ask for more has got.
 	most float64
+	// late and begun count the tokens of all workspaces: of requests that no target could
+	// begin in time, and of those that began.
+	late, begun [shareSlots]float64
 }
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1), beganAt: -1}
+	return &shares{window: max(window, time.Second), byName: map[string]*usage{}, level: math.Inf(1), order: math.Inf(1), beganAt: -1}
 }
 
 func (s *shares) slotAt(now time.Duration) int64 { return int64(now / (s.window / shareSlots)) }
@@ -52,11 +59,19 @@
 			delete(s.byName, name)
 		}
 	}
+	for i := range steps {
+		s.late[(slot-i)%shareSlots], s.begun[(slot-i)%shareSlots] = 0, 0
+	}
 	s.slot = slot
 	if s.beganAt < 0 {
 		s.beganAt = now
 	}
-	s.level = waterLevel(s.demands(), capacity*s.counted(now).Seconds())
+	span := s.counted(now).Seconds()
+	s.level = waterLevel(s.demands(), capacity*span)
+	s.order = s.level
+	if shown := s.shown(); shown < capacity {
+		s.order = waterLevel(s.demands(), shown*span)
+	}
 	s.most = 0
 	for _, u := range s.byName {
 		if u.askedSum > s.level {
@@ -65,6 +80,34 @@
 	}
 }
 
+const (
+	// fullFrom is the ratio of the tokens that were late to those that began from which the
+	// targets had no room for more.
+	fullFrom = 0.15
+	// fullSlots is the number of slots, each an eighth of the window, in which the targets
+	// had no room, from which what began there tells what they do.
+	fullSlots = 2
+)
+
+// shown returns what the targets did in a second while they had no room for more, and
+// infinity if they had.
+func (s *shares) shown() float64 {
+	sum, slots := 0.0, 0
+	for i := range int64(shareSlots) {
+		if i != s.slot%shareSlots && s.late[i] > fullFrom*s.begun[i] {
+			sum += s.begun[i]
+			slots++
+		}
+	}
+	if slots < fullSlots || sum == 0 {
+		return math.Inf(1)
+	}
+	return sum / (float64(slots) * (s.window / shareSlots).Seconds())
+}
+
+// miss counts a request that no target could begin in time.
+func (s *shares) miss(tokens float64) { s.late[s.slot%shareSlots] += tokens }
+
 // leastCounted is the shortest time over which shares are told apart: in less than
 // half a window a few large requests look like a flood.
 const leastCounted = 2 * time.Second
@@ -130,6 +173,7 @@
 	u := s.of(name)
 	u.begun[s.slot%shareSlots] += tokens
 	u.begunSum += tokens
+	s.begun[s.slot%shareSlots] += tokens
 }
 
 // deniedFor is how long a workspace counts as one that wants more after the
@@ -190,16 +234,22 @@
 // better spent on requests that can be on time than on late ones.
 func (s *shares) pressed(name string) bool {
 	u := s.byName[name]
-	return u != nil && u.askedSum > s.level
+	return u != nil && u.askedSum > s.order
+}
+
+// beyond reports whether a workspace would exceed its share of the promised capacity
+// with further tokens.
+func (s *shares) beyond(name string, tokens float64) bool {
+	return s.level > 0 && s.of(name).begunSum+tokens > s.level
 }
 
-// excess returns by how much a workspace would exceed its share with further
-// tokens: 0 up to the share, else the ratio.
+// excess returns by how much a workspace would exceed its share of what the targets do
+// with further tokens: 0 up to the share, else the ratio.
 func (s *shares) excess(name string, tokens float64) float64 {
-	if math.IsInf(s.level, 1) || s.level <= 0 {
+	if math.IsInf(s.order, 1) || s.order <= 0 {
 		return 0
 	}
-	ratio := (s.of(name).begunSum + tokens) / s.level
+	ratio := (s.of(name).begunSum + tokens) / s.order
 	if ratio <= 1 {
 		return 0
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -35,10 +35,13 @@
 	// effective is due, or later for a prompt that cannot be read until then.
 	effective time.Duration
 	excess    float64 // by how much its workspace exceeds the share
+	pressed   bool    // its workspace asks for more than its share
+	missed    bool    // it has counted as one that no target could begin in time
+	late      bool    // it was predicted to be late when it was last looked at
 
 	planned        *target // for which it waits; nil otherwise
 	plannedMissing int     // prompt tokens that it would read there
-	plannedRank    int     // its rank when the wait began
+	plannedRank    rank    // its rank when the wait began
 	reviewedAt     time.Duration
 
 	target  *target // on which it runs; nil while it waits
@@ -55,12 +58,30 @@
 	}
 }
 
-// rank tells apart requests of workspaces within their share, which go first.
-func (w *work) rank() int {
-	if w.excess > 0 {
-		return 1
+// rank orders waiting requests: all of a lower rank go first.
+type rank int
+
+const (
+	rankResumes rank = iota // a stream that goes on
+	rankInTime              // within its workspace's share, and can be in time
+	rankPressed             // the same, but its workspace asks for more than its share
+	rankLate                // within its workspace's share, and late
+	rankBeyond              // beyond its workspace's share
+	ranks
+)
+
+func (w *work) rank() rank {
+	switch {
+	case w.ask.Resumes:
+		return rankResumes
+	case w.excess > 0:
+		return rankBeyond
+	case w.late:
+		return rankLate
+	case w.pressed:
+		return rankPressed
 	}
-	return 0
+	return rankInTime
 }
 
 // target is the owner's model of one target.
@@ -77,10 +98,8 @@
 	beganAt time.Duration
 	starts  []time.Duration // newest starts, oldest first
 	health  health
-	plan    []*work // requests that wait for this target
-	// planned counts the waiting requests: those of workspaces within their share, and
-	// the others.
-	planned [2]waiting
+	plan    []*work        // requests that wait for this target
+	planned [ranks]waiting // counts the waiting requests
 
 	counted   time.Duration // when queued was computed; -1 = it has changed
 	queuedFor time.Duration
@@ -140,11 +159,12 @@
 
 // before returns the waiting requests that may come before another one.
 func (t *target) before(w *work) waiting {
-	n := t.planned[0]
-	if w.rank() > 0 {
-		n.add(t.planned[1].requests, t.planned[1].tokens)
+	var n waiting
+	last := w.rank()
+	for _, r := range t.planned[:last+1] {
+		n.add(r.requests, r.tokens)
 	}
-	if w.planned == t {
+	if w.planned == t && w.plannedRank <= last {
 		n.add(-1, -w.plannedMissing)
 	}
 	return n
@@ -157,6 +177,13 @@
 	t.planned[w.plannedRank].add(1, missing)
 }
 
+// rerank counts a waiting request by its present rank.
+func (t *target) rerank(w *work) {
+	t.planned[w.plannedRank].add(-1, -w.plannedMissing)
+	w.plannedRank = w.rank()
+	t.planned[w.plannedRank].add(1, w.plannedMissing)
+}
+
 // leave ends the wait of a request.
 func (t *target) leave(w *work) {
 	if i := slices.Index(t.plan, w); i >= 0 {
