Bound endless answers in bytes and memory, and take no answer that does not name its request

Cause: (1) on a connection that had served another request, an answer without the number of its request was taken for the right one, so a late second copy reached the next caller. (2) Comments without end kept a stream open until its deadline, a stray answer's body and the sizes of chunks were read without a bound in bytes, and an event of many lines cost time with the square of its length. (3) Each stream could hold an event of 4 MB and each answer 1 MB, and nothing bounded them together.

Ruled out: heads without end (bounded by the read buffer), interim answers (the second one ends the attempt), broken answers to HTTP/1.0 callers (the connection is reset).

Change: such an answer ends the attempt; at most 64 KB arrive without a byte of a body; comments do not count as events and are bounded; each byte of an event is looked at once; answers and events share one bound on memory, until the caller has read them.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,6 +21,9 @@
 // them and then stop reading.
 const inlineBody = 8 << 10 // bytes
 
+// maxStray bounds the body of an answer to an earlier request that is skipped.
+const maxStray = 1 << 20 // bytes
+
 // Request is what is sent. Header holds the request line and the headers; its
 // content length is set from Body.
 type Request struct {
@@ -132,7 +135,11 @@
 		return errors.New("a stray answer ends only with its connection")
 	}
 	if x.body != nil {
-		if _, err := io.Copy(io.Discard, x.body); err != nil {
+		switch _, err := io.CopyN(io.Discard, x.body, maxStray); err {
+		case io.EOF:
+		case nil:
+			return errors.New("a stray answer without end")
+		default:
 			return err
 		}
 	}
@@ -220,6 +227,9 @@
 		return 0, io.EOF
 	}
 	n, err := x.body.Read(p)
+	if n > 0 {
+		x.Conn.Progress()
+	}
 	if err == io.EOF && x.Identity() && x.Conn.ReadFailure != io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -7,12 +7,24 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/overload"
 )
 
-// MaxEvent bounds the memory that one server-sent event takes.
-const MaxEvent = 4 << 20 // bytes
+const (
+	// MaxEvent bounds the memory that one server-sent event takes.
+	MaxEvent = 4 << 20 // bytes
+	// maxFiller bounds comments and other blocks without data in a row. A target that
+	// sends a comment of a few bytes each second stays below it for an hour.
+	maxFiller = 64 << 10 // bytes
+	firstSize = 4 << 10  // bytes of a reader's buffer
+)
 
-var ErrTooLarge = errors.New("server-sent event exceeds the size limit")
+// Errors of a stream that cannot be read on.
+var (
+	ErrTooLarge = errors.New("server-sent event exceeds the size limit")
+	ErrFiller   = errors.New("comments without end instead of events")
+)
 
 // Event is one block of a stream of server-sent events. Its slices are valid
 // until the next call of the reader.
@@ -23,6 +35,8 @@
 	HasData bool
 	HasID   bool
 	BadID   bool // an id that is not a decimal number
+
+	joined bool // Data is a copy
 }
 
 // Done reports the end mark of engine streams.
@@ -33,13 +47,25 @@
 	src   io.Reader
 	buf   []byte
 	begin int // start of the unread bytes
-	scan  int // bytes before this offset hold no complete block
+	line  int // start of the line that is not complete
+	scan  int // bytes from line to this offset hold no line feed
 	err   error
+
+	memory *overload.Bytes
+	taken  int // bytes of memory
+	filler int // bytes of blocks without data since the last event with data
 }
 
-// NewReader returns a reader of a stream.
-func NewReader(src io.Reader) *Reader {
-	return &Reader{src: src, buf: make([]byte, 0, 4<<10)}
+// NewReader returns a reader of a stream. Its buffer grows within a bound on the memory
+// of all readers; Release frees it.
+func NewReader(src io.Reader, m *overload.Bytes) *Reader {
+	return &Reader{src: src, memory: m, buf: make([]byte, 0, firstSize)}
+}
+
+// Release frees the memory. The reader must not be used any more.
+func (r *Reader) Release() {
+	r.memory.Free(r.taken)
+	r.taken, r.buf = 0, nil
 }
 
 // Next returns the next whole event. Bytes after the last blank line are not an
@@ -48,8 +74,16 @@
 	for {
 		if end := r.blockEnd(); end > 0 {
 			raw := r.buf[r.begin:end]
-			r.begin, r.scan = end, end
-			return Parse(raw), nil
+			r.begin = end
+			e := Parse(raw)
+			if r.filler += len(raw); e.HasData {
+				r.filler = 0
+			}
+			if r.filler > maxFiller {
+				r.err = ErrFiller
+				return Event{}, r.err
+			}
+			return e, nil
 		}
 		if r.err != nil {
 			return Event{}, r.err
@@ -58,19 +92,25 @@
 			r.err = ErrTooLarge
 			return Event{}, r.err
 		}
-		r.fill()
+		if err := r.fill(); err != nil {
+			r.err = err
+			return Event{}, err
+		}
 	}
 }
 
-// blockEnd returns the offset after the first blank line, or 0.
+// blockEnd returns the offset after the first blank line, or 0. No byte is looked at
+// twice: a target may send a long line byte by byte.
 func (r *Reader) blockEnd() int {
 	for r.scan < len(r.buf) {
 		n := bytes.IndexByte(r.buf[r.scan:], '\n')
 		if n < 0 {
+			r.scan = len(r.buf)
 			return 0
 		}
-		line := r.buf[r.scan : r.scan+n]
+		line := r.buf[r.line : r.scan+n]
 		r.scan += n + 1
+		r.line = r.scan
 		if len(line) == 0 || (len(line) == 1 && line[0] == '\r') {
 			return r.scan
 		}
@@ -78,14 +118,21 @@
 	return 0
 }
 
-func (r *Reader) fill() {
+// fill reads once from the source, whose error Next returns later. Its own error is
+// that there is no memory.
+func (r *Reader) fill() error {
 	if r.begin > 0 {
 		n := copy(r.buf, r.buf[r.begin:])
 		r.buf = r.buf[:n]
 		r.scan -= r.begin
+		r.line -= r.begin
 		r.begin = 0
 	}
 	if len(r.buf) == cap(r.buf) {
+		if !r.memory.Take(cap(r.buf)) {
+			return overload.ErrNoMemory
+		}
+		r.taken += cap(r.buf)
 		grown := make([]byte, len(r.buf), 2*cap(r.buf))
 		copy(grown, r.buf)
 		r.buf = grown
@@ -93,6 +140,7 @@
 	n, err := r.src.Read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
 	r.err = err
+	return nil
 }
 
 // Parse reads one block with its blank line.
@@ -115,9 +163,10 @@
 			e.Data, e.HasData = value, true
 			return
 		}
-		joined := make([]byte, 0, len(e.Data)+1+len(value))
-		joined = append(append(joined, e.Data...), '\n')
-		e.Data = append(joined, value...)
+		if !e.joined {
+			e.Data, e.joined = bytes.Clone(e.Data), true
+		}
+		e.Data = append(append(e.Data, '\n'), value...)
 	case "id":
 		n, err := strconv.ParseUint(string(value), 10, 64)
 		e.ID, e.HasID, e.BadID = n, err == nil, err != nil
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -19,8 +19,14 @@
 	writePiece  = 64 << 10 // bytes written under one deadline
 	readBuffer  = 16 << 10 // bytes; bounds the head of an answer
 	writeBuffer = 4 << 10  // bytes
+	// maxOverhead bounds the bytes that arrive without a byte of an answer's body: heads,
+	// sizes of chunks with their extensions, trailers.
+	maxOverhead = 64 << 10 // bytes
 )
 
+// ErrOverhead reports a target that sends bytes without end that are no answer.
+var ErrOverhead = errors.New("the target sends bytes that are no answer")
+
 // Conn is a connection to a target. It calls check before the first byte of a
 // request, counts the bytes of the request that the kernel accepted, and bounds
 // the silence of each single read and write. It carries one request at a time.
@@ -46,6 +52,7 @@
 	check     func() error  // called before the first byte of a request
 	silence   time.Duration // longest time of one read or write
 	idleSince time.Time
+	overhead  int // bytes received since the last progress
 }
 
 func newConn(nc net.Conn, host string) *Conn {
@@ -78,8 +85,12 @@
 	c.silence, c.check = silence, check
 	c.SetHard(hard)
 	c.Sent, c.Received, c.ReadFailure, c.WriteFailure = 0, 0, nil, nil
+	c.overhead = 0
 }
 
+// Progress tells that bytes of a body have been read.
+func (c *Conn) Progress() { c.overhead = 0 }
+
 // epoch keeps times on the monotonic clock, because the time of day may jump.
 var epoch = time.Now()
 
@@ -110,8 +121,12 @@
 	if err := c.SetReadDeadline(c.deadline()); err != nil {
 		return 0, keepFirst(&c.ReadFailure, err)
 	}
+	if c.overhead > maxOverhead {
+		return 0, keepFirst(&c.ReadFailure, ErrOverhead)
+	}
 	n, err := c.Conn.Read(p)
 	c.Received += int64(n)
+	c.overhead += n
 	return n, keepFirst(&c.ReadFailure, err)
 }
 
--- a/plugin/dispatch/events_test.go
+++ b/plugin/dispatch/events_test.go
@@ -13,11 +13,12 @@
 	"pgregory.net/rapid"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/overload"
 	"nutmegrouter/internal/sse"
 )
 
 func readEvents(r io.Reader) (raw []byte, all []sse.Event, err error) {
-	er := sse.NewReader(r)
+	er := sse.NewReader(r, overload.NewBytes(answersMost))
 	for {
 		e, err := er.Next()
 		if err != nil {
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -152,6 +152,9 @@
 		return 0, io.EOF
 	}
 	n, err := x.body.Read(p)
+	if n > 0 {
+		x.conn.Progress()
+	}
 	if err == io.EOF && x.resp.Header.ContentLength() == lengthIdentity {
 		err = io.ErrUnexpectedEOF
 	}
--- a/plugin/dispatch/resume.go
+++ b/plugin/dispatch/resume.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	a.x = x
-	a.events = sse.NewReader(readFunc(x.read))
+	a.events = sse.NewReader(readFunc(x.read), c.d.answers)
 	a.order.restart()
 	a.lastSeen = time.Now()
 	return nil
--- a/plugin/dispatch/setup.go
+++ b/plugin/dispatch/setup.go
@@ -13,6 +13,8 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/overload"
+	"nutmegrouter/internal/sse"
 	"nutmegrouter/internal/targetconn"
 )
 
@@ -24,6 +26,10 @@
 	})
 }
 
+// answersMost bounds the memory of all events that are read, beyond the first buffer of
+// each stream: sixteen of the largest.
+const answersMost = 16 * sse.MaxEvent // bytes
+
 // Dispatcher implements api.Dispatcher. The zero value must be provisioned.
 type Dispatcher struct {
 	pool    api.Pool
@@ -38,6 +44,8 @@
 	conns  *targetconn.Pool
 	health *health
 	index  atomic.Pointer[index]
+	// answers bounds the memory of the events under way.
+	answers *overload.Bytes
 
 	prefix string        // makes request ids unique across restarts
 	serial atomic.Uint64 // counts requests since the start
@@ -62,6 +70,7 @@
 	}
 	d.log, d.clock, d.events = c.Log, c.Clock, c.Events
 	d.stats = newStats(c.Metrics)
+	d.answers = overload.NewBytes(answersMost)
 	d.conns, d.health = targetconn.NewPool(targetconn.Options{}), newHealth()
 	d.fleet.OnChange(d.health.keep)
 	var boot [6]byte
--- a/plugin/dispatch/stream.go
+++ b/plugin/dispatch/stream.go
@@ -47,7 +47,7 @@
 func (c *call) openEvents(s *slot, x *exchange, st headState) (api.Answer, error) {
 	a := &eventAnswer{
 		call: c, slot: s, x: x, head: c.answerHead(s, x, -1), streamID: st.streamID,
-		events: sse.NewReader(readFunc(x.read)), lastSeen: time.Now(), hard: x.conn.Hard(),
+		events: sse.NewReader(readFunc(x.read), c.d.answers), lastSeen: time.Now(), hard: x.conn.Hard(),
 	}
 	for len(a.out) == 0 {
 		if err := a.step(); err != nil {
@@ -122,6 +122,7 @@
 func (a *eventAnswer) finish() {
 	a.err = io.EOF
 	a.x.close(a.x.ended())
+	a.events.Release()
 	a.slot.done(api.ResultOK, a.cost)
 	if a.call.claimed {
 		a.call.settle(outcome(a.head, a.sample, a.seen))
@@ -177,6 +178,7 @@
 	if a.x != nil {
 		a.x.close(false)
 		a.x = nil
+		a.events.Release()
 	}
 }
 
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -328,15 +328,22 @@
 	return f
 }
 
+// errNameless ends an attempt on a connection that has served an earlier request: the
+// answer may be a second one to that.
+var errNameless = errors.New("the answer does not say to which request it belongs")
+
 // ownAnswer skips answers to earlier requests and checks that the answer is the
 // target's own.
 func (a *attempt) ownAnswer() (f api.AnswerFields, flt *fault) {
 	const maxStrays = 4
 	for range maxStrays {
 		f = a.c.f.dialect.Answer(&a.x.Resp.Header)
-		if f.ID == "" || f.ID == a.c.r.Fields.ID {
+		if f.ID == a.c.r.Fields.ID || (f.ID == "" && !a.x.Conn.Reused) {
 			return f, nil
 		}
+		if f.ID == "" {
+			return f, &fault{outcome: api.WorkBroken, step: "head", cause: errNameless}
+		}
 		a.c.f.stats.strays.Inc()
 		a.c.log.Warn("answer to another request dropped", "step", "head", "target", a.place.Target().ID, "belongs_to", f.ID)
 		if err := a.x.Skip(); err != nil {
--- a/plugin/forward/plain.go
+++ b/plugin/forward/plain.go
@@ -1,12 +1,13 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/overload"
 )
 
 // wholeLimit bounds the answers that are read whole before the caller gets the
@@ -17,6 +18,7 @@
 type plainAnswer struct {
 	a      *attempt
 	header fasthttp.ResponseHeader
+	held   *overload.Buffer
 	body   []byte // the whole body, or its begin
 	whole  bool
 	done   bool
@@ -25,16 +27,16 @@
 // openPlain reads an answer of usual length whole. An error answer to a request
 // that may be repeated becomes a fault that holds the answer.
 func (a *attempt) openPlain() (api.ForwardAnswer, *fault) {
-	p := &plainAnswer{a: a}
+	p := &plainAnswer{a: a, held: overload.NewBuffer(a.c.f.answers)}
 	a.x.Resp.Header.CopyTo(&p.header)
-	var b bytes.Buffer
-	_, err := io.CopyN(&b, a.x, wholeLimit)
-	p.body = b.Bytes()
+	_, err := io.CopyN(p.held, a.x, wholeLimit)
+	p.body = p.held.Bytes()
 	switch {
 	case err == nil:
 		return p, nil // longer; the rest is passed on as it arrives
 	case err != io.EOF:
-		return nil, a.fail(&fault{outcome: api.WorkBroken, step: "body", cause: err})
+		p.held.Free()
+		return nil, a.fail(a.unread("body", err))
 	}
 	p.whole = true
 	status := p.header.StatusCode()
@@ -50,6 +52,17 @@
 	return nil, &fault{outcome: api.WorkFailed, step: "body", answer: p}
 }
 
+// unread is the fault of an answer that cannot be read to its end. Where this instance
+// has no memory for it, it says nothing about the target.
+func (a *attempt) unread(step string, err error) *fault {
+	f := &fault{outcome: a.brokenBy(err), step: step, cause: err}
+	if errors.Is(err, overload.ErrNoMemory) {
+		a.c.f.stats.noMemory.Inc()
+		f.outcome = api.WorkCancelled
+	}
+	return f
+}
+
 func (p *plainAnswer) finish(o api.WorkOutcome) {
 	p.done = true
 	took := p.a.took()
@@ -90,5 +103,7 @@
 	if !p.done {
 		p.finish(api.WorkCancelled)
 	}
+	p.held.Free()
+	p.body = nil
 	return nil
 }
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/overload"
 	"nutmegrouter/internal/retrybudget"
 	"nutmegrouter/internal/settings"
 	"nutmegrouter/internal/targetconn"
@@ -37,6 +38,7 @@
 	conns    *targetconn.Pool
 	budget   *retrybudget.Budget
 	outputs  *outputs
+	answers  *overload.Bytes // memory of answers that are read whole and of events
 	stats    *stats
 }
 
@@ -53,6 +55,9 @@
 	probeCount  = 2
 	// idleLimit is how long connections without a stated limit are kept.
 	idleLimit = 4 * time.Second
+	// answersShare is the part of the memory that answers take beside the buffers of their
+	// requests, which the gateway counts.
+	answersShare = 0.15
 )
 
 // Provision implements kernel.Plugin.
@@ -68,6 +73,8 @@
 	}
 	f.clock, f.log = c.Clock, c.Log.With("plugin", "forward")
 	f.stats, f.outputs = newStats(c.Metrics), newOutputs()
+	f.answers = overload.NewBytes(int64(answersShare * c.Settings.Routes.MemoryMB * (1 << 20)))
+	c.Metrics.NewGauge("nutmeg_forward_answer_bytes", func() float64 { return float64(f.answers.Held()) })
 	f.budget = newBudget(c.Settings.Routes.Bounds)
 	f.shareBudget()
 	f.conns = targetconn.NewPool(targetconn.Options{
--- a/plugin/forward/stats.go
+++ b/plugin/forward/stats.go
@@ -8,6 +8,7 @@
 	reused, fresh               *metrics.Counter
 	repeats, overBudget         *metrics.Counter
 	resumes, strays, duplicates *metrics.Counter
+	noMemory                    *metrics.Counter
 	head, gap, whole            *metrics.Histogram
 }
 
@@ -21,6 +22,7 @@
 		resumes:    set.NewCounter("nutmeg_forward_resumes_total"),
 		strays:     set.NewCounter("nutmeg_forward_stray_answers_total"),
 		duplicates: set.NewCounter("nutmeg_forward_duplicate_events_total"),
+		noMemory:   set.NewCounter("nutmeg_forward_no_memory_total"),
 		head:       set.NewHistogram("nutmeg_forward_head_seconds"),
 		gap:        set.NewHistogram("nutmeg_forward_event_gap_seconds"),
 		whole:      set.NewHistogram("nutmeg_forward_answer_seconds"),
--- a/plugin/forward/stream.go
+++ b/plugin/forward/stream.go
@@ -45,7 +45,8 @@
 	s.attach(a)
 	for len(s.out) == 0 && s.err == nil {
 		if err := s.step(); err != nil {
-			return nil, a.fail(&fault{outcome: a.brokenBy(err), step: "first event", cause: err})
+			s.events.Release()
+			return nil, a.fail(a.unread("first event", err))
 		}
 	}
 	a.c.log.Info("stream began", "step", "stream", "target", a.place.Target().ID, "first_ms", a.took().Milliseconds())
@@ -53,7 +54,7 @@
 }
 
 func (s *streamAnswer) attach(a *attempt) {
-	s.a, s.events, s.seenAt = a, sse.NewReader(a.x), a.c.f.clock.Now()
+	s.a, s.events, s.seenAt = a, sse.NewReader(a.x, a.c.f.answers), a.c.f.clock.Now()
 }
 
 // brokenBy tells apart a caller that left from a target that failed.
@@ -120,14 +121,17 @@
 		s.last, s.numbered = e.ID, true
 	}
 	s.out = e.Raw
-	s.count++
-	s.a.place.Progress(s.count)
+	if e.HasData {
+		s.count++
+		s.a.place.Progress(s.count)
+	}
 	return nil
 }
 
 // finish ends a whole stream.
 func (s *streamAnswer) finish() {
 	s.err = io.EOF
+	s.events.Release()
 	took := s.a.took()
 	s.c.f.outputs.note(s.c.r, s.count)
 	s.c.f.stats.whole.Update(took.Seconds())
@@ -137,7 +141,8 @@
 
 // recover goes on at another target after a failure, or ends the answer.
 func (s *streamAnswer) recover(cause error) {
-	s.a.fail(&fault{outcome: s.a.brokenBy(cause), step: "stream", cause: cause})
+	s.events.Release()
+	s.a.fail(s.a.unread("stream", cause))
 	for {
 		if s.c.ctx.Err() != nil {
 			s.err = s.c.ctx.Err()
@@ -156,7 +161,7 @@
 
 // stop returns why the stream cannot go on at another target, or "".
 func (s *streamAnswer) stop() string {
-	if !s.numbered {
+	if !s.numbered && s.count > 0 {
 		return "its events have no numbers"
 	}
 	return s.c.stop(&fault{outcome: api.WorkBroken})
@@ -164,7 +169,9 @@
 
 // resume opens the rest of the stream at another target.
 func (s *streamAnswer) resume() bool {
-	s.c.after = strconv.FormatUint(s.last, 10)
+	if s.numbered { // else it begins anew
+		s.c.after = strconv.FormatUint(s.last, 10)
+	}
 	s.c.f.stats.resumes.Inc()
 	a, err := s.c.place()
 	if err != nil {
@@ -191,6 +198,7 @@
 func (s *streamAnswer) Close() error {
 	if s.err == nil {
 		s.err = errors.New("closed")
+		s.events.Release()
 		s.c.log.Info("stream cancelled", "step", "stream", "target", s.a.place.Target().ID, "events", s.count)
 		s.a.end(api.WorkCancelled, false)
 	}
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -138,18 +138,30 @@
 	ans.Header().CopyTo(&ctx.Response.Header)
 	exchange.StripAnswer(&ctx.Response.Header)
 	if body, ok := ans.Whole(); ok {
-		end()
-		ctx.Response.SetBodyRaw(body)
-		if r.Route != nil && string(ctx.Method()) == fasthttp.MethodHead {
-			ctx.Response.SkipBody = true
-		}
-		_ = ans.Close() // the answer was read to its end
+		g.forwardWhole(ctx, r, ans, body, end)
 		return
 	}
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.Response.SetBodyStream(&body{g: g, ans: ans, end: end, id: r.ID}, -1)
 }
 
+// forwardWhole writes an answer that was read to its end. The memory of a long one counts
+// until its caller has read it.
+func (g *Gateway) forwardWhole(ctx *fasthttp.RequestCtx, r *api.ForwardRequest, ans api.ForwardAnswer, content []byte, end func()) {
+	head := r.Route != nil && string(ctx.Method()) == fasthttp.MethodHead
+	if len(content) > uncounted && !head {
+		ctx.Response.SetBodyStream(&body{g: g, ans: ans, end: end, id: r.ID}, len(content))
+		return
+	}
+	end()
+	ctx.Response.SetBodyRaw(content)
+	ctx.Response.SkipBody = head
+	_ = ans.Close() // the answer was read to its end
+}
+
+// uncounted is the size of an answer up to which its memory is the connection's.
+const uncounted = 16 << 10 // bytes
+
 // closeIfDraining asks the caller to use another connection for its next request:
 // at another instance during a planned stop, and at any if too many are open.
 func (g *Gateway) closeIfDraining(ctx *fasthttp.RequestCtx) {
