Let no permission outlive a pause, and start with a confirmed configuration

Cause: (1) the choice of a target had no end. An entry that was stopped or suspended for seconds sent by it, although the owner had forgotten the instance and given the slot and the starts to others. (2) An owner that was paused went on granting until its replica heard of the next leader. (3) An entry that had just started took the configuration of the first control instance that answered, which may be cut off or have an old disk: a withdrawn key was in use until another one answered.

Ruled out: reads by operators (each is confirmed by a majority), the list of targets (an entry takes it from the leader, and the target checks its name).

Change: choices end after 1 s, and those asked for before a pause are given back and asked for again; an owner confirms its leadership after a pause of 0.4 s before it grants; the first view must be confirmed. Pauses are told by the monotonic clock and the time of day: the first stands still while a machine is suspended.

--- a/plugin/members/messages.go
+++ b/plugin/members/messages.go
@@ -55,6 +55,8 @@
 // fetchRequest asks for a view newer than the known one.
 type fetchRequest struct {
 	Known uint64 `json:"known"`
+	// Confirm asks for a view that a majority has confirmed as the newest.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // announced is a view that another instance has.
@@ -174,17 +176,55 @@
 }
 
 // handleFetch answers with the local view, or null if it is not newer.
-func (m *Members) handleFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
+func (m *Members) handleFetch(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	var req fetchRequest
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, errors.WithMessage(err, fetchMethod)
 	}
+	if req.Confirm && m.control != nil {
+		if err := m.confirm(ctx); err != nil {
+			return nil, errors.WithMessage(err, fetchMethod)
+		}
+	}
 	if v := m.fleet.View(); v.Revision > req.Known {
 		return v, nil
 	}
 	return nil, nil
 }
 
+// Bounds of a view that is confirmed.
+const (
+	// confirmLimit bounds the question to the majority and the wait for its newest view.
+	confirmLimit = 400 * time.Millisecond
+	confirmPoll  = 5 * time.Millisecond
+	// sureFor is how long an instance that has just started takes confirmed views only.
+	// Without a majority it then serves with what it can learn.
+	sureFor = 2 * time.Second
+	// fetchPause separates its attempts.
+	fetchPause = 50 * time.Millisecond
+)
+
+var errLags = errors.New("the newest view has not arrived here yet")
+
+// confirm returns once the local view is as new as a majority's: the replica here may
+// have an old disk, or be cut off.
+func (m *Members) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	newest, err := m.control.ReadRevision(ctx)
+	if err != nil {
+		return err
+	}
+	for m.fleet.View().Revision < newest {
+		select {
+		case <-ctx.Done():
+			return errLags
+		case <-time.After(confirmPoll):
+		}
+	}
+	return nil
+}
+
 // fetchLimit bounds the wait for a view; another instance is asked after it.
 const fetchLimit = 600 * time.Millisecond
 
@@ -200,6 +240,9 @@
 		}
 		if err := m.fetch(ctx, a.peer); err != nil {
 			m.log.Warn("view not fetched", "step", "view", "peer", a.peer, "revision", a.revision, "error", err)
+			if m.fleet.View().Revision == 0 {
+				time.AfterFunc(fetchPause, func() { kernel.Signal(m.kick) })
+			}
 		}
 	}
 }
@@ -209,7 +252,8 @@
 	defer cancel()
 	var v *api.View
 	known := m.fleet.View().Revision
-	if err := m.mesh.Call(ctx, peer, fetchMethod, fetchRequest{Known: known}, &v); err != nil {
+	req := fetchRequest{Known: known, Confirm: known == 0 && m.kernel.Clock.Now() < sureFor}
+	if err := m.mesh.Call(ctx, peer, fetchMethod, req, &v); err != nil {
 		return err
 	}
 	if v == nil {
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -38,6 +38,13 @@
 	aliveInterval = 100 * time.Millisecond
 	// goneAfter is how long the requests of an entry instance without a link count.
 	goneAfter = 1500 * time.Millisecond
+	// watchInterval is how often the owner looks at the clock while nothing happens, and
+	// pauseLeast is the time without a look from which it counts as having been stopped or
+	// delayed. Another owner may follow after 0.5 s, an election timeout.
+	watchInterval = 100 * time.Millisecond
+	pauseLeast    = 400 * time.Millisecond
+	// confirmLimit bounds the question whether the majority still follows.
+	confirmLimit = time.Second
 )
 
 // Owner is the plug-in. It must be provisioned before use.
@@ -57,6 +64,11 @@
 	table   *routing.Table
 	aliveAt time.Duration
 
+	instant func() kernel.Instant
+	lapse   kernel.Lapse
+	// doubted is set from a pause on until a majority has confirmed the ownership.
+	doubted bool
+
 	grants, refusals *metrics.Counter
 	decide           *metrics.Histogram
 }
@@ -83,6 +95,7 @@
 		return err
 	}
 	o.kernel, o.clock, o.log = c, c.Clock, c.Log.With("plugin", "owner")
+	o.instant = kernel.Now
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
@@ -107,17 +120,25 @@
 	defer t.Stop()
 	for {
 		var tick <-chan time.Time
-		if o.term != 0 && o.state.Waiting() > 0 {
-			t.Reset(tickInterval)
+		if o.term != 0 {
+			interval := watchInterval
+			if o.state.Waiting() > 0 {
+				interval = tickInterval
+			}
+			t.Reset(interval)
 			tick = t.C
 		}
+		var f func()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case f := <-o.inbox.C():
+		case f = <-o.inbox.C():
+		case <-tick:
+		}
+		o.look(ctx)
+		if f != nil {
 			f()
 			o.drain()
-		case <-tick:
 		}
 		if o.term != 0 {
 			o.answer()
@@ -125,6 +146,46 @@
 	}
 }
 
+// look has the ownership confirmed after a pause: another instance may have become the
+// owner, and this one has not heard of it yet.
+func (o *Owner) look(ctx context.Context) {
+	if o.term == 0 {
+		o.lapse.Forget()
+		return
+	}
+	pause := o.lapse.Look(o.instant())
+	if pause < pauseLeast || o.doubted {
+		return
+	}
+	o.doubted = true
+	term := o.term
+	logqueue.Notice(o.log, "ownership in doubt after a pause", "step", "owner", "term", term, "pause_ms", pause.Milliseconds())
+	go o.confirm(ctx, term)
+}
+
+// confirm asks until a majority follows this instance, or it is not the owner any more.
+func (o *Owner) confirm(ctx context.Context, term uint64) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, confirmLimit)
+		_, err := o.control.ReadRevision(limited)
+		cancel()
+		s := o.control.Status()
+		if s.Role != "leader" || s.Term != term {
+			return // statusChanged ends the ownership
+		}
+		if err == nil {
+			o.inbox.Push(func() {
+				if o.term == term {
+					o.doubted = false
+					logqueue.Notice(o.log, "ownership confirmed", "step", "owner", "term", term)
+				}
+			})
+			return
+		}
+		o.log.Warn("ownership not confirmed", "step", "owner", "term", term, "error", err)
+	}
+}
+
 // drain handles what has queued up, so that it shares one round of decisions.
 func (o *Owner) drain() {
 	for range o.inbox.Len() {
@@ -142,10 +203,10 @@
 	switch {
 	case s.Role != "leader" && o.term != 0:
 		logqueue.Notice(o.log, "ownership ended", "step", "owner", "term", o.term)
-		o.term, o.state = 0, nil
+		o.term, o.state, o.doubted = 0, nil, false
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
-		o.term = s.Term
+		o.term, o.doubted = s.Term, false
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -235,6 +296,11 @@
 			o.state.Refused(workspace, r.Tokens(), r.Own(), r.Objective(), now)
 		}
 	}
+	if o.doubted {
+		// What has ended counts; what is asked for is placed by the entry instance.
+		o.send(from, placewire.Down{Term: u.Term, Not: true})
+		return
+	}
 	for i := range u.Asks {
 		a := &u.Asks[i]
 		o.state.Ask(placement.Key{Entry: from, Number: a.Number}, a.Ask(u.DataCentre), now)
@@ -256,6 +322,12 @@
 		}
 		return d
 	}
+	if o.doubted {
+		for _, d := range decisions {
+			down[d.Key.Entry] = &placewire.Down{Term: o.term, Not: true}
+		}
+		decisions = nil
+	}
 	for _, d := range decisions {
 		if d.Target != "" {
 			o.grants.Inc()
@@ -265,7 +337,7 @@
 		m := to(d.Key.Entry)
 		m.Grants = append(m.Grants, placewire.NewGrant(d))
 	}
-	if now-o.aliveAt >= aliveInterval {
+	if now-o.aliveAt >= aliveInterval && !o.doubted {
 		o.aliveAt = now
 		for _, entry := range o.state.Entries() {
 			to(entry)
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 )
@@ -40,7 +41,7 @@
 		}
 	}
 	p.local.Start(t)
-	return &placed{p: p, work: w, target: t, begin: now, by: "entry"}, nil
+	return &placed{p: p, work: w, target: t, begin: now, by: "entry", at: p.instant()}, nil
 }
 
 // mostRunning returns this instance's part of a target's slots.
@@ -65,8 +66,9 @@
 	work   *api.Work
 	target api.Target
 	begin  time.Duration
-	by     string // who chose the target
-	number uint64 // of a model request; 0 otherwise
+	by     string         // who chose the target
+	at     kernel.Instant // when it was chosen
+	number uint64         // of a model request; 0 otherwise
 	began  bool
 }
 
@@ -74,7 +76,13 @@
 func (l *placed) Target() api.Target { return l.target }
 
 // Sent implements api.Placement.
-func (l *placed) Sent() error { return l.p.permit(l.target) }
+func (l *placed) Sent() error {
+	if age := l.p.instant().Since(l.at); age > grantLife {
+		l.p.expire("before the request was sent", age)
+		return errExpired
+	}
+	return l.p.permit(l.target)
+}
 
 // Began implements api.Placement.
 func (l *placed) Began() {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -22,8 +22,18 @@
 	resendPause = 100 * time.Millisecond
 	// absentFor is how long an owner that did not answer is not asked.
 	absentFor = 300 * time.Millisecond
+	// grantLife is how long the choice of a target holds until the request is sent. The
+	// owner counts starts by the second, and forgets an instance that it has not reached
+	// for 1.5 s. Connecting takes 0.4 s at most.
+	grantLife = time.Second
+	// pauseLeast is the time without a look from which this process counts as having been
+	// stopped or delayed. While requests wait it looks every 50 ms.
+	pauseLeast = 600 * time.Millisecond
 )
 
+// errExpired ends an attempt whose target was chosen too long ago.
+var errExpired = errors.New("the choice of the target has run out")
+
 // waiter is an ask without an answer.
 type waiter struct {
 	work   *api.Work
@@ -34,8 +44,8 @@
 // answer ends the wait of an ask.
 type answer struct {
 	grant placewire.Grant
-	// local tells that the owner does not answer.
-	local bool
+	// local tells that the owner does not answer, again that its answer has run out.
+	local, again bool
 }
 
 // Place implements api.Placer.
@@ -43,20 +53,38 @@
 	if w.Engine == nil {
 		return asPlacement(p.placeLocal(w))
 	}
-	number, wt, ok := p.ask(w)
-	if !ok {
-		return asPlacement(p.placeEngineLocal(w, "no owner"))
+	for {
+		number, wt, ok := p.ask(w)
+		if !ok {
+			return asPlacement(p.placeEngineLocal(w, "no owner"))
+		}
+		a, err := p.await(ctx, number, wt)
+		switch {
+		case err != nil:
+			return nil, err
+		case a.again:
+		case a.local:
+			return asPlacement(p.placeEngineLocal(w, "owner does not answer"))
+		case a.grant.Target == "":
+			return nil, p.refusal(w, a.grant)
+		default:
+			return p.take(w, number, a.grant)
+		}
 	}
-	a, err := p.await(ctx, number, wt)
-	switch {
-	case err != nil:
-		return nil, err
-	case a.local:
-		return asPlacement(p.placeEngineLocal(w, "owner does not answer"))
-	case a.grant.Target == "":
-		return nil, p.refusal(w, a.grant)
+}
+
+// expire tells that a choice was not used because it has run out.
+func (p *Placer) expire(why string, age time.Duration) {
+	p.expired.Inc()
+	p.log.Warn("choice of a target expired", "step", "place", "why", why, "age_ms", age.Milliseconds())
+}
+
+// look notes that this process runs. The lock must be held.
+func (p *Placer) look(now time.Duration) {
+	if pause := p.lapse.Look(p.instant()); pause > pauseLeast {
+		p.wokeAt = now
+		logqueue.Notice(p.log, "ran again after a pause", "step", "pause", "pause_ms", pause.Milliseconds(), "waiting", len(p.waiting))
 	}
-	return p.take(w, number, a.grant)
 }
 
 // Precheck implements api.Placer.
@@ -98,8 +126,10 @@
 	wt := &waiter{work: w, asked: now, answer: make(chan answer, 1)}
 	if len(p.waiting) == 0 {
 		p.owner.silence.heard(now)
+		p.lapse.Forget() // nobody has looked since the last wait
 		kernel.Signal(p.watch)
 	}
+	p.look(now)
 	p.waiting[p.number] = wt
 	p.up.Asks = append(p.up.Asks, placewire.NewAsk(p.number, w, now))
 	p.wake()
@@ -161,6 +191,7 @@
 	if len(p.waiting) == 0 {
 		return false
 	}
+	p.look(now)
 	silent := p.owner.silence.look(now)
 	if silent < answerLimit {
 		return true
@@ -211,7 +242,7 @@
 	p.remote.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
 		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.Missing, "least_missing_tokens", g.Least, "least_wait_ms", g.LeastWaitMs, "term", g.Term)
-	l := &placed{p: p, work: w, begin: p.clock.Now(), by: "owner", number: number}
+	l := &placed{p: p, work: w, begin: p.clock.Now(), by: "owner", number: number, at: p.instant()}
 	l.target, _ = p.directory.Target(g.Target) // permit refuses one that is gone
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -322,6 +353,9 @@
 		return nil, nil
 	}
 	p.owner.silence.heard(now)
+	if len(p.waiting) > 0 {
+		p.look(now)
+	}
 	for _, g := range d.Grants {
 		p.deliver(g)
 	}
@@ -340,6 +374,14 @@
 		return
 	}
 	delete(p.waiting, g.Number)
+	if wt.asked < p.wokeAt && g.Target != "" {
+		// It may have waited for this process as long as the pause was.
+		p.expire("it was asked for before a pause", p.clock.Now()-wt.asked)
+		p.up.Ends = append(p.up.Ends, placewire.End{Number: g.Number, Outcome: api.WorkUnsent})
+		p.wake()
+		wt.answer <- answer{again: true}
+		return
+	}
 	p.flood.Tell(wt.work.Workspace, g.Pass(), p.clock.Now())
 	g.Term = p.owner.term
 	wt.answer <- answer{grant: g}
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -37,19 +37,23 @@
 	log        *slog.Logger
 	dataCentre string
 
+	instant func() kernel.Instant
+
 	mu      sync.Mutex
 	local   *placement.Local
 	flood   *placement.Flood
 	owner   ownerState
 	number  uint64             // of the newest model request
 	waiting map[uint64]*waiter // asks without an answer
+	lapse   kernel.Lapse       // looked at while requests wait
+	wokeAt  time.Duration      // when this process last ran again after a pause
 	running map[uint64]*placed // model requests on targets
 	up      placewire.Up       // not sent yet
 	kick    chan struct{}      // up has content
 	watch   chan struct{}      // a request begins to wait
 
-	remote, fallback, unanswered, held *metrics.Counter
-	wait                               *metrics.Histogram
+	remote, fallback, unanswered, held, expired *metrics.Counter
+	wait                                        *metrics.Histogram
 }
 
 // ownerState is what this instance knows of the owner.
@@ -78,10 +82,11 @@
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.flood = placement.NewLocal(p.dataCentre), placement.NewFlood()
 	p.waiting, p.running, p.kick = map[uint64]*waiter{}, map[uint64]*placed{}, make(chan struct{}, 1)
-	p.watch = make(chan struct{}, 1)
+	p.watch, p.instant = make(chan struct{}, 1), kernel.Now
 	p.remote = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
 	p.fallback = c.Metrics.NewCounter("nutmeg_placer_local_total")
 	p.held = c.Metrics.NewCounter("nutmeg_placer_held_back_total")
+	p.expired = c.Metrics.NewCounter("nutmeg_placer_grants_expired_total")
 	p.unanswered = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
 	p.wait = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
 	p.mesh.Handle(placewire.MethodDown, p.handleDown)
