--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -319,8 +319,12 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() { c.Close() })
-	return &caller{r.t, c, bufio.NewReader(c)}
+	return newCaller(r.t, c)
+}
+
+func newCaller(t testing.TB, c net.Conn) *caller {
+	t.Cleanup(func() { c.Close() })
+	return &caller{t, c, bufio.NewReader(c)}
 }
 
 // request is the text of a request with usual headers.
