--- a/plugin/members/confirm_test.go
+++ b/plugin/members/confirm_test.go
@@ -14,6 +14,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/kernel/kerneltest"
 )
 
 // majority stands in for the control log.
@@ -85,23 +86,19 @@
 	return errors.New("not now")
 }
 
-type clock struct{ now atomic.Int64 }
-
-func (c *clock) Now() time.Duration { return time.Duration(c.now.Load()) }
-
 // Guards against an instance that takes any view at its start, and against one that
 // never serves while there is no majority.
 func TestStartAsksForConfirmedView(t *testing.T) {
 	is := is.New(t)
-	c, a := &clock{}, asker{asked: make(chan fetchRequest, 1)}
+	c, a := &kerneltest.Clock{}, asker{asked: make(chan fetchRequest, 1)}
 	m := &Members{kernel: &kernel.Context{Clock: c}, mesh: a, fleet: holds(0), log: slog.New(slog.DiscardHandler),
 		fetches: metrics.NewSet().NewCounter("a")}
 	is.True(m.fetch(context.Background(), "p") != nil)
 	is.True((<-a.asked).Confirm)
-	c.now.Store(int64(sureFor))
+	c.Pass(sureFor, sureFor)
 	is.True(m.fetch(context.Background(), "p") != nil)
 	is.True(!(<-a.asked).Confirm)
-	c.now.Store(0)
+	c.Pass(-sureFor, -sureFor)
 	m.fleet = holds(1)
 	is.True(m.fetch(context.Background(), "p") != nil)
 	is.True(!(<-a.asked).Confirm)
--- a/plugin/owner/pause_test.go
+++ b/plugin/owner/pause_test.go
@@ -12,6 +12,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/kernel/kerneltest"
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/routing"
@@ -24,27 +25,14 @@
 	*is.I
 	o *Owner
 
+	kerneltest.Clock
+
 	mu        sync.Mutex
-	at        kernel.Instant
 	status    api.ControlStatus
 	down      []placewire.Down
 	confirmed chan error // answers of the majority
 }
 
-func (r *rig) Now() time.Duration { return r.instant().Monotonic }
-
-func (r *rig) instant() kernel.Instant {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.at
-}
-
-func (r *rig) pass(monotonic, wall time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.at.Monotonic, r.at.Wall = r.at.Monotonic+monotonic, r.at.Wall+wall
-}
-
 func (r *rig) Status() api.ControlStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +69,7 @@
 	r := &rig{I: is.New(t), status: api.ControlStatus{Role: "leader", Term: 7}, confirmed: make(chan error)}
 	set := metrics.NewSet()
 	o := &Owner{
-		mesh: r, control: r, clock: r, instant: r.instant, log: slog.New(slog.DiscardHandler), term: 7,
+		mesh: r, control: r, clock: r, instant: r.Instant, log: slog.New(slog.DiscardHandler), term: 7,
 		inbox:  kernel.NewRing[func()](set, "owner", inboxSize),
 		grants: set.NewCounter("a"), refusals: set.NewCounter("b"), decide: set.NewHistogram("c"),
 		state: placement.NewOwner(placement.Config{ShareWindow: 4 * time.Second}),
@@ -129,7 +117,7 @@
 			r.Equal(r.told().Grants[0].Target, "t1")
 			r.send(placewire.Up{Asks: asks(2)}) // waits for the slot
 			r.looked()
-			r.pass(monotonic, 4*time.Second)
+			r.Pass(monotonic, 4*time.Second)
 			r.send(placewire.Up{Ends: []placewire.End{{Number: 1, Outcome: api.WorkServed}}})
 			r.send(placewire.Up{Asks: asks(3)})
 			for range 2 { // for request 2, whose turn it is, and for request 3
@@ -156,7 +144,7 @@
 // majority does not answer, then its replica hears of the other leader.
 func TestReplacedOwnerStays(t *testing.T) {
 	r := newRig(t)
-	r.pass(0, 4*time.Second)
+	r.Pass(0, 4*time.Second)
 	r.send(placewire.Up{Asks: asks(1)})
 	r.True(r.told().Not)
 	r.confirmed <- context.DeadlineExceeded
--- a/plugin/placer/pause_test.go
+++ b/plugin/placer/pause_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"nutmegrouter/internal/api"
-	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/kernel/kerneltest"
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/routing"
@@ -24,24 +24,10 @@
 	*is.I
 	p *Placer
 
+	kerneltest.Clock
+
 	mu   sync.Mutex
 	told []placewire.Up
-	at   kernel.Instant
-}
-
-func (r *rig) Now() time.Duration { return r.instant().Monotonic }
-
-func (r *rig) instant() kernel.Instant {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.at
-}
-
-// pass lets time pass, on the monotonic clock or not.
-func (r *rig) pass(monotonic, wall time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.at.Monotonic, r.at.Wall = r.at.Monotonic+monotonic, r.at.Wall+wall
 }
 
 // The methods of api.Mesh, api.Topology, api.Fleet and api.Directory that a placer uses.
@@ -80,7 +66,7 @@
 	set := metrics.NewSet()
 	r.p = &Placer{
 		mesh: tellingMesh{r: r}, topology: topology{}, fleet: fleet{}, directory: directory{}, clock: r, log: slog.New(slog.DiscardHandler),
-		dataCentre: "z", instant: r.instant, local: placement.NewLocal("z"), flood: placement.NewFlood(),
+		dataCentre: "z", instant: r.Instant, local: placement.NewLocal("z"), flood: placement.NewFlood(),
 		owner: ownerState{name: "o", term: 1}, waiting: map[uint64]*waiter{}, running: map[uint64]*placed{},
 		kick: make(chan struct{}, 1), watch: make(chan struct{}, 1),
 		remote: set.NewCounter("a"), fallback: set.NewCounter("b"), unanswered: set.NewCounter("c"), held: set.NewCounter("d"),
@@ -153,7 +139,7 @@
 			r := newRig(t)
 			done := r.place()
 			first := r.asked(0)
-			r.pass(monotonic+time.Millisecond, pause)
+			r.Pass(monotonic+time.Millisecond, pause)
 			r.grant(first)
 			second := r.asked(first) // it asks again
 			r.Equal(r.ends(), []uint64{first})
@@ -169,7 +155,7 @@
 			r.grant(r.asked(0))
 			got := <-done
 			r.NoErr(got.err)
-			r.pass(monotonic, pause)
+			r.Pass(monotonic, pause)
 			r.True(errors.Is(got.placement.Sent(), errExpired))
 		})
 	}
@@ -182,14 +168,14 @@
 	done := r.place()
 	n := r.asked(0)
 	for range 60 {
-		r.pass(100*time.Millisecond, 100*time.Millisecond)
+		r.Pass(100*time.Millisecond, 100*time.Millisecond)
 		r.answer(placewire.Down{Term: 1})
 	}
 	r.grant(n)
 	got := <-done
 	r.NoErr(got.err)
 	r.Equal(got.placement.(*placed).number, n)
-	r.pass(10*time.Minute, 10*time.Minute) // nobody asks; nobody looks
+	r.Pass(10*time.Minute, 10*time.Minute) // nobody asks; nobody looks
 	done = r.place()
 	n = r.asked(n)
 	r.grant(n)
