Take back the quicker growth of what floods may pass; tell how long requests have waited

Change: reverted. The line of a grant told a wait of 0 for requests that had waited; TestWaitIsTold failed before.

--- a/internal/placement/flood.go
+++ b/internal/placement/flood.go
@@ -10,9 +10,6 @@
 	// share, or than any workspace beyond its share was granted lately, so that the owner
 	// can choose and finds out when there is room for more.
 	passSlack = 1.5
-	// roomSlack is the same while the targets have room: what is held back then could be
-	// served, and the owner finds out sooner how much of it.
-	roomSlack = 4.0
 	// passLeast is the least part that reaches the owner.
 	passLeast = 0.05
 	// passFor is how long an entry instance goes by the newest part that it was told.
@@ -32,11 +29,7 @@
 	if u == nil || u.askedSum <= s.level {
 		return 1
 	}
-	slack := passSlack
-	if s.haveRoom() {
-		slack = roomSlack
-	}
-	return min(1, max(passLeast, slack*max(u.begunSum, s.level, s.most)/u.askedSum))
+	return min(1, max(passLeast, passSlack*max(u.begunSum, s.level, s.most)/u.askedSum))
 }
 
 // Flood refuses requests at an entry instance on the owner's behalf: of a workspace
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -42,8 +42,8 @@
 	// Code and RetryAfter are set if it is refused.
 	Code       string
 	RetryAfter time.Duration
-	// Wait and Excess are the inputs of the decision: the predicted time until the
-	// target has room, and by how much the workspace exceeds its share.
+	// Wait is how long the request has waited for its target, or the predicted time until
+	// one has room if it is refused. Excess is by how much its workspace exceeds the share.
 	Wait   time.Duration
 	Excess float64
 	// Pass is the part of the workspace's requests that the entry instance is to ask
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -109,7 +109,7 @@
 		o.shares.begin(w.ask.Workspace, w.cost)
 	}
 	d := o.decision(w, c)
-	d.Target = c.target.info.ID
+	d.Target, d.Wait = c.target.info.ID, now-w.askedAt
 	o.out = append(o.out, d)
 }
 
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -105,16 +105,6 @@
 	return sum / (float64(slots) * (s.window / shareSlots).Seconds())
 }
 
-// haveRoom reports whether the targets had room in the newest whole slot and since.
-func (s *shares) haveRoom() bool {
-	for _, i := range []int64{s.slot % shareSlots, (s.slot + shareSlots - 1) % shareSlots} {
-		if s.late[i] > fullFrom*s.begun[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // miss counts a request that no target could begin in time.
 func (s *shares) miss(tokens float64) { s.late[s.slot%shareSlots] += tokens }
 
