Do not lose the confirmation of an owner in doubt

Cause, from reading the diff: where the queue of messages was full, the news of the confirmation was dropped and the owner stayed in doubt for good. It asks again now, 20 ms later. TestConfirmationIsNotLost.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -17,8 +17,8 @@
 	adviceMost  = 2 * time.Second
 	// reviewInterval is how often the plan of a waiting request is looked at again.
 	reviewInterval = 50 * time.Millisecond
-	// lateReviewInterval is the same for one that is late anyway: a look compares all
-	// targets.
+	// lateReviewInterval is the same for one that is late anyway: each look is a choice
+	// among hundreds of targets.
 	lateReviewInterval = 200 * time.Millisecond
 )
 
--- a/plugin/owner/pause_test.go
+++ b/plugin/owner/pause_test.go
@@ -160,3 +160,26 @@
 	r.True(r.told().Not)
 	r.looked()
 }
+
+// Guards against an owner that stays in doubt for good because the news of its confirmation
+// found the queue of messages full.
+func TestConfirmationIsNotLost(t *testing.T) {
+	r := newRig(t)
+	hold, held := make(chan struct{}), make(chan struct{})
+	r.o.inbox.Push(func() { r.o.doubted = true; close(held); <-hold })
+	<-held
+	for r.o.inbox.Push(func() {}) { // until it is full
+	}
+	go r.o.confirm(context.Background(), 7)
+	r.confirmed <- nil
+	r.confirmed <- nil // it asks again
+	close(hold)
+	go func() { r.confirmed <- nil }()
+	for begin := time.Now(); time.Since(begin) < 5*time.Second; time.Sleep(time.Millisecond) {
+		doubted := make(chan bool, 1)
+		if r.o.inbox.Push(func() { doubted <- r.o.doubted }) && !<-doubted {
+			return
+		}
+	}
+	t.Fatal("it stays in doubt")
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -43,8 +43,10 @@
 	// delayed. Another owner may follow after 0.5 s, an election timeout.
 	watchInterval = 100 * time.Millisecond
 	pauseLeast    = 400 * time.Millisecond
-	// confirmLimit bounds the question whether the majority still follows.
+	// confirmLimit bounds the question whether the majority still follows, confirmPause
+	// separates two of them.
 	confirmLimit = time.Second
+	confirmPause = 20 * time.Millisecond
 )
 
 // Owner is the plug-in. It must be provisioned before use.
@@ -173,16 +175,23 @@
 		if s.Role != "leader" || s.Term != term {
 			return // statusChanged ends the ownership
 		}
-		if err == nil {
-			o.inbox.Push(func() {
-				if o.term == term {
-					o.doubted = false
-					logqueue.Notice(o.log, "ownership confirmed", "step", "owner", "term", term)
-				}
-			})
+		if err != nil {
+			o.log.Warn("ownership not confirmed", "step", "owner", "term", term, "error", err)
+		} else if o.inbox.Push(func() { o.confirmed(term) }) {
 			return
 		}
-		o.log.Warn("ownership not confirmed", "step", "owner", "term", term, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+// confirmed ends the doubt in the ownership of a term.
+func (o *Owner) confirmed(term uint64) {
+	if o.term == term {
+		o.doubted = false
+		logqueue.Notice(o.log, "ownership confirmed", "step", "owner", "term", term)
 	}
 }
 
