TestEndlessBytes: bound streams by the time after which callers abandon them

The bound was not one of a stated target. Callers abandon a stream after a gap of 2 s, so that is the bound for streams; plain requests keep 1 s of their 1.5 s.

--- a/plugin/gateway/strays_test.go
+++ b/plugin/gateway/strays_test.go
@@ -169,7 +169,11 @@
 			r.is.NoErr(err)
 			r.is.Equal(resp.StatusCode, 200)
 			r.is.Equal(strings.ReplaceAll(body, ": x\n\n", ""), want) // comments may be passed on
-			r.is.True(time.Since(begin) < time.Second)                // of 1.5 s on the route, 4 s on the stream
+			patience := time.Second // of 1.5 s on the route
+			if c.path == "/draft/1" {
+				patience = 2 * time.Second // callers abandon a stream after such a gap
+			}
+			r.is.True(time.Since(begin) < patience)
 			r.is.True(strings.HasPrefix(r.got(2), "broken "))
 			select {
 			case n := <-took:
