--- a/plugin/gateway/strays_test.go
+++ b/plugin/gateway/strays_test.go
@@ -169,7 +169,7 @@
 			r.is.NoErr(err)
 			r.is.Equal(resp.StatusCode, 200)
 			r.is.Equal(strings.ReplaceAll(body, ": x\n\n", ""), want) // comments may be passed on
-			patience := time.Second // of 1.5 s on the route
+			patience := time.Second                                   // of 1.5 s on the route
 			if c.path == "/draft/1" {
 				patience = 2 * time.Second // callers abandon a stream after such a gap
 			}
