--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -150,9 +150,14 @@
 	list.mu.Lock()
 	is.Equal(list.refused, 0)
 	list.mu.Unlock()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	is.True(f.told["e1"] > 0 && f.told["e2"] > 0)
+	told := func() bool { // after the list is known here
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.told["e1"] > 0 && f.told["e2"] > 0
+	}
+	for begin := time.Now(); !told(); time.Sleep(time.Millisecond) {
+		is.True(time.Since(begin) < 5*time.Second)
+	}
 }
 
 // Guards against a list with a page missing that makes its targets look gone.
