Use one piece each for messages to all, nameless answers and a request's tokens

Members announced leaders and views in loops of their own where NotifyAll encodes once; the error of an answer without its request's name stood in both profiles; the tokens of a request were counted by way of a whole record. The history of the list kept an update from nothing, which Since never uses: on entries that was the whole list until 32 updates later. Behaviour is the same.

--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -65,9 +65,13 @@
 // them, the last part of its prompt, and the milliseconds until its first event is due.
 type Refused [3]int64
 
+// Tokens returns the tokens of a request as the share counts them: read once, generated
+// twice.
+func Tokens(w *api.Work) int { return w.PromptTokens + 2*w.OutputTokens }
+
 // NewRefused describes a refused request.
 func NewRefused(w *api.Work, now time.Duration) Refused {
-	return Refused{int64(w.PromptTokens + 2*w.OutputTokens), int64(OwnPart(w.Prompt)), (w.Objective - now).Milliseconds()}
+	return Refused{int64(Tokens(w)), int64(OwnPart(w.Prompt)), (w.Objective - now).Milliseconds()}
 }
 
 // Tokens returns the tokens of the request as the share counts them.
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -24,8 +24,14 @@
 	maxOverhead = 64 << 10 // bytes
 )
 
-// ErrOverhead reports a target that sends bytes without end that are no answer.
-var ErrOverhead = errors.New("the target sends bytes that are no answer")
+// Errors of answers.
+var (
+	// ErrOverhead reports a target that sends bytes without end that are no answer.
+	ErrOverhead = errors.New("the target sends bytes that are no answer")
+	// ErrNameless reports an answer on a connection that has served an earlier request: it
+	// may be a second one to that.
+	ErrNameless = errors.New("the answer does not say to which request it belongs")
+)
 
 // Conn is a connection to a target. It calls check before the first byte of a
 // request, counts the bytes of the request that the kernel accepted, and bounds
--- a/internal/targetlist/list.go
+++ b/internal/targetlist/list.go
@@ -67,7 +67,7 @@
 
 // remember keeps an update that led to the present state.
 func (l *List) remember(u Update) {
-	if u.Whole {
+	if u.Whole || u.Base == (Position{}) { // Since tells the whole list to one that knows nothing
 		l.history = nil
 		return
 	}
@@ -79,11 +79,11 @@
 
 // Since returns the changes from a position on, or the whole list if they are not known.
 func (l *List) Since(p Position, now time.Duration) Update {
-	from := slices.IndexFunc(l.history, func(u Update) bool { return u.Base == p })
 	if p == l.at {
 		return Update{At: p, Base: p}
 	}
-	if p == (Position{}) || from < 0 {
+	from := slices.IndexFunc(l.history, func(u Update) bool { return u.Base == p })
+	if from < 0 {
 		return l.Whole(now)
 	}
 	changed := map[string]bool{} // false = gone
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -32,10 +32,6 @@
 // each belongs.
 const headerID = "X-Request-Id"
 
-// errNameless ends an exchange on a connection that has served an earlier request: the
-// answer may be a second one to that.
-var errNameless = errors.New("the answer does not say to which request it belongs")
-
 // bounds limits the time of an exchange.
 type bounds struct {
 	silence time.Duration // of each read and write
@@ -85,7 +81,7 @@
 	}
 	x.named = x.id != "" && string(x.resp.Header.Peek(headerID)) == x.id
 	if x.conn.Reused && !x.named {
-		return "head", errNameless
+		return "head", targetconn.ErrNameless
 	}
 	return "", nil
 }
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -335,10 +335,6 @@
 	return f
 }
 
-// errNameless ends an attempt on a connection that has served an earlier request: the
-// answer may be a second one to that.
-var errNameless = errors.New("the answer does not say to which request it belongs")
-
 // ownAnswer skips answers to earlier requests and checks that the answer is the
 // target's own.
 func (a *attempt) ownAnswer() (f api.AnswerFields, flt *fault) {
@@ -349,7 +345,7 @@
 			return f, nil
 		}
 		if f.ID == "" {
-			return f, &fault{outcome: api.WorkBroken, step: "head", cause: errNameless}
+			return f, &fault{outcome: api.WorkBroken, step: "head", cause: targetconn.ErrNameless}
 		}
 		a.c.f.stats.strays.Inc()
 		a.c.log.Warn("answer to another request dropped", "step", "head", "target", a.place.Target().ID, "belongs_to", f.ID)
--- a/plugin/members/messages.go
+++ b/plugin/members/messages.go
@@ -132,10 +132,8 @@
 	if s.Role != "leader" {
 		return
 	}
-	for _, peer := range m.mesh.Peers() {
-		if err := m.mesh.Notify(peer, leaderMethod, leaderNote{s.Leader, s.Term}); err != nil {
-			m.log.Debug("leader not announced", "step", "leader", "peer", peer, "error", err)
-		}
+	if err := m.mesh.NotifyAll(m.mesh.Peers(), leaderMethod, leaderNote{s.Leader, s.Term}); err != nil {
+		m.log.Error("leader not announced", "step", "leader", "error", err)
 	}
 }
 
@@ -151,10 +149,9 @@
 // announce tells the linked instances about a view. Control instances have it
 // from the log.
 func (m *Members) announce(revision uint64) {
-	for _, peer := range m.linkedEntries() {
-		if err := m.mesh.Notify(peer, changedMethod, changedNote{revision}); err != nil {
-			m.log.Debug("view not announced", "step", "view", "peer", peer, "error", err) // the next beat tells
-		}
+	// An instance that misses it learns of the view by its next beat.
+	if err := m.mesh.NotifyAll(m.linkedEntries(), changedMethod, changedNote{revision}); err != nil {
+		m.log.Error("view not announced", "step", "view", "error", err)
 	}
 }
 
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -114,7 +114,7 @@
 	if p.up.TurnedAway == nil {
 		p.up.TurnedAway = map[string]int{}
 	}
-	p.up.TurnedAway[w.Workspace] += placewire.NewRefused(w, p.clock.Now()).Tokens() // told with the next message
+	p.up.TurnedAway[w.Workspace] += placewire.Tokens(w) // told with the next message
 }
 
 func asPlacement(l *placed, err error) (api.Placement, error) {
