forward: a failed resend does not hide that the first send may have run

Cause: after a reset of a pooled connection the request is sent again over a new one. If that one could not be opened, or its send sent nothing, the attempt counted as not run, and the caller could get a 503 that says so although the target had read the first send. The resend also counted for no attempt of the route.

Change: the failure of a resend never says not run; each send counts, and a resend needs an attempt left on the route.

Tests, both failed before: plugin/gateway TestResetThenUnreachable (503 not-run, want 502) and TestResendCountsAsAttempt (a third send on a route with two attempts).

--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -58,6 +58,7 @@
 	placement api.Placement
 	exchange  *exchange.Exchange
 	sentAt    time.Duration // kernel-clock time of the first byte; 0 = nothing sent
+	sendBegun bool          // the check before the first byte of the latest send has passed
 	ended     bool
 }
 
@@ -239,27 +240,46 @@
 
 // connectAndSend sends the request over a pooled or new connection. If the target closed
 // a pooled connection without sending a byte, a request that may be retried is sent again
-// over a new one, if the retry budget allows it.
+// over a new one, if the route and the retry budget allow a further send.
 func (a *attempt) connectAndSend() (*exchange.Exchange, *attemptFailure) {
 	conn, failure := a.connect(false)
 	if failure != nil {
 		return nil, failure
 	}
 	exch, sendFailure := a.send(conn)
-	if sendFailure == nil {
+	switch {
+	case sendFailure == nil:
 		return exch, nil
+	case !a.mayResend(sendFailure):
+		return nil, a.classify(sendFailure)
 	}
-	if isStaleConnection(sendFailure) && a.call.req.Route.Retryable() &&
-		a.call.ctx.Err() == nil &&
-		a.call.fwd.retryBudget.AllowRetry(a.call.req.Service, a.call.fwd.clock.Now()) {
-		if conn, failure = a.connect(true); failure != nil {
-			return nil, failure
-		}
-		if exch, sendFailure = a.send(conn); sendFailure == nil {
-			return exch, nil
-		}
+	exch, failure = a.resend()
+	if failure != nil && failure.notRun {
+		// The target may have run the request that was sent first.
+		failure.outcome, failure.notRun = api.AttemptIncomplete, false
+	}
+	return exch, failure
+}
+
+// mayResend reports whether the request may be sent to the same target again after a failed
+// send. If so, the send has been charged to the retry budget.
+func (a *attempt) mayResend(sendFailure *exchange.Failure) bool {
+	c := a.call
+	return isStaleConnection(sendFailure) && c.req.Route.Retryable() && c.sendCount < c.req.Route.MaxAttempts &&
+		c.ctx.Err() == nil && c.fwd.retryBudget.AllowRetry(c.req.Service, c.fwd.clock.Now())
+}
+
+// resend sends the request over a new connection.
+func (a *attempt) resend() (*exchange.Exchange, *attemptFailure) {
+	conn, failure := a.connect(true)
+	if failure != nil {
+		return nil, failure
+	}
+	exch, sendFailure := a.send(conn)
+	if sendFailure != nil {
+		return nil, a.classify(sendFailure)
 	}
-	return nil, a.classify(sendFailure)
+	return exch, nil
 }
 
 // isStaleConnection reports whether the target probably closed the connection while it
@@ -297,6 +317,7 @@
 
 // send writes the request and reads the response header, both before the deadline.
 func (a *attempt) send(conn *targetconn.Conn) (*exchange.Exchange, *exchange.Failure) {
+	a.sendBegun = false
 	header := a.call.header(a.placement.Target())
 	defer fasthttp.ReleaseRequest(header)
 	remaining := a.call.remaining()
@@ -322,10 +343,11 @@
 	}
 	if a.sentAt == 0 {
 		a.sentAt = a.call.fwd.clock.Now()
-		a.call.sendCount++
-		a.call.log.Info("sent", "step", "send", "target", a.placement.Target().ID, "address", a.placement.Target().Address,
-			"send", a.call.sendCount, "after", a.call.lastEventID, "left_ms", a.call.remaining().Milliseconds())
 	}
+	a.sendBegun = true
+	a.call.sendCount++
+	a.call.log.Info("sent", "step", "send", "target", a.placement.Target().ID, "address", a.placement.Target().Address,
+		"send", a.call.sendCount, "after", a.call.lastEventID, "left_ms", a.call.remaining().Milliseconds())
 	return nil
 }
 
@@ -348,7 +370,7 @@
 	switch {
 	case sendFailure.Sent == 0:
 		failure.outcome, failure.notRun = api.AttemptUnsent, true
-		if a.sentAt != 0 {
+		if a.sendBegun {
 			failure.outcome = api.AttemptUnreachable
 			a.call.sendCount--
 		}
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -221,6 +221,7 @@
 type target struct {
 	id, address string
 	script      func(c net.Conn, r *http.Request, n int)
+	listener    net.Listener
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -235,7 +236,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &target{id: id, address: l.Addr().String(), script: script, closed: make(chan struct{}, 100)}
+	x := &target{id: id, address: l.Addr().String(), listener: l, script: script, closed: make(chan struct{}, 100)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -262,6 +262,51 @@
 	r.is.Equal(after, before+1) // a non-idempotent request uses no connection that was idle for long
 }
 
+// Guards against a refusal that says "not run" after a send that may have run: the target reads
+// the request on a kept connection, resets it, and accepts no new connection.
+func TestResetThenUnreachable(t *testing.T) {
+	var x *target
+	x = newTarget(t, "t1", func(c net.Conn, r *http.Request, n int) {
+		if n == 2 {
+			x.listener.Close()
+			resetConn(c)
+			return
+		}
+		write(c, fullResponse(200, attemptID(r), "ok"))
+	})
+	r := newRig(t, x).configure(1)
+	c := r.dial()
+	c.send(request("GET", "/look/1", "id1", ""))
+	c.want(200, "ok")
+	c.send(request("GET", "/look/2", "id2", ""))
+	resp := c.want(502, "*")
+	r.is.Equal(resp.Header.Get(standin.HeaderNotRun), "")
+	r.is.Equal(r.waitOutcomes(2), "served broken")
+}
+
+// Guards against more sends than the route allows: a send over a new connection after a reset
+// counts like any other.
+func TestResendCountsAsAttempt(t *testing.T) {
+	reset := func(c net.Conn, r *http.Request, n int) {
+		if n == 1 {
+			write(c, fullResponse(200, attemptID(r), "ok"))
+			return
+		}
+		resetConn(c)
+	}
+	first, second := newTarget(t, "t1", reset), newTarget(t, "t2", respondWith("good"))
+	r := newRig(t, first, second).configure(1)
+	c := r.dial()
+	c.send(request("GET", "/look/1", "id1", ""))
+	c.want(200, "ok")
+	c.send(request("GET", "/look/2", "id2", "")) // the route allows two attempts
+	c.want(502, "*")
+	n, _ := first.count()
+	r.is.Equal(n, 3)
+	n, _ = second.count()
+	r.is.Equal(n, 0)
+}
+
 // Guards against streams with missing, duplicate or merged events, and against a broken
 // stream that looks complete.
 func TestStreams(t *testing.T) {
