dispatch: no fifth send, and a failed resend may have run

Cause: the resend after a reset of a reused connection was not counted before it was made, so a call could send five times; if the new connection failed, the attempt counted as not run.

--- a/plugin/dispatch/attempt_test.go
+++ b/plugin/dispatch/attempt_test.go
@@ -77,6 +77,53 @@
 	is.Equal(len(target.workRequests()), 7)
 }
 
+// Guards against a fifth send: the last allowed send of a call goes over a reused connection that
+// the target resets.
+func TestResetDoesNotExceedMaxSends(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, "t1", runScript(func(w *scriptConn, _ *receivedRequest, n int) {
+		if n > 1 {
+			w.reset()
+			return
+		}
+		w.plain(200, "ok", headerRequestID+": r1")
+	}))
+	env := newTestEnv(t, target)
+	env.wantBody(serviceRequest("GET"), "ok")
+	c, err := env.d.newCall(t.Context(), serviceRequest("GET"))
+	is.NoErr(err)
+	defer c.cancel()
+	c.sends = maxSends - 1
+	_, err = c.run()
+	is.True(err != nil)
+	is.Equal(c.sends, maxSends)
+	is.Equal(len(target.workRequests()), 2)
+}
+
+// Guards against a request that counts as not run although its first send reached the target:
+// the target resets the reused connection and accepts no new one.
+func TestResetThenUnreachable(t *testing.T) {
+	is := is.New(t)
+	var target *fakeTarget
+	target = newTarget(t, "t1", runScript(func(w *scriptConn, _ *receivedRequest, n int) {
+		if n > 1 {
+			target.listener.Close()
+			w.reset()
+			return
+		}
+		w.plain(200, "ok", headerRequestID+": r1")
+	}))
+	env := newTestEnv(t, target)
+	env.wantBody(serviceRequest("GET"), "ok")
+	c, err := env.d.newCall(t.Context(), serviceRequest("GET"))
+	is.NoErr(err)
+	defer c.cancel()
+	_, err = c.runAttempt(false)
+	var f *fault
+	is.True(errors.As(err, &f))
+	is.True(!f.certainlyNotRun())
+}
+
 // Guards against bytes after a response that are taken for the response to the next
 // request.
 func TestSurplusBytes(t *testing.T) {
--- a/plugin/dispatch/fakes_test.go
+++ b/plugin/dispatch/fakes_test.go
@@ -116,6 +116,7 @@
 	name, addr    string
 	script        func(w *scriptConn, r *receivedRequest)
 	closeNewConns atomic.Bool // new connections are closed at once
+	listener      net.Listener
 
 	mu            sync.Mutex
 	requests      []*receivedRequest
@@ -127,7 +128,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
-	f := &fakeTarget{name: name, addr: ln.Addr().String(), script: script}
+	f := &fakeTarget{name: name, addr: ln.Addr().String(), script: script, listener: ln}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
--- a/plugin/dispatch/start.go
+++ b/plugin/dispatch/start.go
@@ -41,18 +41,21 @@
 
 // exchange sends the request and reads the response header. If the target had
 // closed a reused connection, it sends an idempotent request once more, on a new
-// connection.
+// connection, unless that would exceed maxSends.
 func (c *call) exchange(a *attempt) (*exchange, *fault) {
 	m, limits, ctx := c.targetRequest(a.grant), c.timeLimits(), c.workContext()
 	check := func() error { return c.beginSend(a) }
 	x, f := c.d.open(ctx, m, c.req.NonIdempotent, limits, check)
-	if f != nil && f.staleConnection() && !c.req.NonIdempotent && ctx.Err() == nil {
+	sentBefore := int64(0)
+	if f != nil && f.staleConnection() && !c.req.NonIdempotent && c.sends+1 < maxSends && ctx.Err() == nil {
 		c.countSend(f)
+		sentBefore = f.sentBytes
 		c.d.conns.CloseIdle(m.host)
 		x, f = c.d.open(ctx, m, true, limits, check)
 	}
 	if f != nil {
 		c.countSend(f)
+		f.sentBytes = max(f.sentBytes, sentBefore) // the target may have run the first send
 		return nil, f.classify(limits)
 	}
 	c.mayHaveRun = true
