sse: an event above MaxEventBytes fails also if its end arrives in the same read

The buffer doubled beyond the limit, so an event of nearly twice the limit was accepted. The buffer now ends one byte above the limit. TestEventSizeLimit failed before.

--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// MaxEventBytes limits the memory of one event: the stream fails if an event is still
-	// incomplete beyond this size.
+	// MaxEventBytes limits the size of one event: the stream fails if an event is larger.
 	MaxEventBytes = 4 << 20 // bytes
+	// maxBufferBytes is the largest size of a reader's buffer: one byte more than an event
+	// may have.
+	maxBufferBytes = MaxEventBytes + 1
 	// maxNoDataBytes limits consecutive comments and other blocks without data. A target
 	// that sends a comment of a few bytes each second reaches it only after an hour.
 	maxNoDataBytes    = 64 << 10 // bytes
@@ -24,7 +26,7 @@
 // Errors after which a stream cannot be read further. Their texts can reach callers in a
 // refusal.
 var (
-	// ErrTooLarge reports an event that is incomplete after more than MaxEventBytes.
+	// ErrTooLarge reports an event of more than MaxEventBytes.
 	ErrTooLarge = errors.New("server-sent event exceeds the size limit")
 	// ErrNoData reports more than 64 KiB of consecutive comments or other blocks without data.
 	ErrNoData = errors.New("comments without end instead of events")
@@ -80,6 +82,10 @@
 	for {
 		if end := r.nextBlockEnd(); end > 0 {
 			raw := r.buf[r.start:end]
+			if len(raw) > MaxEventBytes {
+				r.err = ErrTooLarge
+				return Event{}, r.err
+			}
 			r.start = end
 			e := Parse(raw)
 			if r.noDataBytes += len(raw); e.HasData {
@@ -135,11 +141,12 @@
 		r.start = 0
 	}
 	if len(r.buf) == cap(r.buf) {
-		if !r.memory.Reserve(cap(r.buf)) {
+		size := min(2*cap(r.buf), maxBufferBytes)
+		if !r.memory.Reserve(size - cap(r.buf)) {
 			return overload.ErrNoMemory
 		}
-		r.reservedBytes += cap(r.buf)
-		grown := make([]byte, len(r.buf), 2*cap(r.buf))
+		r.reservedBytes += size - cap(r.buf)
+		grown := make([]byte, len(r.buf), size)
 		copy(grown, r.buf)
 		r.buf = grown
 	}
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -24,6 +24,25 @@
 	return n, nil
 }
 
+// Guards against an event above MaxEventBytes that is accepted because its end arrives in the same
+// read, and against a smaller one that is not.
+func TestEventSizeLimit(t *testing.T) {
+	for _, size := range []int{MaxEventBytes, MaxEventBytes + 1, 2*MaxEventBytes - 1} {
+		is := is.New(t)
+		event := "data: " + strings.Repeat("x", size-len("data: \n\n")) + "\n\n"
+		r := NewReader(strings.NewReader(event), overload.NewMemoryLimit(1<<30))
+		e, err := r.Next()
+		if size > MaxEventBytes {
+			is.Equal(err, ErrTooLarge)
+		} else {
+			is.NoErr(err)
+			is.Equal(len(e.Raw), size)
+		}
+		is.True(r.reservedBytes <= maxBufferBytes)
+		r.Release()
+	}
+}
+
 // Guards against unbounded memory or reads for a stream that never ends and never completes
 // an event with data: an event without its blank line, or only comments and other blocks
 // without data.
