lease, pool: messages of ended processes are not taken for new ones

Cause: a witness took any heartbeat of another boot for one of a later boot, so a delayed heartbeat of an ended process could be granted a pool. An incarnation had 20 random bits: 10,000 draws repeat some 50 times, and an owner ignores messages of earlier incarnations of an instance.

Change: a witness remembers the last four boots of a peer; incarnations have 40 bits.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -72,6 +72,21 @@
 	is.True(n.votes["p"].free(10 * sec))
 }
 
+// Guards against a vote for a process that has ended: its heartbeat arrives after those of the
+// restarted process.
+func TestHeartbeatOfEarlierBootIsNotNew(t *testing.T) {
+	is := is.New(t)
+	n := newWitness("e")
+	request := []Request{{Pool: "p", Epoch: 1}}
+	for boot := uint64(7); boot <= 9; boot++ {
+		n.HandleHeartbeat(10*sec, "a", Heartbeat{Boot: boot, Seq: 1, Revision: boot})
+	}
+	for boot := uint64(7); boot <= 8; boot++ {
+		is.True(!n.HandleHeartbeat(10*sec, "a", Heartbeat{Boot: boot, Seq: 100, Requests: request}).Votes[0].Granted)
+	}
+	is.True(n.HandleHeartbeat(10*sec, "a", Heartbeat{Boot: 9, Seq: 2, Requests: request}).Votes[0].Granted)
+}
+
 // Guards against a restarted witness that votes before the grants of its earlier
 // boot have expired or before its view has caught up.
 func TestRestart(t *testing.T) {
--- a/internal/lease/node.go
+++ b/internal/lease/node.go
@@ -53,6 +53,7 @@
 // peer is the last known state of one instance.
 type peer struct {
 	boot, seq       uint64        // of the newest heartbeat received
+	retiredBoots    [4]uint64     // earlier boots whose delayed heartbeats are ignored, newest first
 	revision        uint64        // newest revision received in a heartbeat or reply
 	triggerRevision uint64        // newest revision that triggered an immediate heartbeat
 	lastLeaseReply  time.Duration // last reply to it that did not abstain, or Config.Start
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -1,6 +1,9 @@
 package lease
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // unansweredReportAge is the time without a lease reply to a peer from which a
 // witness reports the peer as unanswered. It is longer than two heartbeat
@@ -22,17 +25,19 @@
 // HandleHeartbeat processes a peer's heartbeat and returns the reply to it, without
 // its Seq. The reply abstains if this node is no witness yet or the peer is not in
 // Config.Instances. No request of a heartbeat that arrives after a later one of the
-// same boot is granted.
+// same boot, or after one of a later boot, is granted.
 func (n *Node) HandleHeartbeat(now time.Duration, from string, h Heartbeat) Reply {
 	p := n.peers[from]
 	if p == nil {
 		return Reply{Revision: n.revision, Abstains: true}
 	}
-	isNew := h.Boot != p.boot || h.Seq > p.seq
-	if h.Boot != p.boot {
-		p.triggerRevision = 0
-	}
+	sameBoot := h.Boot == p.boot
+	isNew := (sameBoot && h.Seq > p.seq) || (!sameBoot && !slices.Contains(p.retiredBoots[:], h.Boot))
 	if isNew {
+		if !sameBoot {
+			p.retireBoot()
+			p.triggerRevision = 0
+		}
 		p.boot, p.seq = h.Boot, h.Seq
 		n.applyHeartbeat(now, from, h)
 	}
@@ -50,6 +55,12 @@
 	return reply
 }
 
+// retireBoot ends the current boot of the peer: its delayed heartbeats are ignored from now on.
+func (p *peer) retireBoot() {
+	copy(p.retiredBoots[1:], p.retiredBoots[:])
+	p.retiredBoots[0] = p.boot
+}
+
 // applyHeartbeat records the revision, the releases and the announced owners of a
 // heartbeat. It must not be called for a heartbeat that arrives after a later one,
 // because an older request must not undo a newer release.
--- a/plugin/pool/queue.go
+++ b/plugin/pool/queue.go
@@ -103,11 +103,14 @@
 	return e
 }
 
-// newIncarnation returns an unused random incarnation. 20 bits distinguish the processes of
-// one instance and stay short on the wire.
+// incarnationBits is the size of an incarnation. An owner ignores messages of the earlier
+// incarnations of an instance, so that a restarted process must not draw one of them again.
+const incarnationBits = 40
+
+// newIncarnation returns an unused random incarnation, which is not 0.
 func (c *Client) newIncarnation() uint64 {
 	for {
-		n := uint64(rand.IntN(1<<20)) + 1
+		n := rand.Uint64N(1<<incarnationBits) + 1
 		if c.byIncarnation[n] == nil {
 			return n
 		}
