placement: the forwarded share of floods follows the room, not past grants

Three things hold it down, seen in the test's traces: the slow share itself; retries that arrive after their objective count as unmet demand, which makes other workspaces yield; and a workspace yields because its best target, which has the prompt cached, is busy, while others are idle.

Change: the share grows by 1.5 per eighth of the window while the owner refuses at most a tenth of what is forwarded, and the growth ends at once when it refuses more or when entries report shed requests; requests that no target could serve in time on arrival count neither as unmet nor as refused; a request takes an idle target before its workspace yields.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -67,14 +67,15 @@
 const maxScannedTargets = 256
 
 // choose returns the target with the lowest score: a short time until the first event, and
-// little work that delays other requests. It returns false if no target is usable.
+// little work that delays other requests. Its target is nil if none is usable. For a request of
+// a workspace that exceeds its share, idle is the best idle target, which need not be the best
+// of all: that may be a busy one that has cached the prompt.
 //
 // It examines the few targets that have cached a part of the prompt first. Of the others,
 // which must prefill the whole prompt, it predicts only those whose lower bound by backlog
 // is not above the best score. At most maxScannedTargets of them are examined, so that the
 // number of predictions per decision stays bounded in large fleets.
-func (o *Owner) choose(w *work, now time.Duration) (candidate, bool) {
-	var best candidate
+func (o *Owner) choose(w *work, now time.Duration) (best, idle candidate) {
 	minUncached, minUncachedWait := -1, time.Duration(0)
 	consider := func(t *target, uncached int) candidate {
 		c := o.predict(t, w, uncached, now)
@@ -84,9 +85,12 @@
 		return c
 	}
 	keepBest := func(c candidate) {
-		if best.target == nil || c.score < best.score || (c.score == best.score && c.target.info.ID < best.target.info.ID) {
+		if c.betterThan(best) {
 			best = c
 		}
+		if w.overShare && c.wait == 0 && c.target.isIdle() && c.betterThan(idle) {
+			idle = c
+		}
 	}
 	preferred := o.affinityTarget(w)
 	if preferred != nil {
@@ -117,7 +121,8 @@
 		if len(w.request.Prompt) == 1 {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score {
+		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score ||
+			(w.overShare && idle.target == nil && t.isIdle()) {
 			keepBest(consider(t, uncached))
 		}
 	}
@@ -125,7 +130,14 @@
 		o.scanFrom = (o.scanFrom + maxScannedTargets) % len(others)
 	}
 	best.minUncached, best.minUncachedWait = minUncached, minUncachedWait
-	return best, best.target != nil
+	idle.minUncached, idle.minUncachedWait = minUncached, minUncachedWait
+	return best, idle
+}
+
+// betterThan reports whether the candidate has a lower score than another one, which may be
+// empty.
+func (c candidate) betterThan(other candidate) bool {
+	return other.target == nil || c.score < other.score || (c.score == other.score && c.target.info.ID < other.target.info.ID)
 }
 
 // minScore returns a lower bound of the score of a request on a target.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -25,25 +25,33 @@
 // decide grants a request, refuses it, or queues it for the best target. A request that
 // misses its objective on all targets gets a lower rank and takes the remaining capacity.
 func (o *Owner) decide(w *work, now time.Duration) {
-	w.excess, w.predictedMiss, w.overloaded = 0, false, false
+	w.excess, w.predictedMiss, w.overloaded, w.overShare = 0, false, false, false
 	if !w.request.Resumes {
 		w.excess = o.shares.excess(w.request.Workspace, w.cost)
 		w.overloaded = o.shares.overloaded(w.request.Workspace)
+		w.overShare = o.shares.exceedsShare(w.request.Workspace, w.cost)
 	}
-	c, ok := o.choose(w, now)
+	c, idle := o.choose(w, now)
+	ok := c.target != nil
 	if ok && !w.missCounted && !w.request.Resumes && w.missesObjective(c.firstEventAfter, now) {
 		w.missCounted = true
 		o.shares.recordMissed(w.cost)
 	}
 	if ok && w.rank() < rankMissesObjective && w.missesObjective(c.firstEventAfter, now) {
 		w.predictedMiss = true
-		c, ok = o.choose(w, now)
+		c, idle = o.choose(w, now)
 	}
 	if !ok {
 		o.refuse(w, c, CodeNoTarget, 0, now)
 		return
 	}
-	if code := o.refusalCode(w, c, now); code != "" {
+	code := o.refusalCode(w, c, now)
+	if code == CodeShareYields && idle.target != nil {
+		// It would yield while waiting for a busy target, although another one is idle.
+		c = idle
+		code = o.refusalCode(w, c, now)
+	}
+	if code != "" {
 		o.refuse(w, c, code, c.wait, now)
 		return
 	}
@@ -68,7 +76,7 @@
 		return ""
 	}
 	missed := w.missesObjective(c.firstEventAfter, now)
-	if missed {
+	if missed && !w.arrivedLate {
 		o.shares.recordUnmet(w.request.Workspace, now)
 	}
 	overShare := o.shares.exceedsShare(w.request.Workspace, w.cost)
@@ -98,6 +106,9 @@
 	if !w.request.Resumes {
 		o.retries.recordRefusal(uniquePart(w.request.Prompt), w.objectiveAt, now)
 	}
+	if !w.arrivedLate {
+		o.shares.usageOf(w.request.Workspace).forwardControl.recordRefused(w.cost)
+	}
 	if code == CodeShareYields {
 		wait = o.shares.window / windowSlots
 	}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -181,6 +181,10 @@
 	} else if !req.Resumes {
 		o.shares.recordRequested(req.Workspace, w.cost)
 	}
+	w.arrivedLate = w.missesObjective(baseLatency, now)
+	if !req.Resumes && !w.arrivedLate {
+		o.shares.usageOf(req.Workspace).forwardControl.recordForwarded(w.cost)
+	}
 	o.decide(w, now)
 }
 
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -15,6 +15,7 @@
 	requestedSum             float64
 	grantedSum               float64
 	shedSum                  float64 // of requests that entry instances shed for lack of resources
+	forwardControl           forwardControl
 	// unmetAt is when the targets last lacked capacity for a request, or an entry instance
 	// refused one.
 	unmetAt   time.Duration
@@ -59,6 +60,7 @@
 	slot := s.slotAt(now)
 	steps := min(slot-s.slot, windowSlots)
 	for name, u := range s.byName {
+		u.forwardControl.endInterval()
 		for i := range steps {
 			u.clear((slot - i) % windowSlots)
 		}
@@ -190,6 +192,7 @@
 	u := s.usageOf(name)
 	u.shed[s.slot%windowSlots] += tokens
 	u.shedSum += tokens
+	u.forwardControl.recordRefused(tokens) // entry instances that shed cannot serve more either
 	s.recordUnmet(name, now)
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -39,6 +39,8 @@
 	effectiveObjectiveAt time.Duration
 	excess               float64 // ratio of the workspace's grants to its share; 0 within the share
 	overloaded           bool    // the workspace asks for more than its share
+	overShare            bool    // with it, the workspace exceeds its share of the configured throughput
+	arrivedLate          bool    // no target could have met its objective when it arrived
 	missCounted          bool    // recorded once as a request that no target could begin in time
 	predictedMiss        bool    // the last decision or review predicted that it misses its objective
 
@@ -225,6 +227,13 @@
 	return t.engine.Slots
 }
 
+// isIdle reports whether the target could begin a further request at no cost for others: it
+// prefills no prompt, none waits for it, and at least half of its slots are free.
+func (t *target) isIdle() bool {
+	slots := t.slots()
+	return len(t.prefillQueue) == 0 && len(t.pending) == 0 && (slots == 0 || 2*len(t.running) <= slots)
+}
+
 // freeSlots returns the number of free slots; for a target without a slot limit it always
 // exceeds the number of queued requests.
 func (t *target) freeSlots() int {
--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -6,12 +6,6 @@
 )
 
 const (
-	// forwardSlack is the ratio of the requests of an overloaded workspace that entry
-	// instances forward to what it can expect to be granted. The surplus lets the owner
-	// choose among requests and detect new capacity.
-	forwardSlack = 1.5
-	// minForwardShare is the lower bound of the share of requests that is forwarded.
-	minForwardShare = 0.05
 	// forwardShareTTL is how long an entry instance applies the latest share from the owner.
 	forwardShareTTL = time.Second
 	// throttleRetryAfter is the Retry-After of throttled callers if nearly all requests are
@@ -21,18 +15,6 @@
 	maxThrottleRetryAfter = 4 * time.Second
 )
 
-// forwardShare returns the share of a workspace's requests that entry instances forward to
-// the owner. It is 1 for a workspace within its fair share. For an overloaded one it is
-// forwardSlack times the part of its demand that it can expect to be granted: the largest of
-// its own grants, its fair share, and the grants of the best served overloaded workspace.
-func (s *shares) forwardShare(name string) float64 {
-	u := s.byName[name]
-	if u == nil || u.requestedSum <= s.fairShare {
-		return 1
-	}
-	return min(1, max(minForwardShare, forwardSlack*max(u.grantedSum, s.fairShare, s.maxGranted)/u.requestedSum))
-}
-
 // Throttle throttles overloaded workspaces at an entry instance: it refuses part of their
 // requests on the owner's behalf and lets the share pass that the owner has set. It bounds
 // the load of one workspace that sends many times its share through one instance. It is not
