placement: refunds only what was charged, as long as it counts

Cause: a request that did not run gave its cost back also where it was never charged (resumed streams, requests reported to a new owner), and after the charge had left the window: the grants of a workspace fell below zero, credit from nothing.

Change: the charge is a record on the request; a refund goes to the slot of the charge. TestRefundsMatchCharges (generated) failed before: -100 tokens.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -120,7 +120,7 @@
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
 	c.target.start(w, now)
 	if !w.request.Resumes {
-		o.shares.recordGranted(w.request.Workspace, w.cost)
+		w.charge = o.shares.recordGranted(w.request.Workspace, w.cost)
 	}
 	d := o.newDecision(w, c)
 	d.Target, d.QueueDelay = c.target.info.ID, now-w.submittedAt
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -263,8 +263,8 @@
 }
 
 // End removes a request that has ended on its target or was withdrawn while queued, records
-// the outcome in the target's health, and starts queued requests. Tokens of a request that
-// did not run are given back to the workspace's share.
+// the outcome in the target's health, and starts queued requests. What a request that did not
+// run was charged is given back to its workspace.
 func (o *Owner) End(k Key, outcome api.AttemptOutcome, now time.Duration) {
 	w := o.requests[k]
 	if w == nil {
@@ -282,7 +282,7 @@
 	}
 	switch outcome {
 	case api.AttemptUnreachable, api.AttemptUnsent, api.AttemptTargetFull, api.AttemptWrongTarget:
-		o.shares.recordGranted(w.request.Workspace, -w.cost)
+		o.shares.refund(w.request.Workspace, w.charge)
 	}
 	if w.target.health.suspectUntil > now {
 		o.redecidePending(w.target, now)
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -177,13 +177,31 @@
 	u.requestedSum += tokens
 }
 
-// recordGranted adds to the grants of a workspace. A negative number gives back the tokens of
-// a request that the target did not run.
-func (s *shares) recordGranted(name string, tokens float64) {
+// charge is what a granted request has added to the grants of its workspace. The zero value is
+// that of a request that was not charged.
+type charge struct {
+	tokens float64
+	slot   int64
+}
+
+// recordGranted adds to the grants of a workspace and returns the charge.
+func (s *shares) recordGranted(name string, tokens float64) charge {
+	s.addGranted(name, tokens, s.slot)
+	return charge{tokens, s.slot}
+}
+
+// refund takes a charge back. It does nothing if the charge has left the window.
+func (s *shares) refund(name string, c charge) {
+	if c.tokens > 0 && s.slot-c.slot < windowSlots {
+		s.addGranted(name, -c.tokens, c.slot)
+	}
+}
+
+func (s *shares) addGranted(name string, tokens float64, slot int64) {
 	u := s.usageOf(name)
-	u.granted[s.slot%windowSlots] += tokens
+	u.granted[slot%windowSlots] += tokens
 	u.grantedSum += tokens
-	s.granted[s.slot%windowSlots] += tokens
+	s.granted[slot%windowSlots] += tokens
 }
 
 // recordShed counts tokens that entry instances shed for lack of resources. As unmet demand
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -50,6 +50,7 @@
 	reviewedAt      time.Duration
 
 	target        *target // on which it runs; nil while queued
+	charge        charge  // against the share of its workspace
 	uncached      int     // prompt tokens that need prefill
 	sentAt        time.Duration
 	gotFirstEvent bool
--- a/internal/placement/unit_test.go
+++ b/internal/placement/unit_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"nutmegrouter/internal/api"
 )
@@ -67,6 +68,49 @@
 	is.Equal(len(s.byName), 0)
 }
 
+// Guards against credit from nothing: tokens given back for requests that were never charged, as
+// resumed streams and those reported to a new owner, or whose charge has left the window.
+func TestRefundsMatchCharges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(1, 3, 8, 100_000, 1000)
+		o, now := s.owner, time.Duration(0)
+		running := map[Key]bool{}
+		for n := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			k := Key{"n", n}
+			req := Request{Service: "m", Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), PromptTokens: 100,
+				Objective: second, RouteObjective: second, Deadline: 4 * second, Prompt: []Part{{ID: PartID(n + 1), Tokens: 100}}}
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				o.Submit(k, req, now)
+			case 1:
+				req.Resumes = true
+				o.Submit(k, req, now)
+			case 2:
+				o.AddRunning(k, req, "e00", false, 0, now)
+				running[k] = true
+			case 3:
+				for k := range running {
+					o.End(k, rapid.SampledFrom([]api.AttemptOutcome{api.AttemptServed, api.AttemptUnsent, api.AttemptTargetFull}).Draw(t, "outcome"), now)
+					delete(running, k)
+				}
+			}
+			o.Tick(now)
+			o.advanceShares(now)
+			for _, d := range o.Decisions() {
+				if d.Target != "" {
+					running[d.Key] = true
+				}
+			}
+			for name, u := range o.shares.byName {
+				if u.grantedSum < 0 {
+					t.Fatalf("grants of %s: %v tokens", name, u.grantedSum)
+				}
+			}
+		}
+	})
+}
+
 // Guards against Local selecting targets that must not be used, or always the same one of
 // several equal targets.
 func TestLocalChoice(t *testing.T) {
