placer: reports carry grants that have just arrived, and refused requests

Cause: between the arrival of a grant and the goroutine of its request, a full report to a new owner listed the request neither as waiting nor as running, so that the new owner did not count it on its target. A full report, and a message that could not be sent, also dropped the refused and shed requests that were not reported yet: a flood then looks small to a new owner.

Change: a grant is entered as running when it arrives; refusals stay in the pending message, 4096 a workspace at most.

--- /dev/null
+++ b/internal/placewire/refusals.go
@@ -0,0 +1,33 @@
+package placewire
+
+// AddRefused adds a request that the entry instance refused. A workspace keeps at most limit of
+// them; further ones are dropped.
+func (m *EntryMessage) AddRefused(workspace string, r Refused, limit int) {
+	if m.Refused == nil {
+		m.Refused = map[string][]Refused{}
+	}
+	if list := m.Refused[workspace]; len(list) < limit {
+		m.Refused[workspace] = append(list, r)
+	}
+}
+
+// AddShed adds the tokens of a request that the entry instance shed.
+func (m *EntryMessage) AddShed(workspace string, tokens int) {
+	if m.Shed == nil {
+		m.Shed = map[string]int{}
+	}
+	m.Shed[workspace] += tokens
+}
+
+// AddRefusals adds the refused and shed requests of a message that could not be sent, with at
+// most limit refused requests for each workspace.
+func (m *EntryMessage) AddRefusals(unsent EntryMessage, limit int) {
+	for workspace, list := range unsent.Refused {
+		for _, r := range list {
+			m.AddRefused(workspace, r, limit)
+		}
+	}
+	for workspace, tokens := range unsent.Shed {
+		m.AddShed(workspace, tokens)
+	}
+}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -27,6 +27,9 @@
 	// The owner limits starts per second and discards the requests of an instance that has
 	// been disconnected for 1.5 s. Connecting takes at most 0.4 s.
 	grantLifetime = time.Second
+	// maxPendingRefusals bounds the refused requests that are kept while no message reaches the
+	// owner.
+	maxPendingRefusals = 4096
 	// suspensionThreshold is the time between two clock checks above which this process
 	// counts as suspended. While requests wait, the clock is checked every 50 ms.
 	suspensionThreshold = 600 * time.Millisecond
@@ -46,6 +49,7 @@
 // decision is the owner's.
 type ownerResponse struct {
 	decision placewire.Decision
+	granted  *assignment // set if decision is a grant
 	// placeLocally is set if the owner is unavailable, askAgain if its grant has expired.
 	placeLocally, askAgain bool
 }
@@ -70,7 +74,7 @@
 		case resp.decision.Target == "":
 			return nil, p.refusal(w, resp.decision)
 		default:
-			return p.acceptGrant(w, number, resp.decision)
+			return p.acceptGrant(w, resp), nil
 		}
 	}
 }
@@ -99,10 +103,7 @@
 		return nil
 	}
 	p.throttled.Inc()
-	if p.pending.Refused == nil {
-		p.pending.Refused = map[string][]placewire.Refused{}
-	}
-	p.pending.Refused[w.Workspace] = append(p.pending.Refused[w.Workspace], placewire.NewRefused(w, now)) // sent with the next message
+	p.pending.AddRefused(w.Workspace, placewire.NewRefused(w, now), maxPendingRefusals) // sent with the next message
 	return &api.Refusal{
 		Code: placement.CodeShareExceeded, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: p.throttle.RetryAfter(w.Workspace),
 		Message:  "the workspace exceeds its share",
@@ -114,10 +115,7 @@
 func (p *Placer) ReportShed(w *api.PlacementRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pending.Shed == nil {
-		p.pending.Shed = map[string]int{}
-	}
-	p.pending.Shed[w.Workspace] += placewire.Tokens(w) // sent with the next message
+	p.pending.AddShed(w.Workspace, placewire.Tokens(w)) // sent with the next message
 }
 
 func asPlacement(a *assignment, err error) (api.Placement, error) {
@@ -167,14 +165,19 @@
 // already arrived is released.
 func (p *Placer) withdraw(number uint64, wt *waiter) {
 	p.mu.Lock()
+	select {
+	case resp := <-wt.response:
+		p.mu.Unlock()
+		if resp.granted != nil {
+			resp.granted.End(api.AttemptUnsent)
+		}
+		return // otherwise the request has already ended at the owner
+	default:
+	}
 	defer p.mu.Unlock()
 	delete(p.waiting, number)
 	p.pending.Ends = append(p.pending.Ends, placewire.End{Number: number, Outcome: api.AttemptUnsent})
 	p.signalSend()
-	select {
-	case <-wt.response: // the end reported above releases the target
-	default:
-	}
 }
 
 // watchLoop checks while requests wait whether the owner has become silent.
@@ -252,18 +255,23 @@
 	return placewire.Running{Request: placewire.NewRequest(a.number, a.work, now), Target: a.target.ID, Began: a.responseStarted, AgoMs: (now - a.startedAt).Milliseconds()}
 }
 
-// acceptGrant starts a request on the target that the owner has granted.
-func (p *Placer) acceptGrant(w *api.PlacementRequest, number uint64, g placewire.Decision) (api.Placement, error) {
+// acceptGrant logs the grant of a request and returns its placement.
+func (p *Placer) acceptGrant(w *api.PlacementRequest, resp ownerResponse) api.Placement {
+	g := resp.decision
 	p.ownerGrants.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
 		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "least_missing_tokens", g.MinUncachedTokens, "least_wait_ms", g.MinUncachedWaitMs, "term", g.Term)
-	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", number: number, chosenAt: p.readClocks()}
+	return resp.granted
+}
+
+// startGranted starts a request on the target that the owner has granted. It is reported to a
+// new owner from now on. The lock must be held.
+func (p *Placer) startGranted(w *api.PlacementRequest, g placewire.Decision) *assignment {
+	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", number: g.Number, chosenAt: p.readClocks()}
 	a.target, _ = p.directory.Target(g.Target) // checkTarget rejects a removed target later
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running[number] = a
+	p.running[g.Number] = a
 	p.local.Start(a.target)
-	return a, nil
+	return a
 }
 
 // refusal converts the owner's refusal of a request for the caller.
@@ -296,10 +304,11 @@
 }
 
 // queueFullReport replaces the pending message by a full report of the waiting and running
-// requests. The lock must be held.
+// requests. Refused and shed requests stay in it, because they are part of the demand that the
+// owner must learn. The lock must be held.
 func (p *Placer) queueFullReport() {
 	now := p.clock.Now()
-	p.pending = placewire.EntryMessage{FullReport: true}
+	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed}
 	for _, a := range p.running {
 		p.pending.Running = append(p.pending.Running, a.report(now))
 	}
@@ -347,6 +356,7 @@
 	if err := p.mesh.Notify(owner.name, placewire.MethodUp, u); err != nil {
 		p.log.Debug("report to the owner not sent", "step", "owner", "peer", owner.name, "error", err)
 		p.mu.Lock()
+		p.pending.AddRefusals(u, maxPendingRefusals)
 		p.queueFullReport()
 		p.mu.Unlock()
 		return false
@@ -402,5 +412,9 @@
 	}
 	p.throttle.SetShare(wt.work.Workspace, g.ForwardShare(), p.clock.Now())
 	g.Term = p.owner.term
-	wt.response <- ownerResponse{decision: g}
+	resp := ownerResponse{decision: g}
+	if g.Target != "" {
+		resp.granted = p.startGranted(wt.work, g)
+	}
+	wt.response <- resp
 }
