forward: a stream is not resumed after events without numbers

Cause: events without an id that came after the last numbered one were sent again by the target that resumed the stream.

Change: such a stream breaks visibly instead; comments do not count.

--- a/plugin/forward/stream.go
+++ b/plugin/forward/stream.go
@@ -29,6 +29,7 @@
 	lastID      uint64 // number of the last delivered event, valid if numbered
 	numbered    bool
 	delivered   int           // events with data that were delivered
+	unnumbered  int           // those of them without a number since the last numbered one
 	lastEventAt time.Duration // on the kernel clock
 	pending     []byte        // unread bytes of the current event
 	err         error         // result of Read after pending; set once, at the end of the response
@@ -121,11 +122,14 @@
 	case s.numbered && e.ID != s.lastID+1:
 		return errMissingEvents
 	default:
-		s.lastID, s.numbered = e.ID, true
+		s.lastID, s.numbered, s.unnumbered = e.ID, true, 0
 	}
 	s.pending = e.Raw
 	if e.HasData {
 		s.delivered++
+		if !e.HasID {
+			s.unnumbered++
+		}
 		s.attempt.placement.ReportEvents(s.delivered)
 	}
 	return nil
@@ -166,8 +170,8 @@
 
 // stopReason returns why the stream cannot be resumed at another target, or "" if it can.
 func (s *streamResponse) stopReason() string {
-	if !s.numbered && s.delivered > 0 {
-		return "the events have no numbers"
+	if s.unnumbered > 0 {
+		return "the last events have no numbers" // another target would send them again
 	}
 	return s.call.stopReason(&attemptFailure{outcome: api.AttemptIncomplete})
 }
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -344,6 +344,9 @@
 		{"gap, resumed", "/draft/1", stream(events(1, 2), events(4, 6)), events(1, 6), true, 1},
 		{"gap, not resumable", "/chat/1", stream(events(1, 2), events(4, 6)), events(1, 2), false, 0},
 		{"torn end, resumed", "/draft/1", stream(events(1, 5), "id: 6\nda"), events(1, 6), true, 1},
+		{"events without numbers, not resumed", "/draft/1", stream(events(1, 2), "data: plain\n\n", "id: 3\ndata: cut"), events(1, 2) + "data: plain\n\n", false, 0},
+		{"numbered again, resumed", "/draft/1", stream(events(1, 2), "data: plain\n\n", events(3, 3), "id: 4\ndata: cut"), events(1, 2) + "data: plain\n\n" + events(3, 6), true, 1},
+		{"comment, resumed", "/draft/1", stream(events(1, 3), ": comment\n\n", "id: 4\ndata: cut"), events(1, 3) + ": comment\n\n" + events(4, 6), true, 1},
 		{"no event, retried", "/draft/1", stream("id: 1 cut"), events(1, 6), true, 1},
 	} {
 		t.Run(x.name, func(t *testing.T) {
