placement: a workspace does not yield while a target is idle

It can wait for its best target instead, ranked behind all others.

Change: the lead of busy targets does not count while an examined target is idle; the request keeps its best target. The second candidate is gone.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -56,6 +56,9 @@
 	score           time.Duration // cost; the lowest wins
 	uncached        int           // prompt tokens that need prefill
 
+	// idleTarget reports whether an examined target is idle. It is set only for a request of a
+	// workspace that exceeds its share.
+	idleTarget bool
 	// minUncached is the lowest number of uncached tokens on any target for which choose
 	// made a prediction, minUncachedWait the wait for that target.
 	minUncached     int
@@ -67,15 +70,15 @@
 const maxScannedTargets = 256
 
 // choose returns the target with the lowest score: a short time until the first event, and
-// little work that delays other requests. Its target is nil if none is usable. For a request of
-// a workspace that exceeds its share, idle is the best idle target, which need not be the best
-// of all: that may be a busy one that has cached the prompt.
+// little work that delays other requests. It returns false if no target is usable.
 //
 // It examines the few targets that have cached a part of the prompt first. Of the others,
 // which must prefill the whole prompt, it predicts only those whose lower bound by backlog
 // is not above the best score. At most maxScannedTargets of them are examined, so that the
 // number of predictions per decision stays bounded in large fleets.
-func (o *Owner) choose(w *work, now time.Duration) (best, idle candidate) {
+func (o *Owner) choose(w *work, now time.Duration) (candidate, bool) {
+	var best candidate
+	idleTarget := false
 	minUncached, minUncachedWait := -1, time.Duration(0)
 	consider := func(t *target, uncached int) candidate {
 		c := o.predict(t, w, uncached, now)
@@ -85,12 +88,10 @@
 		return c
 	}
 	keepBest := func(c candidate) {
-		if c.betterThan(best) {
+		if best.target == nil || c.score < best.score || (c.score == best.score && c.target.info.ID < best.target.info.ID) {
 			best = c
 		}
-		if w.overShare && c.wait == 0 && c.target.isIdle() && c.betterThan(idle) {
-			idle = c
-		}
+		idleTarget = idleTarget || w.overShare && o.isIdle(c.target, now)
 	}
 	preferred := o.affinityTarget(w)
 	if preferred != nil {
@@ -121,23 +122,26 @@
 		if len(w.request.Prompt) == 1 {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score ||
-			(w.overShare && idle.target == nil && t.isIdle()) {
+		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score {
 			keepBest(consider(t, uncached))
+		} else {
+			idleTarget = idleTarget || w.overShare && o.isIdle(t, now)
 		}
 	}
 	if len(others) > maxScannedTargets {
 		o.scanFrom = (o.scanFrom + maxScannedTargets) % len(others)
 	}
-	best.minUncached, best.minUncachedWait = minUncached, minUncachedWait
-	idle.minUncached, idle.minUncachedWait = minUncached, minUncachedWait
-	return best, idle
+	best.idleTarget, best.minUncached, best.minUncachedWait = idleTarget, minUncached, minUncachedWait
+	return best, best.target != nil
 }
 
-// betterThan reports whether the candidate has a lower score than another one, which may be
-// empty.
-func (c candidate) betterThan(other candidate) bool {
-	return other.target == nil || c.score < other.score || (c.score == other.score && c.target.info.ID < other.target.info.ID)
+// isIdle reports whether a target could begin a further request at no cost for others: it
+// prefills no prompt, none waits for it, at least half of its slots are free, and its start
+// limit allows a start.
+func (o *Owner) isIdle(t *target, now time.Duration) bool {
+	slots := t.slots()
+	return len(t.prefillQueue) == 0 && len(t.pending) == 0 && (slots == 0 || 2*len(t.running) <= slots) &&
+		t.startWait(o.startLimit(t, now), 0, now) == 0
 }
 
 // minScore returns a lower bound of the score of a request on a target.
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -31,8 +31,10 @@
 		}
 		w := newWork(Key{"x", 1}, req, s.now)
 		w.effectiveObjectiveAt, w.predictedMiss = w.objectiveAt, rapid.Bool().Draw(t, "late")
+		w.overShare = rapid.Bool().Draw(t, "overShare")
 		got, ok := s.owner.choose(w, s.now)
 		var want candidate
+		wantIdle := false
 		for _, tg := range s.owner.sortedTargets {
 			if !s.owner.inService(tg) {
 				continue
@@ -41,6 +43,7 @@
 			if tg == s.owner.affinityTarget(w) {
 				c.score -= affinityBonus
 			}
+			wantIdle = wantIdle || w.overShare && s.owner.isIdle(tg, s.now)
 			if want.target == nil || c.score < want.score {
 				want = c
 			}
@@ -48,6 +51,9 @@
 		if !ok || got.target != want.target || got.score != want.score || got.uncached != want.uncached {
 			t.Fatalf("chose %s with score %v, want %s with score %v", got.target.info.ID, got.score, want.target.info.ID, want.score)
 		}
+		if got.idleTarget != wantIdle {
+			t.Fatalf("idle target found: %v, want %v", got.idleTarget, wantIdle)
+		}
 		// The index lists only current targets that have cached the part.
 		for id, all := range s.owner.cacheIndex {
 			for tg := range all {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -31,27 +31,20 @@
 		w.overloaded = o.shares.overloaded(w.request.Workspace)
 		w.overShare = o.shares.exceedsShare(w.request.Workspace, w.cost)
 	}
-	c, idle := o.choose(w, now)
-	ok := c.target != nil
+	c, ok := o.choose(w, now)
 	if ok && !w.missCounted && !w.request.Resumes && w.missesObjective(c.firstEventAfter, now) {
 		w.missCounted = true
 		o.shares.recordMissed(w.cost)
 	}
 	if ok && w.rank() < rankMissesObjective && w.missesObjective(c.firstEventAfter, now) {
 		w.predictedMiss = true
-		c, idle = o.choose(w, now)
+		c, ok = o.choose(w, now)
 	}
 	if !ok {
 		o.refuse(w, c, CodeNoTarget, 0, now)
 		return
 	}
-	code := o.refusalCode(w, c, now)
-	if code == CodeShareYields && idle.target != nil {
-		// It would yield while waiting for a busy target, although another one is idle.
-		c = idle
-		code = o.refusalCode(w, c, now)
-	}
-	if code != "" {
+	if code := o.refusalCode(w, c, now); code != "" {
 		o.refuse(w, c, code, c.wait, now)
 		return
 	}
@@ -81,7 +74,7 @@
 	}
 	overShare := o.shares.exceedsShare(w.request.Workspace, w.cost)
 	switch {
-	case overShare && c.wait > 0 && o.shares.exceedsBusyLead(w.request.Workspace, w.cost, now):
+	case overShare && c.wait > 0 && !c.idleTarget && o.shares.exceedsBusyLead(w.request.Workspace, w.cost, now):
 		return CodeShareYields
 	case overShare && o.shares.exceedsIdleLead(w.request.Workspace, w.cost, now):
 		return CodeShareYields
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -228,13 +228,6 @@
 	return t.engine.Slots
 }
 
-// isIdle reports whether the target could begin a further request at no cost for others: it
-// prefills no prompt, none waits for it, and at least half of its slots are free.
-func (t *target) isIdle() bool {
-	slots := t.slots()
-	return len(t.prefillQueue) == 0 && len(t.pending) == 0 && (slots == 0 || 2*len(t.running) <= slots)
-}
-
 // freeSlots returns the number of free slots; for a target without a slot limit it always
 // exceeds the number of queued requests.
 func (t *target) freeSlots() int {
