--- a/cmd/nutmegctl/explain.go
+++ b/cmd/nutmegctl/explain.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -48,7 +49,10 @@
 // maxLogFiles allows several log files for each instance of the largest fleet.
 const maxLogFiles = 10000
 
-func readLogFile(r *explain.Reader, name string) error {
+// logReader reads the log lines of one source.
+type logReader interface{ Read(io.Reader) error }
+
+func readLogFile(r logReader, name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return errors.WithMessage(err, "open log")
--- a/cmd/nutmegctl/main.go
+++ b/cmd/nutmegctl/main.go
@@ -51,6 +51,7 @@
 		{"out", "DATA-CENTRE", "take a data centre out of service", (*tool).takeOut},
 		{"back", "DATA-CENTRE", "bring a data centre back into service", (*tool).bringBack},
 		{"explain", "[-json] REQUEST [LOG...]", "show what happened to a request, from log files or standard input", (*tool).explain},
+		{"losses", "[-json] [-by workspace|kind|time] [-interval D] [LOG...]", "count requests that were not served in time, by cause, from log files or standard input", (*tool).losses},
 		{"timeline", "[-since D] [-kind K] [-workspace W] [-target T] [-request R]", "print the merged events of all instances", (*tool).timeline},
 	}
 }
--- a/cmd/nutmegctl/main_test.go
+++ b/cmd/nutmegctl/main_test.go
@@ -183,3 +183,24 @@
 	is.True(strings.Contains(errOut.String(), "no line of request r2"))
 	is.Equal(run([]string{"explain"}, nil, &out, &errOut), exitUsage)
 }
+
+// Guards against a table that lacks a cause or a group, and against wrong flags that are accepted.
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	lines := `{"time":"2026-01-01T00:00:03Z","msg":"admitted","instance":"e1","request":"r1","workspace":"w","kind":"streaming","objective_ms":500}
+{"time":"2026-01-01T00:00:03.1Z","msg":"answered","instance":"e1","request":"r1","status":200}
+{"time":"2026-01-01T00:00:05Z","msg":"refused","instance":"e1","request":"r2","workspace":"w","code":"not_ready"}
+`
+	var out, errOut bytes.Buffer
+	is.Equal(run([]string{"losses", "-by", "workspace"}, strings.NewReader(lines), &out, &errOut), exitOK)
+	is.True(strings.Contains(out.String(), "owner or configuration away"))
+	is.True(strings.Contains(out.String(), "w          2         1        1"))
+	out.Reset()
+	is.Equal(run([]string{"losses", "-json"}, strings.NewReader(lines), &out, &errOut), exitOK)
+	var got struct{ Groups []struct{ Attempts int } }
+	is.NoErr(json.Unmarshal(out.Bytes(), &got))
+	is.Equal(len(got.Groups), 2) // two spans of 2 s
+	is.Equal(run([]string{"losses", "-by", "target"}, strings.NewReader(lines), &out, &errOut), exitUsage)
+	is.Equal(run([]string{"losses", "-interval", "1ms"}, strings.NewReader(lines), &out, &errOut), exitUsage)
+	is.Equal(run([]string{"losses"}, strings.NewReader(""), &out, &errOut), exitFailure)
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -97,18 +97,26 @@
 // which it wrote them. Text before the first brace of a line is skipped, because log
 // collectors add prefixes. It fails on a read error and on a line above 1 MiB.
 func (r *Reader) Read(src io.Reader) error {
+	read, unreadable, err := scanLines(src, r.add)
+	r.result.LinesRead += read
+	r.result.Unreadable += unreadable
+	return err
+}
+
+// scanLines calls add for each log line of a source. It returns the number of lines read and
+// of those that are not log lines.
+func scanLines(src io.Reader, add func(Line)) (read, unreadable int, err error) {
 	s := bufio.NewScanner(src)
 	s.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for s.Scan() {
-		r.result.LinesRead++
-		l, ok := parse(s.Bytes())
-		if !ok {
-			r.result.Unreadable++
-			continue
+		read++
+		if l, ok := parse(s.Bytes()); ok {
+			add(l)
+		} else {
+			unreadable++
 		}
-		r.add(l)
 	}
-	return errors.WithMessage(s.Err(), "read log lines")
+	return read, unreadable, errors.WithMessage(s.Err(), "read log lines")
 }
 
 // parse decodes a log line; ok is false if it is not one of this program.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -123,7 +123,7 @@
 func (o *Owner) newDecision(w *work, c candidate) Decision {
 	return Decision{
 		Key: w.key, Excess: w.excess, ForwardShare: o.shares.forwardShare(w.request.Workspace), QueueDelay: c.wait,
-		UncachedTokens: c.uncached, MinUncachedTokens: c.minUncached, MinUncachedWait: c.minUncachedWait,
+		UncachedTokens: c.uncached, MinUncachedTokens: c.minUncached, MinUncachedWait: c.minUncachedWait, IdleTarget: c.idleTarget,
 	}
 }
 
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -56,6 +56,9 @@
 	// UncachedTokens.
 	UncachedTokens, MinUncachedTokens int
 	MinUncachedWait                   time.Duration
+	// IdleTarget reports, for a request of a workspace that exceeds its share, whether an
+	// examined target was idle.
+	IdleTarget bool
 }
 
 // Reasons of refusals.
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -109,6 +109,9 @@
 	// MinUncachedWaitMs the wait for that target in milliseconds.
 	MinUncachedTokens int   `json:"l,omitempty"`
 	MinUncachedWaitMs int64 `json:"y,omitempty"`
+	// IdleTarget reports that a target was idle when a request beyond its workspace's share was
+	// decided on.
+	IdleTarget bool `json:"i,omitempty"`
 	// Term is the owner's term, set by the receiver; it is not sent.
 	Term uint64 `json:"-"`
 }
@@ -180,6 +183,6 @@
 	return Decision{
 		Number: d.Key.Number, Target: d.Target, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
-		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(),
+		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
 	}
 }
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -279,7 +279,7 @@
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
 		Message: "the targets cannot serve the request in time", RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
-		LogAttrs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "term", g.Term},
+		LogAttrs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "idle_target", g.IdleTarget, "term", g.Term},
 	}
 }
 
