gateway: requests wait for the first configuration after a start

Hypothesis: after a loss of power the processes are back 0.5 s before the configuration is in force; callers that are refused as not ready come back within that time and are refused again.

Change: for one second after its start, and for at most half of the request's deadline, an instance lets requests wait until it has a configuration and a list of targets. It reports not ready meanwhile.

--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -47,7 +47,8 @@
 	g.stats.requests.Inc()
 	g.log.Info("admitted", "step", "admit", "request", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(),
 		"service", r.Service, "workspace", r.Workspace, "version", g.table.Load().Version,
-		"prompt_tokens", r.Fields.PromptTokens, "output_tokens", r.Fields.MaxOutputTokens, "left_ms", (r.Deadline - g.clock.Now()).Milliseconds())
+		"prompt_tokens", r.Fields.PromptTokens, "output_tokens", r.Fields.MaxOutputTokens, "left_ms", (r.Deadline - g.clock.Now()).Milliseconds(),
+		"objective_ms", (r.Route.Objective - r.PriorWait).Milliseconds())
 	r.CallerConnected = conn.Connected
 	workCtx, cancel := context.WithCancel(context.Background())
 	stopWatch := conn.WatchDisconnect(func() {
@@ -72,6 +73,7 @@
 	r := &api.ForwardRequest{Header: h, ReceivedAt: arrived}
 	fields, err := g.dialect.ParseRequest(h)
 	r.Fields, r.ID = fields, fields.RequestID
+	g.startup.wait(fields.Timeout, g.clock.Now())
 	t := g.table.Load()
 	if t == nil {
 		return r, notReadyRefusal("no configuration yet")
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -75,6 +75,7 @@
 	stats     *stats
 
 	table           atomic.Pointer[routing.Table]
+	startup         startup
 	waitEstimator   waitEstimator
 	memory          *overload.MemoryLimit
 	load            *loadGate
@@ -108,7 +109,9 @@
 	g.conns = callerconn.NewTracker(g.stats.sentBytes, &callerconn.Limits{IdleTimeout: g.idleLimit, HeaderTimeout: g.headerReadLimit, RequestTimeout: g.requestReadLimit})
 	g.conns.SetMaxOpen(int(min(callerSocketShare*float64(c.Settings.Routes.MaxSockets()), idleMemoryShare*memory/idleConnBytes)))
 	g.stats.registerGauges(c.Metrics, g.conns, g.memory, g.load)
+	g.startup.begin(g.clock.Now())
 	g.fleet.OnChange(g.applyView)
+	g.directory.OnChange(g.endStartup)
 	g.http = &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.handleMalformed, HeaderReceived: g.limitBody,
 		ReadBufferSize: headerBuffer, WriteBufferSize: writeBuffer, MaxRequestBodySize: maxBodyBytes,
@@ -132,6 +135,7 @@
 		return
 	}
 	g.table.Store(t)
+	g.endStartup()
 	logqueue.Notice(g.log, "configuration in force", "step", "view", "version", v.Version, "revision", v.Revision,
 		"routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces))
 }
