placement: a request that misses its objective may use a target that has rested

Hypothesis: late service is better than none where it displaces nothing. A target that has been idle for as long as the prompt takes to prefill has already cost as much capacity as serving it does.

Change: an overloaded workspace's request that would be refused because it misses its objective goes to the best such target. The rule follows the prompt and the learned speed of the target; it has no constant.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -70,14 +70,14 @@
 const maxScannedTargets = 256
 
 // choose returns the target with the lowest score: a short time until the first event, and
-// little work that delays other requests. It returns false if no target is usable.
+// little work that delays other requests. Its target is nil if none is usable. For a request of
+// an overloaded workspace, rested is the best target for which hasRested holds, if there is one.
 //
 // It examines the few targets that have cached a part of the prompt first. Of the others,
 // which must prefill the whole prompt, it predicts only those whose lower bound by backlog
 // is not above the best score. At most maxScannedTargets of them are examined, so that the
 // number of predictions per decision stays bounded in large fleets.
-func (o *Owner) choose(w *work, now time.Duration) (candidate, bool) {
-	var best candidate
+func (o *Owner) choose(w *work, now time.Duration) (best, rested candidate) {
 	idleTarget := false
 	minUncached, minUncachedWait := -1, time.Duration(0)
 	consider := func(t *target, uncached int) candidate {
@@ -88,9 +88,12 @@
 		return c
 	}
 	keepBest := func(c candidate) {
-		if best.target == nil || c.score < best.score || (c.score == best.score && c.target.info.ID < best.target.info.ID) {
+		if c.betterThan(best) {
 			best = c
 		}
+		if w.overloaded && c.wait == 0 && o.hasRested(c.target, c.uncached, now) && c.betterThan(rested) {
+			rested = c
+		}
 		idleTarget = idleTarget || w.overShare && o.isIdle(c.target, now)
 	}
 	preferred := o.affinityTarget(w)
@@ -122,7 +125,8 @@
 		if len(w.request.Prompt) == 1 {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score {
+		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score ||
+			(w.overloaded && rested.target == nil && o.hasRested(t, uncached, now)) {
 			keepBest(consider(t, uncached))
 		} else {
 			idleTarget = idleTarget || w.overShare && o.isIdle(t, now)
@@ -131,8 +135,23 @@
 	if len(others) > maxScannedTargets {
 		o.scanFrom = (o.scanFrom + maxScannedTargets) % len(others)
 	}
-	best.idleTarget, best.minUncached, best.minUncachedWait = idleTarget, minUncached, minUncachedWait
-	return best, best.target != nil
+	for _, c := range []*candidate{&best, &rested} {
+		c.idleTarget, c.minUncached, c.minUncachedWait = idleTarget, minUncached, minUncachedWait
+	}
+	return best, rested
+}
+
+// betterThan reports whether the candidate has a lower score than another one, which may have
+// no target.
+func (c candidate) betterThan(other candidate) bool {
+	return other.target == nil || c.score < other.score || (c.score == other.score && c.target.info.ID < other.target.info.ID)
+}
+
+// hasRested reports whether a target has been idle for as long as the prefill of a number of
+// tokens takes. A request that misses its objective may use such a target: waiting for one that
+// meets it has already cost as much capacity.
+func (o *Owner) hasRested(t *target, uncached int, now time.Duration) bool {
+	return now-max(t.lastFirstEventAt, t.lastStartAt) >= t.prefillTime(float64(uncached)) && o.isIdle(t, now)
 }
 
 // isIdle reports whether a target could begin a further request at no cost for others: it
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -31,10 +31,10 @@
 		}
 		w := newWork(Key{"x", 1}, req, s.now)
 		w.effectiveObjectiveAt, w.predictedMiss = w.objectiveAt, rapid.Bool().Draw(t, "late")
-		w.overShare = rapid.Bool().Draw(t, "overShare")
-		got, ok := s.owner.choose(w, s.now)
+		w.overShare, w.overloaded = rapid.Bool().Draw(t, "overShare"), rapid.Bool().Draw(t, "overloaded")
+		got, rested := s.owner.choose(w, s.now)
 		var want candidate
-		wantIdle := false
+		wantIdle, wantRested := false, false
 		for _, tg := range s.owner.sortedTargets {
 			if !s.owner.inService(tg) {
 				continue
@@ -43,14 +43,18 @@
 			if tg == s.owner.affinityTarget(w) {
 				c.score -= affinityBonus
 			}
+			wantRested = wantRested || w.overloaded && c.wait == 0 && s.owner.hasRested(tg, c.uncached, s.now)
 			wantIdle = wantIdle || w.overShare && s.owner.isIdle(tg, s.now)
 			if want.target == nil || c.score < want.score {
 				want = c
 			}
 		}
-		if !ok || got.target != want.target || got.score != want.score || got.uncached != want.uncached {
+		if got.target == nil || got.target != want.target || got.score != want.score || got.uncached != want.uncached {
 			t.Fatalf("chose %s with score %v, want %s with score %v", got.target.info.ID, got.score, want.target.info.ID, want.score)
 		}
+		if (rested.target != nil) != wantRested || rested.wait != 0 {
+			t.Fatalf("rested target found: %v with wait %v, want one: %v", rested.target != nil, rested.wait, wantRested)
+		}
 		if got.idleTarget != wantIdle {
 			t.Fatalf("idle target found: %v, want %v", got.idleTarget, wantIdle)
 		}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -31,20 +31,25 @@
 		w.overloaded = o.shares.overloaded(w.request.Workspace)
 		w.overShare = o.shares.exceedsShare(w.request.Workspace, w.cost)
 	}
-	c, ok := o.choose(w, now)
+	c, rested := o.choose(w, now)
+	ok := c.target != nil
 	if ok && !w.missCounted && !w.request.Resumes && w.missesObjective(c.firstEventAfter, now) {
 		w.missCounted = true
 		o.shares.recordMissed(w.cost)
 	}
 	if ok && w.rank() < rankMissesObjective && w.missesObjective(c.firstEventAfter, now) {
 		w.predictedMiss = true
-		c, ok = o.choose(w, now)
+		c, rested = o.choose(w, now)
 	}
 	if !ok {
 		o.refuse(w, c, CodeNoTarget, 0, now)
 		return
 	}
-	if code := o.refusalCode(w, c, now); code != "" {
+	code := o.refusalCode(w, c, now)
+	if code == CodeShareExceeded && rested.target != nil && !w.outlastsCaller(rested.firstEventAfter, now) {
+		c, code = rested, ""
+	}
+	if code != "" {
 		o.refuse(w, c, code, c.wait, now)
 		return
 	}
@@ -80,12 +85,18 @@
 		return CodeShareYields
 	case missed && (w.excess > 0 || o.shares.overloaded(w.request.Workspace)):
 		return CodeShareExceeded
-	case missed && now+c.firstEventAfter+responseMargin > w.callerGivesUpAt():
+	case missed && w.outlastsCaller(c.firstEventAfter, now):
 		return CodeTooLate
 	}
 	return ""
 }
 
+// outlastsCaller reports whether the caller gives up before a first event that comes
+// firstEventAfter from now.
+func (w *work) outlastsCaller(firstEventAfter, now time.Duration) bool {
+	return now+firstEventAfter+responseMargin > w.callerGivesUpAt()
+}
+
 // callerGivesUpAt returns when the caller is expected to abandon the request without a first
 // event.
 func (w *work) callerGivesUpAt() time.Duration {
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"nutmegrouter/internal/api"
 )
 
 // Guards against a queue that outlasts an overload: on a small copy of the large Amman site,
@@ -35,3 +38,73 @@
 	is.True(during.onTimeShare() >= 0.8/1.6) // the slots can run 1/1.6 of the load
 	is.True(after.onTimeShare() >= 0.95)
 }
+
+// Guards against refusing callers that come back late while a target has been idle for longer
+// than their prompt takes: they would never be served. One workspace sends four times what the
+// targets can prefill for a second, and a tenth before and after.
+func TestReturningCallersUseIdleTargets(t *testing.T) {
+	var returned, served, refusedWithRoom int
+	for seed := range uint64(4) {
+		s := newSlotSim(seed)
+		s.retries = true
+		s.view.TokensPerSecond = 300_000
+		s.owner.SetView(s.view, 0)
+		for i := range 5 {
+			generateSlotMix(s, fmt.Sprint("small", i), 0.02, 0, 8*second)
+		}
+		generateSlotMix(s, "large", 0.1, 0, 8*second)
+		generateSlotMix(s, "large", 4, 4*second, 5*second)
+		s.onRefused = func(c *call) {
+			if !c.retried || c.refused != CodeShareExceeded {
+				return
+			}
+			for _, tg := range s.owner.sortedTargets {
+				if s.owner.hasRested(tg, c.request.PromptTokens, s.now) {
+					refusedWithRoom++
+					return
+				}
+			}
+		}
+		s.run(20 * second)
+		for _, c := range s.calls {
+			if c.retried {
+				returned++
+				if c.refused == "" {
+					served++
+				}
+			}
+		}
+	}
+	t.Logf("%d callers came back, %d were served, %d refused while a target had rested", returned, served, refusedWithRoom)
+	is := is.New(t)
+	is.True(returned >= 1000)
+	is.Equal(refusedWithRoom, 0)
+}
+
+// Guards against refusing the late retry of an overloaded workspace while a target is idle, and
+// against spending a target on it that has only just become idle.
+func TestLateRetryNeedsRestedTarget(t *testing.T) {
+	for _, x := range []struct {
+		idleFor time.Duration
+		granted bool
+	}{{50 * time.Millisecond, false}, {500 * time.Millisecond, true}} {
+		is := is.New(t)
+		s := newSim(1, 1, 12, 100_000, 1000)
+		now := 3 * second
+		s.owner.CountThrottled("flood", 50_000, 7, 100*time.Millisecond, now)
+		s.owner.advanceShares(now + second)
+		now += second
+		req := Request{Service: "m", Workspace: "other", PromptTokens: 3500, Objective: second, RouteObjective: second, Deadline: 4 * second,
+			Prompt: []Part{{ID: 6, Tokens: 3500}}}
+		s.owner.AddRunning(Key{"n", 1}, req, "e00", false, 0, now)
+		s.owner.RecordFirstEvent(Key{"n", 1}, now+100*time.Millisecond)
+		s.owner.End(Key{"n", 1}, api.AttemptServed, now+100*time.Millisecond)
+		now += 100*time.Millisecond + x.idleFor
+		s.owner.Decisions()
+		req.Workspace, req.Prompt = "flood", []Part{{ID: 7, Tokens: 3500}} // takes 100 ms
+		s.owner.Submit(Key{"n", 2}, req, now)
+		d := s.owner.Decisions()
+		is.Equal(len(d), 1)
+		is.Equal(d[0].Target != "", x.granted)
+	}
+}
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -26,6 +26,7 @@
 	retries      bool                 // refused callers retry once, after the advised time
 	throttles    map[string]*Throttle // by entry instance; nil = no throttling
 	shedShare    map[string]float64   // share of a workspace's requests that entry instances shed
+	onRefused    func(*call)          // called for each refused attempt; nil = none
 }
 
 // engine is a simulated target.
@@ -150,6 +151,9 @@
 func (s *sim) endRefused(k Key, code string, advice time.Duration) {
 	c := s.calls[k]
 	c.refused, c.done = code, true
+	if s.onRefused != nil {
+		s.onRefused(c)
+	}
 	if s.retries && !c.retried {
 		s.retry(k, min(advice, (c.request.Deadline-(s.now-c.submittedAt))/3))
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -102,6 +102,7 @@
 	cache            *promptCache
 	prefillRate      float64 // prompt tokens per millisecond
 	lastFirstEventAt time.Duration
+	lastStartAt      time.Duration
 	recentStarts     []time.Duration // start times within startWindow, oldest first
 	health           health
 	pending          []*work                // requests queued at the owner for this target
@@ -273,6 +274,7 @@
 // instance placed it, was sent earlier.
 func (t *target) start(w *work, sentAt time.Duration) {
 	w.target, w.sentAt = t, sentAt
+	t.lastStartAt = max(t.lastStartAt, sentAt)
 	w.uncached = t.cache.uncachedTokens(w.request.Prompt)
 	t.invalidateBacklog()
 	t.running[w.key] = w
