--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -91,7 +91,7 @@
 		if c.betterThan(best) {
 			best = c
 		}
-		if w.overloaded && c.wait == 0 && o.hasRested(c.target, c.uncached, now) && c.betterThan(rested) {
+		if w.overloaded && c.wait == 0 && c.score < suspectPenalty && o.hasRested(c.target, c.uncached, now) && c.betterThan(rested) {
 			rested = c
 		}
 		idleTarget = idleTarget || w.overShare && o.isIdle(c.target, now)
@@ -154,13 +154,13 @@
 	return now-max(t.lastFirstEventAt, t.lastStartAt) >= t.prefillTime(float64(uncached)) && o.isIdle(t, now)
 }
 
-// isIdle reports whether a target could begin a further request at no cost for others: it
-// prefills no prompt, none waits for it, at least half of its slots are free, and its start
-// limit allows a start.
+// isIdle reports whether a target could begin a further request at no cost for others: it is
+// not suspect, prefills no prompt, none waits for it, at least half of its slots are free, and
+// its start limit allows a start.
 func (o *Owner) isIdle(t *target, now time.Duration) bool {
 	slots := t.slots()
-	return len(t.prefillQueue) == 0 && len(t.pending) == 0 && (slots == 0 || 2*len(t.running) <= slots) &&
-		t.startWait(o.startLimit(t, now), 0, now) == 0
+	return t.health.suspectUntil <= now && len(t.prefillQueue) == 0 && len(t.pending) == 0 &&
+		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.startLimit(t, now), 0, now) == 0
 }
 
 // minScore returns a lower bound of the score of a request on a target.
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -43,7 +43,7 @@
 			if tg == s.owner.affinityTarget(w) {
 				c.score -= affinityBonus
 			}
-			wantRested = wantRested || w.overloaded && c.wait == 0 && s.owner.hasRested(tg, c.uncached, s.now)
+			wantRested = wantRested || w.overloaded && c.wait == 0 && c.score < suspectPenalty && s.owner.hasRested(tg, c.uncached, s.now)
 			wantIdle = wantIdle || w.overShare && s.owner.isIdle(tg, s.now)
 			if want.target == nil || c.score < want.score {
 				want = c
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -82,14 +82,20 @@
 }
 
 // Guards against refusing the late retry of an overloaded workspace while a target is idle, and
-// against spending a target on it that has only just become idle.
+// against spending a target on it that has only just become idle, is suspect, or was tried.
 func TestLateRetryNeedsRestedTarget(t *testing.T) {
 	for _, x := range []struct {
-		idleFor time.Duration
-		granted bool
-	}{{50 * time.Millisecond, false}, {500 * time.Millisecond, true}} {
+		idleFor        time.Duration
+		suspect, tried bool
+		granted        bool
+	}{
+		{idleFor: 50 * time.Millisecond},
+		{idleFor: 500 * time.Millisecond, granted: true},
+		{idleFor: 500 * time.Millisecond, suspect: true},
+		{idleFor: 500 * time.Millisecond, tried: true},
+	} {
 		is := is.New(t)
-		s := newSim(1, 1, 12, 100_000, 1000)
+		s := newSim(1, 2, 12, 100_000, 1000)
 		now := 3 * second
 		s.owner.CountThrottled("flood", 50_000, 7, 100*time.Millisecond, now)
 		s.owner.advanceShares(now + second)
@@ -100,7 +106,14 @@
 		s.owner.RecordFirstEvent(Key{"n", 1}, now+100*time.Millisecond)
 		s.owner.End(Key{"n", 1}, api.AttemptServed, now+100*time.Millisecond)
 		now += 100*time.Millisecond + x.idleFor
+		s.owner.AddRunning(Key{"n", 3}, req, "e01", false, 0, now) // the other target is busy
 		s.owner.Decisions()
+		if x.suspect {
+			s.owner.targets["e00"].health.suspectUntil = now + second
+		}
+		if x.tried {
+			req.Tried = []string{"e00"}
+		}
 		req.Workspace, req.Prompt = "flood", []Part{{ID: 7, Tokens: 3500}} // takes 100 ms
 		s.owner.Submit(Key{"n", 2}, req, now)
 		d := s.owner.Decisions()
