--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -37,8 +37,7 @@
 	longPromptFactor = 1.6
 	// warmStartFactor is the part of the start limit of a cold target that is used for targets
 	// not known to be cold. Starts are counted here when they are granted and at the target
-	// when they arrive; on the Quito site a target received up to one more in a second than
-	// was granted.
+	// when they arrive, so that a target may receive more in a second than were granted.
 	warmStartFactor = 0.92
 	// coldStartFactor is the part of the cold start rate that is used for a target known to be
 	// cold.
--- a/internal/placement/retries.go
+++ b/internal/placement/retries.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// refusalTTL is the minimum time for which a refused request is recorded. Callers retry
-	// within a third of their remaining time, 5 s on both users' sites.
+	// refusalTTL is the minimum time for which a refused request is recorded. It exceeds the
+	// longest Retry-After, maxThrottleRetryAfter.
 	refusalTTL = 6 * time.Second
-	// maxTrackedRefusals bounds each of the two generations, which last refusalTTL each.
-	// Both users' sites refuse less than 2,000 requests per second.
+	// maxTrackedRefusals bounds each of the two generations, which last refusalTTL each, to
+	// 5,000 refusals per second.
 	maxTrackedRefusals = 30_000
 )
 
