--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -26,7 +26,7 @@
 	defer conn.HandlerReturned()
 	arrived := g.clock.Now() - time.Since(conn.HandlerStarted())
 	r, refusal := g.admit(ctx, arrived)
-	if refusal == nil && g.endsTooLate(r.Deadline) {
+	if refusal == nil && g.admissionClosed.Load() {
 		refusal = newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
 		refusal.RetryAfter = retryAfterOtherInstance
 	}
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -74,18 +74,16 @@
 	log       *slog.Logger
 	stats     *stats
 
-	table         atomic.Pointer[routing.Table]
-	startup       startup
-	waitEstimator waitEstimator
-	memory        *overload.MemoryLimit
-	load          *loadGate
-	http          *fasthttp.Server
-	listener      *callerconn.Listener
-	conns         *callerconn.Tracker
-	draining      atomic.Bool // set when a planned stop begins
-	// stopAt is the time on the kernel clock at which a planned stop ends, in nanoseconds.
-	// Requests with a later deadline are refused from the moment on at which it is set.
-	stopAt atomic.Int64
+	table           atomic.Pointer[routing.Table]
+	startup         startup
+	waitEstimator   waitEstimator
+	memory          *overload.MemoryLimit
+	load            *loadGate
+	http            *fasthttp.Server
+	listener        *callerconn.Listener
+	conns           *callerconn.Tracker
+	draining        atomic.Bool // set when a planned stop begins
+	admissionClosed atomic.Bool // set when a planned stop refuses all further requests
 }
 
 // Provision implements kernel.Plugin. It fails if a service that the gateway uses is not
