--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -71,8 +71,7 @@
 
 // rejectRatio is the ratio of open connections to the limit at which new ones are closed
 // unread. Below it, closing idle connections makes room for new ones. Under overload none is
-// idle: without this limit, 4,700 connections took 107 of the 112 MB of an entry instance in the
-// enlarged Quito fleet.
+// idle: without this limit, 4,700 connections took 107 of the 112 MB of an entry instance.
 const rejectRatio = 1.3
 
 // admit reports whether a new connection may be opened. At or above the limit it closes idle
