gateway: a flooded instance logs what it accepts and sheds each second

They are limited to 64 KB/s a process, so of 2,300 refusals a second about 170 are written: "refuses 124 and 123 a second" was the limit of the log, and the three hypotheses could not be told apart: a. the gate sheds more than the processor needs; b. refusing uses the processor up; c. two entries can't serve half of what five give.

Change: a line 'requests shed' with the totals of the gate, the ticks of the load measurement and the largest delay.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -77,11 +77,50 @@
 	burstReached   bool // workspaceLimit has been lowered in this period
 	shed           int  // requests shed in this period
 	ticksSinceShed int  // ticks since the last period with shed requests
+	totals         Totals
+}
+
+// Totals counts the requests and ticks since the last call of Gate.TakeTotals.
+type Totals struct {
+	Accepted, Shed map[string]int // requests by workspace
+	Ticks          int
+	MaxDelay       time.Duration // largest tick delay
+}
+
+func newTotals() Totals { return Totals{Accepted: map[string]int{}, Shed: map[string]int{}} }
+
+// MostShed returns the workspace with the most shed requests, "" if there is none.
+func (t Totals) MostShed() string {
+	most := ""
+	for workspace, n := range t.Shed {
+		if most == "" || n > t.Shed[most] || (n == t.Shed[most] && workspace < most) {
+			most = workspace
+		}
+	}
+	return most
+}
+
+// Sum returns the number of accepted and of shed requests.
+func (t Totals) Sum() (accepted, shed int) {
+	for _, n := range t.Accepted {
+		accepted += n
+	}
+	for _, n := range t.Shed {
+		shed += n
+	}
+	return accepted, shed
+}
+
+// TakeTotals returns the totals since the last call and starts new ones.
+func (g *Gate) TakeTotals() Totals {
+	t := g.totals
+	g.totals = newTotals()
+	return t
 }
 
 // New returns a gate without a rate limit.
 func New() *Gate {
-	return &Gate{rateLimit: math.Inf(1), workspaceLimit: math.Inf(1), demand: map[string]int{}, burstLimit: minBurst, ticksSinceShed: readyAfterTicks}
+	return &Gate{rateLimit: math.Inf(1), workspaceLimit: math.Inf(1), demand: map[string]int{}, burstLimit: minBurst, ticksSinceShed: readyAfterTicks, totals: newTotals()}
 }
 
 // Rate returns the rate limit in requests a second, +Inf if there is none.
@@ -107,9 +146,11 @@
 	}
 	if float64(n) >= g.workspaceLimit {
 		g.shed++
+		g.totals.Shed[workspace]++
 		return false
 	}
 	g.accepted++
+	g.totals.Accepted[workspace]++
 	return true
 }
 
@@ -117,6 +158,7 @@
 // tick; the part above Period is how long the tick waited for the processor.
 func (g *Gate) Tick(elapsed time.Duration) {
 	delay := max(0, elapsed-Period)
+	g.totals.Ticks, g.totals.MaxDelay = g.totals.Ticks+1, max(g.totals.MaxDelay, delay)
 	if delay > minSuspension {
 		g.startPeriod(Period)
 		return
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -142,3 +142,24 @@
 	m.Release(1)
 	is.Equal(m.Reserved(), int64(0))
 }
+
+// Guards against totals that miss requests, name the wrong workspace, or count some twice.
+func TestTotals(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	for range 50 {
+		g.Allow("large")
+	}
+	g.Allow("small")
+	g.Tick(Period + 30*time.Millisecond)
+	totals := g.TakeTotals()
+	accepted, shed := totals.Sum()
+	is.Equal(accepted+shed, 51)
+	is.True(shed > 0)
+	is.Equal(totals.MostShed(), "large")
+	is.Equal(totals.Accepted["small"], 1)
+	is.Equal(totals.Ticks, 1)
+	is.Equal(totals.MaxDelay, 30*time.Millisecond)
+	accepted, shed = g.TakeTotals().Sum()
+	is.Equal(accepted+shed, 0)
+}
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"runtime"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -84,6 +86,7 @@
 	timer := time.NewTimer(overload.Period)
 	defer timer.Stop()
 	last := time.Now()
+	reported := last
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,11 +99,38 @@
 			logqueue.Notice(g.log, "processor overload", "step", "load", "bounded", state.rateLimited, "shedding", state.shedding,
 				"late_ms", g.load.schedulingDelay().Milliseconds())
 		}
+		if now.Sub(reported) >= loadReportInterval {
+			g.reportLoad(now.Sub(reported))
+			reported = now
+		}
 		last = now
 		timer.Reset(overload.Period)
 	}
 }
 
+// loadReportInterval is the shortest time between two reports of the load.
+const loadReportInterval = time.Second
+
+// reportLoad logs what the instance accepted and shed since the last report, if it shed
+// requests. The lines of single refusals are limited in volume and do not show the totals.
+func (g *Gateway) reportLoad(since time.Duration) {
+	g.load.mu.Lock()
+	totals, rate := g.load.gate.TakeTotals(), g.load.gate.Rate()
+	g.load.mu.Unlock()
+	accepted, shed := totals.Sum()
+	if shed == 0 {
+		return
+	}
+	open, busy := g.conns.Count()
+	most := totals.MostShed()
+	var gc debug.GCStats
+	debug.ReadGCStats(&gc)
+	logqueue.Notice(g.log, "requests shed", "step", "load", "since_ms", since.Milliseconds(), "accepted", accepted, "shed", shed,
+		"workspace", most, "workspace_accepted", totals.Accepted[most], "workspace_shed", totals.Shed[most],
+		"rate", min(rate, math.MaxInt32), "ticks", totals.Ticks, "max_late_ms", totals.MaxDelay.Milliseconds(),
+		"connections", open, "busy_connections", busy, "goroutines", runtime.NumGoroutine(), "collections", gc.NumGC)
+}
+
 // reserve reserves processor time and memory for a request. It returns a refusal if
 // either is exhausted, or nil.
 func (g *Gateway) reserve(r *api.ForwardRequest) *api.Refusal {
