callerconn: a flood of connections is accepted in turns

Cause: a flood of connections is accepted in one turn of the accept goroutine, each wakes a goroutine, and every hop of a request under way (the owner's answer, the send, each event) waits behind hundreds of refusals. It is a congestion collapse: the work of saying no starves the work that was accepted.

Change: after 16 accepted connections the accept goroutine yields, so that all other ready goroutines run before the next ones.

--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -196,8 +197,14 @@
 	net.Listener
 	tracker    *Tracker
 	lastAccept atomic.Int64 // time of the last accepted connection; monotonic nanoseconds since epoch
+	accepted   int          // connections since the last yield; owned by the goroutine of Accept
 }
 
+// acceptsPerYield is the number of connections that are accepted before all other ready
+// goroutines run. Without that limit a flood of connections is accepted in one turn, and the
+// requests under way wait until all of their requests have been answered.
+const acceptsPerYield = 16
+
 // acceptRetryDelay is the delay after an accept that failed for lack of a file descriptor.
 const acceptRetryDelay = 20 * time.Millisecond
 
@@ -205,6 +212,10 @@
 // unread. Since no request was read, their callers may safely retry at another instance.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		if l.accepted++; l.accepted >= acceptsPerYield {
+			l.accepted = 0
+			runtime.Gosched()
+		}
 		nc, err := l.accept()
 		if err != nil {
 			return nil, err
