overload: the limits of the gate hold by time, not by tick

Cause: the limit of a workspace counted the requests of one tick.

Change: Allow is told the time since the last tick; the limits of workspaces and of bursts grow with it. Accepted requests are counted, not received ones, so that a flood doesn't use up its own limit.

TestLimitsHoldByTimeWhenTicksAreLate failed before (15 of 300 requests passed in 2 s at 150 a second).

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -68,8 +68,9 @@
 	rateLimit        float64        // requests a second; +Inf = no limit
 	meanDelay        time.Duration  // moving average of the tick delay
 	ticksWithoutShed int            // consecutive, while the rate is limited
-	workspaceLimit   float64        // requests accepted per workspace in this period
+	workspaceLimit   float64        // requests accepted per workspace in each Period
 	demand           map[string]int // requests received per workspace in this period
+	acceptedOf       map[string]int // requests accepted per workspace in this period
 	accepted         int            // requests accepted in this period
 	// burstLimit is the number of accepted requests at which workspaceLimit is lowered to
 	// the fair shares of burstLimit.
@@ -120,7 +121,7 @@
 
 // New returns a gate without a rate limit.
 func New() *Gate {
-	return &Gate{rateLimit: math.Inf(1), workspaceLimit: math.Inf(1), demand: map[string]int{}, burstLimit: minBurst, ticksSinceShed: readyAfterTicks, totals: newTotals()}
+	return &Gate{rateLimit: math.Inf(1), workspaceLimit: math.Inf(1), demand: map[string]int{}, acceptedOf: map[string]int{}, burstLimit: minBurst, ticksSinceShed: readyAfterTicks, totals: newTotals()}
 }
 
 // Rate returns the rate limit in requests a second, +Inf if there is none.
@@ -137,19 +138,22 @@
 func (g *Gate) MeanDelay() time.Duration { return g.meanDelay }
 
 // Allow counts a request of a workspace and reports whether it is accepted or shed.
-func (g *Gate) Allow(workspace string) bool {
-	n := g.demand[workspace]
-	g.demand[workspace] = n + 1
-	if g.accepted >= g.burstLimit && !g.burstReached {
+// sinceTick is the time since the last tick. The limits grow with it: a delayed tick ends a
+// period late, and the requests of that time are accepted at the same rate.
+func (g *Gate) Allow(workspace string, sinceTick time.Duration) bool {
+	g.demand[workspace]++
+	periods := max(1, float64(sinceTick)/float64(Period))
+	if float64(g.accepted) >= periods*float64(g.burstLimit) && !g.burstReached {
 		g.burstReached = true
-		g.workspaceLimit = min(g.workspaceLimit, fairLimit(g.demand, float64(g.burstLimit)))
+		g.workspaceLimit = min(g.workspaceLimit, fairLimit(g.demand, periods*float64(g.burstLimit))/periods)
 	}
-	if float64(n) >= g.workspaceLimit {
+	if float64(g.acceptedOf[workspace]) >= periods*g.workspaceLimit {
 		g.shed++
 		g.totals.Shed[workspace]++
 		return false
 	}
 	g.accepted++
+	g.acceptedOf[workspace]++
 	g.totals.Accepted[workspace]++
 	return true
 }
@@ -184,13 +188,15 @@
 // startPeriod starts a period. It sets workspaceLimit so that the accepted requests
 // reach the rate limit if the demand equals that of the previous period.
 func (g *Gate) startPeriod(elapsed time.Duration) {
-	g.burstLimit = max(minBurst, int(maxRamp*float64(g.accepted)), int(burstDecay*float64(g.burstLimit)))
+	periods := float64(elapsed) / float64(Period)
+	g.burstLimit = max(minBurst, int(maxRamp*float64(g.accepted)/periods), int(burstDecay*float64(g.burstLimit)))
 	g.burstReached = false
 	if g.ticksSinceShed++; g.shed > 0 {
 		g.ticksSinceShed = 0
 	}
-	g.workspaceLimit = fairLimit(g.demand, g.rateLimit*elapsed.Seconds())
+	g.workspaceLimit = fairLimit(g.demand, g.rateLimit*elapsed.Seconds()) / periods
 	clear(g.demand)
+	clear(g.acceptedOf)
 	g.accepted, g.shed = 0, 0
 }
 
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -27,7 +27,7 @@
 		work := time.Duration(0)
 		for w, rate := range rates {
 			for range int(rate * elapsed.Seconds()) {
-				if p.gate.Allow(w) {
+				if p.gate.Allow(w, 0) {
 					p.served[w]++
 					work += p.serveTime
 				} else {
@@ -94,7 +94,7 @@
 	g := New()
 	g.Tick(10 * time.Second)
 	is.True(math.IsInf(g.Rate(), 1))
-	is.True(g.Allow("w"))
+	is.True(g.Allow("w", 0))
 }
 
 // Guards against a limit that lets one workspace use the fair share of another.
@@ -143,14 +143,40 @@
 	is.Equal(m.Reserved(), int64(0))
 }
 
+// Guards against a gate that counts its limits by tick: under load a tick was 2.2 s late, and a
+// workspace was shed until then after the requests of a tenth of a second.
+func TestLimitsHoldByTimeWhenTicksAreLate(t *testing.T) {
+	is := is.New(t)
+	const late = 2 * time.Second
+	g := New()
+	accept := func(until time.Duration) (n int) { // 600 requests a second
+		for at := time.Duration(0); at < until; at += time.Second / 600 {
+			if g.Allow("large", at) {
+				n++
+			}
+		}
+		return n
+	}
+	for g.Rate() > 150 { // overloaded until the limit is about 150 a second
+		accept(Period)
+		g.Tick(Period + 2*maxMeanDelay)
+	}
+	accept(Period)
+	g.Tick(Period) // the limit follows the demand of this period
+	rate := g.Rate()
+	accepted := accept(late)
+	is.True(float64(accepted) >= 0.9*rate*late.Seconds()) // at the rate limit
+	is.True(float64(accepted) <= 1.2*rate*late.Seconds()) // and not above it
+}
+
 // Guards against totals that miss requests, name the wrong workspace, or count some twice.
 func TestTotals(t *testing.T) {
 	is := is.New(t)
 	g := New()
 	for range 50 {
-		g.Allow("large")
+		g.Allow("large", 0)
 	}
-	g.Allow("small")
+	g.Allow("small", 0)
 	g.Tick(Period + 30*time.Millisecond)
 	totals := g.TakeTotals()
 	accepted, shed := totals.Sum()
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -22,17 +22,18 @@
 
 // loadGate makes an overload.Gate safe for concurrent use.
 type loadGate struct {
-	mu   sync.Mutex
-	gate *overload.Gate
+	mu       sync.Mutex
+	gate     *overload.Gate
+	lastTick time.Time
 }
 
-func newLoadGate() *loadGate { return &loadGate{gate: overload.New()} }
+func newLoadGate() *loadGate { return &loadGate{gate: overload.New(), lastTick: time.Now()} }
 
 // allow counts a request of a workspace. It returns a refusal if the instance has no
 // processor time for it, or nil.
 func (l *loadGate) allow(workspace string) *api.Refusal {
 	l.mu.Lock()
-	ok, rate, delay := l.gate.Allow(workspace), l.gate.Rate(), l.gate.MeanDelay()
+	ok, rate, delay := l.gate.Allow(workspace, time.Since(l.lastTick)), l.gate.Rate(), l.gate.MeanDelay()
 	l.mu.Unlock()
 	if ok {
 		return nil
@@ -54,6 +55,7 @@
 	defer l.mu.Unlock()
 	before := l.state()
 	l.gate.Tick(elapsed)
+	l.lastTick = time.Now()
 	return l.state(), l.state() != before
 }
 
