gateway: Retry-After of shed requests follows from what passes; their connections close

Cause: Retry-After was 50 ms whatever was shed. While 19 of 20 requests are shed, the retry is shed too and costs the processor time that would have served another; a caller that comes back once has then lost its attempt. Connections stayed open, so that next requests came to the same instance after the balancer had taken it out.

Change: Retry-After is 50 ms divided by the share that passes, at most 4 s, shortened by up to half at random so that callers don't return together. A shed request's connection closes.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -56,6 +56,8 @@
 	// burstDecay is the factor by which the burst limit decreases per period at most,
 	// so that a gap in the load does not reset it.
 	burstDecay = 0.9
+	// recentDecay is the weight of each period relative to the next one in PassShare.
+	recentDecay = 0.9
 	// minBurst is the lowest burst limit: the number of requests that are accepted in
 	// every period while the rate is not limited.
 	minBurst = 30
@@ -79,6 +81,18 @@
 	shed           int  // requests shed in this period
 	ticksSinceShed int  // ticks since the last period with shed requests
 	totals         Totals
+	// recentAccepted and recentShed are the requests of the last periods, the older ones with
+	// less weight.
+	recentAccepted, recentShed float64
+}
+
+// PassShare returns the accepted share of the recent requests, from 0 to 1.
+func (g *Gate) PassShare() float64 {
+	accepted, shed := g.recentAccepted+float64(g.accepted), g.recentShed+float64(g.shed)
+	if shed == 0 {
+		return 1
+	}
+	return accepted / (accepted + shed)
 }
 
 // Totals counts the requests and ticks since the last call of Gate.TakeTotals.
@@ -195,6 +209,8 @@
 		g.ticksSinceShed = 0
 	}
 	g.workspaceLimit = fairLimit(g.demand, g.rateLimit*elapsed.Seconds()) / periods
+	g.recentAccepted = recentDecay*g.recentAccepted + float64(g.accepted)
+	g.recentShed = recentDecay*g.recentShed + float64(g.shed)
 	clear(g.demand)
 	clear(g.acceptedOf)
 	g.accepted, g.shed = 0, 0
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -169,6 +169,28 @@
 	is.True(float64(accepted) <= 1.2*rate*late.Seconds()) // and not above it
 }
 
+// Guards against a gate that forgets the flood it sheds, or remembers it after it has ended: the
+// Retry-After of shed requests follows from the accepted share.
+func TestPassShare(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	is.Equal(g.PassShare(), 1.0)
+	run := func(periods, requests int) {
+		for range periods {
+			for range requests {
+				g.Allow("large", 0)
+			}
+			g.Tick(Period)
+		}
+	}
+	run(5, 20)
+	is.Equal(g.PassShare(), 1.0) // within the limits
+	run(10, 600)
+	is.True(g.PassShare() < 0.2)
+	run(60, 20)
+	is.True(g.PassShare() > 0.9)
+}
+
 // Guards against totals that miss requests, name the wrong workspace, or count some twice.
 func TestTotals(t *testing.T) {
 	is := is.New(t)
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -42,6 +42,9 @@
 	if refusal != nil {
 		g.writeRefusal(ctx, refusal, r)
 		g.closeIfDrainingOrCrowded(ctx)
+		if refusal.Code == codeBusy {
+			ctx.SetConnectionClose() // the load balancer chooses an instance for each new connection
+		}
 		return
 	}
 	g.stats.requests.Inc()
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -15,10 +16,28 @@
 	"nutmegrouter/internal/overload"
 )
 
-// retryAfterOtherInstance is the Retry-After of an instance that is stopping or has no
-// processor time left. It is short, because that instance reports itself as not ready
-// and a new connection reaches another one.
-const retryAfterOtherInstance = 50 * time.Millisecond
+const (
+	// retryAfterOtherInstance is the Retry-After of an instance that is stopping, or sheds few
+	// requests. It is short, because that instance reports itself as not ready and a new
+	// connection reaches another one.
+	retryAfterOtherInstance = 50 * time.Millisecond
+	// maxShedRetryAfter is the longest Retry-After of shed requests. Until then the load
+	// balancer has moved the callers to another instance.
+	maxShedRetryAfter = 4 * time.Second
+	// retryAfterSpread is the fraction by which the Retry-After of shed requests may be shorter,
+	// so that their callers do not return together.
+	retryAfterSpread = 0.5
+	// minPassShare is the lowest share of passing requests from which a Retry-After is derived.
+	minPassShare = 1e-3
+)
+
+// shedRetryAfter returns the Retry-After of a shed request, given the share of requests that
+// passed recently and a random number from [0, 1). It is the longer the less likely a retry
+// passes: retries of most callers would use the processor time that serves others.
+func shedRetryAfter(passShare, random float64) time.Duration {
+	longest := min(float64(maxShedRetryAfter), float64(retryAfterOtherInstance)/max(passShare, minPassShare))
+	return time.Duration(longest * (1 - retryAfterSpread*random))
+}
 
 // loadGate makes an overload.Gate safe for concurrent use.
 type loadGate struct {
@@ -33,13 +52,14 @@
 // processor time for it, or nil.
 func (l *loadGate) allow(workspace string) *api.Refusal {
 	l.mu.Lock()
-	ok, rate, delay := l.gate.Allow(workspace, time.Since(l.lastTick)), l.gate.Rate(), l.gate.MeanDelay()
+	ok := l.gate.Allow(workspace, time.Since(l.lastTick))
+	rate, delay, passShare := l.gate.Rate(), l.gate.MeanDelay(), l.gate.PassShare()
 	l.mu.Unlock()
 	if ok {
 		return nil
 	}
 	r := newRefusal(fasthttp.StatusServiceUnavailable, codeBusy, "the instance has no processor time left for the workspace")
-	r.RetryAfter = retryAfterOtherInstance
+	r.RetryAfter = shedRetryAfter(passShare, rand.Float64())
 	r.LogAttrs = []any{"rate", int(rate), "late_ms", delay.Milliseconds()}
 	return r
 }
