placement: prompt parts that crash targets are blocked in the whole fleet

What callers saw: requests that share one part of their prompt crash each target that begins to answer one; 25 to 37 targets crashed in 22 s, and with each all of its streams. Sound requests with the same key or first part were served half as often and less.

Cause: a failed attempt counted against its target only. The owner chose the next target for the same request at once (max_attempts 2), and for the next request with the part. Class of fault: a failure is put down to where it shows, not to what causes it; looked for elsewhere: plain services have no parts, and a resumed stream has been answered before.

Change: the owner counts crashes for each part but the last. A failure before an answer counts as a crash once all requests that the target had before have ended, too; a target that still answers one of them has not crashed. One answer clears all parts of its prompt (entries report it 100 ms after the first event). A part is blocked after 3 crashes with 2 different requests, more where requests fail for other reasons (probability 1e-4), and not while a part that fewer requests have explains the crashes. Requests with it are refused by the owner and, from its next message on, by all entries, also without an owner; full reports carry the list to a new owner. After a minute one request tries the part again, an answer ends the block, a crash doubles it (1 h at most). A request that has failed isn't repeated while a part of it is suspect. Bounds: 4,096 suspects, 256 blocked parts, 32 parts a prompt.

Tried and dropped within this commit, found by its tests: counting failures without waiting for the other requests of the target (a first part that all share was blocked at 3 in 10 failures, twice a minute); blocking all parts that qualify at once (at 3 in 10 deadly requests the first part was blocked with it, and no sound request was served).

--- /dev/null
+++ b/internal/placement/crashes_test.go
@@ -0,0 +1,283 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"nutmegrouter/internal/api"
+)
+
+const (
+	deadlyPart PartID = 0xdead
+	rootPart   PartID = 0x1007
+)
+
+// generatePrompts schedules requests whose prompts all begin with rootPart. A share of them holds
+// deadlyPart, the others one of a number of documents.
+func (s *sim) generatePrompts(perSecond, deadlyShare float64, documents int, from, to time.Duration) {
+	for at := from; at < to; at += time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second)) {
+		s.number++
+		n, second := s.number, hashPart("document", s.rng.IntN(documents))
+		if s.rng.Float64() < deadlyShare {
+			second = deadlyPart
+		}
+		k := Key{Entry: fmt.Sprint("n", n%numEntries), Number: n}
+		req := Request{
+			Service: "m", Workspace: "w", PromptTokens: 1200, OutputTokens: 200,
+			Prompt:    []Part{{rootPart, 500}, {second, 500}, {hashPart("own", int(n)), 200}},
+			Objective: time.Second, Deadline: 15 * time.Second, RouteObjective: time.Second,
+		}
+		s.after(at-s.now, func() {
+			s.calls[k] = &call{request: req, workspace: "w", kind: "draft", submittedAt: s.now}
+			s.ask(k, req)
+		})
+	}
+}
+
+// Guards against requests that crash one target after the other: three seconds after the fifth
+// crash no more than three requests with the part may reach targets, and sound requests that share
+// the first part are served.
+func TestPartThatCrashesTargetsIsBlocked(t *testing.T) {
+	for _, share := range []float64{0.01, 0.02, 0.05, 0.3} {
+		for seed := range uint64(5) {
+			is := is.New(t)
+			s := newSim(seed, 18, 64, 400_000, 400_000)
+			s.tick()
+			s.deadly = deadlyPart
+			s.generatePrompts(60, share, 125, 0, 40*second)
+			s.run(50 * second)
+			late := 0
+			for _, at := range s.deadlyStarts {
+				if len(s.crashes) >= 5 && at > s.crashes[4]+3*second {
+					late++
+				}
+			}
+			sound := s.summarize(20*second, 40*second, func(c *call) bool { return !hasPart(c.request.Prompt, deadlyPart) })
+			t.Logf("share %v seed %d: %d crashes, %d requests reached targets late, sound: %+v", share, seed, len(s.crashes), late, sound)
+			is.True(late <= 3)
+			is.True(sound.started*10 >= sound.asked*9)
+			blocked, _ := s.owner.BlockedParts(s.now)
+			is.Equal(len(blocked), 1) // neither the first part nor a document
+			is.Equal(blocked[0].Part, deadlyPart)
+		}
+	}
+}
+
+// Guards against a part that is blamed for targets that fail for their own reasons: one that many
+// requests share, and one of which there are few requests.
+func TestFailingTargetsBlameNoPart(t *testing.T) {
+	for seed := range uint64(5) {
+		is := is.New(t)
+		s := newSim(seed, 12, 64, 400_000, 400_000)
+		s.tick()
+		s.failShare = 0.3
+		s.generatePrompts(60, 0, 300, 0, 60*second)
+		for at := 5 * second; at < 55*second; at += 4 * second { // targets crash, too
+			e := s.engines[fmt.Sprintf("e%02d", int(at/second)%12)]
+			s.after(at, func() {
+				if !e.unreachable {
+					s.crash(e)
+				}
+			})
+		}
+		s.run(65 * second)
+		blocked, _ := s.owner.BlockedParts(s.now)
+		is.Equal(len(blocked), 0)
+		is.Equal(s.owner.crashes.version, uint64(0)) // nor was one blocked meanwhile
+	}
+}
+
+func prompt(ids ...PartID) []Part {
+	out := make([]Part, len(ids))
+	for i, id := range ids {
+		out[i] = Part{ID: id, Tokens: 100}
+	}
+	return out
+}
+
+// blockPart crashes targets with a part until it is blocked.
+func blockPart(is *is.I, c *crashTracker, now time.Duration) {
+	for n := range maxCrashes {
+		if blocked := c.recordCrash(prompt(deadlyPart, PartID(1000+n)), fmt.Sprint("t", n), now); len(blocked) > 0 {
+			is.Equal(blocked, []PartID{deadlyPart})
+			return
+		}
+	}
+	is.Fail()
+}
+
+// Guards against a part that stays blamed after it has become sound, and against one whose trials
+// crash a target each minute.
+func TestBlockedPartIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTracker()
+	for n := range 100 {
+		c.recordAnswered(prompt(7, PartID(n)), 0)
+	}
+	blockPart(is, c, second)
+	now := second
+	passed := func() bool { _, refused := c.refuses(prompt(deadlyPart, 5), now); return !refused }
+	is.True(!passed())
+	now += initialBlockTime
+	is.True(passed())  // the trial
+	is.True(!passed()) // one at a time
+	is.Equal(c.recordCrash(prompt(deadlyPart, 5), "t9", now+second), []PartID{deadlyPart})
+	now += second + 2*initialBlockTime - time.Millisecond
+	is.True(!passed()) // for twice as long
+	now += time.Millisecond
+	is.True(passed())
+	now += trialTime
+	is.True(passed()) // a trial without a result is repeated
+	c.recordAnswered(prompt(deadlyPart, 5), now)
+	is.True(passed())
+	is.True(passed())
+	is.Equal(len(c.blockedParts(now)), 0)
+}
+
+// Guards against blame that rests on one request or on one target's crash, whose bystanders all
+// fail at once.
+func TestOneCrashBlamesNoPart(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTracker()
+	for n := range 50 { // bystanders of one crash
+		is.Equal(len(c.recordCrash(prompt(rootPart, PartID(n)), "t1", second)), 0)
+	}
+	for n := range 50 { // one request that is repeated
+		is.Equal(len(c.recordCrash(prompt(2, 99), fmt.Sprint("t", n), second)), 0)
+	}
+}
+
+// Guards against false suspects without a bound in memory, and against those that keep a part that
+// crashes targets from being found.
+func TestManySuspectsStayBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTracker()
+	for n := range 20 * maxSuspects {
+		c.recordCrash(prompt(PartID(10_000+n), 1), fmt.Sprint("f", n), time.Duration(n)*time.Millisecond)
+		c.recordAnswered(prompt(3, 4), time.Duration(n)*time.Millisecond)
+	}
+	is.True(len(c.suspects) <= maxSuspects)
+	blockPart(is, c, 20*maxSuspects*time.Millisecond)
+	now := 20 * maxSuspects * time.Millisecond
+	for n := range 2 * maxBlocked { // many parts that look deadly
+		for i := range 10 {
+			c.recordCrash(prompt(PartID(500_000+n), PartID(i)), fmt.Sprint("g", i), now)
+		}
+	}
+	is.True(c.numBlocked <= maxBlocked)
+	is.True(len(c.blockedParts(now)) <= maxBlocked)
+	_, refused := c.refuses(prompt(deadlyPart, 1), now)
+	is.True(refused)
+}
+
+// Guards against silence that is not seen as a crash, and against slow targets that are.
+func TestSilentTargetCountsAsCrashed(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 12, 64, 400_000, 400_000)
+	req := Request{Service: "m", Workspace: "w", PromptTokens: 100, OutputTokens: 10, Objective: second, Deadline: 3 * second, RouteObjective: second}
+	timeOut := func(n uint64, part PartID, othersAnswered bool) {
+		k, other := Key{"e", n}, Key{"e", n + 100}
+		target := fmt.Sprintf("e%02d", n%12)
+		req.Prompt = prompt(part, PartID(1000+n))
+		s.owner.AddRunning(k, req, target, false, false, 0, s.now)
+		s.now += second
+		if othersAnswered {
+			req.Prompt = prompt(9, PartID(2000+n))
+			s.owner.AddRunning(other, req, target, false, false, 0, s.now)
+			s.owner.RecordFirstEvent(other, s.now)
+			s.owner.End(other, api.AttemptServed, s.now)
+		}
+		s.owner.End(k, api.AttemptTimedOut, s.now)
+	}
+	for n := range uint64(2 * maxCrashes) {
+		timeOut(n, 5, true)
+	}
+	is.Equal(s.owner.crashes.numBlocked, 0)
+	for n := range uint64(2 * maxCrashes) {
+		timeOut(50+n, 6, false)
+	}
+	blocked, _ := s.owner.BlockedParts(s.now)
+	is.Equal(len(blocked), 1)
+	is.Equal(blocked[0].Part, PartID(6))
+}
+
+// Guards against a new owner that lets targets crash again with a part that the former one had
+// blocked.
+func TestNewOwnerKeepsBlockedParts(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 4, 64, 400_000, 400_000)
+	s.owner.MergeBlocked([]BlockedPart{{deadlyPart, 20 * second}}, 0)
+	s.owner.MergeBlocked([]BlockedPart{{deadlyPart, 10 * second}}, 0) // another entry instance reports it, too
+	k := Key{"e", 1}
+	s.calls[k] = &call{}
+	req := Request{Service: "m", Prompt: prompt(rootPart, deadlyPart, 3), Objective: second, Deadline: 10 * second, RouteObjective: second}
+	s.owner.Submit(k, req, second)
+	d := s.owner.Decisions()
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Code, CodePartCrashes)
+	is.Equal(d[0].RetryAfter, 19*second)
+}
+
+// Guards against blame against the evidence, in any order of crashes and answers.
+func TestCrashTrackerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCrashTracker()
+		now := time.Duration(0)
+		requests := map[PartID]map[PartID]bool{} // since the last answer, by part
+		trials := map[PartID]int{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond
+			p := prompt(PartID(rapid.IntRange(1, 4).Draw(t, "first")), PartID(rapid.IntRange(5, 8).Draw(t, "second")), PartID(rapid.IntRange(100, 120).Draw(t, "own")))
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				blocked := c.recordCrash(p, fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target")), now)
+				for _, part := range p[:2] {
+					if requests[part.ID] == nil {
+						requests[part.ID] = map[PartID]bool{}
+					}
+					requests[part.ID][p[2].ID] = true
+				}
+				for _, id := range blocked {
+					if id >= 100 || len(requests[id]) < minCrashRequests {
+						t.Fatalf("part %d blocked after crashes with %d requests", id, len(requests[id]))
+					}
+				}
+			case 1:
+				c.recordAnswered(p, now)
+				delete(requests, p[0].ID)
+				delete(requests, p[1].ID)
+				if _, refused := c.refuses(p, now); refused {
+					t.Fatal("refused although a target has answered the request")
+				}
+			case 2:
+				if _, refused := c.refuses(p, now); !refused {
+					for _, part := range p[:2] {
+						if s := c.suspects[part.ID]; s != nil && s.blocked {
+							trials[part.ID]++
+						}
+					}
+					if _, again := c.refuses(p, now); !again && (blockedRecord(c, p[0].ID) || blockedRecord(c, p[1].ID)) {
+						t.Fatal("two trials at once")
+					}
+				}
+			}
+			n := 0
+			for _, s := range c.suspects {
+				if s.blocked {
+					n++
+				}
+			}
+			if n != c.numBlocked {
+				t.Fatalf("%d parts are blocked, %d counted", n, c.numBlocked)
+			}
+		}
+	})
+}
+
+func blockedRecord(c *crashTracker, id PartID) bool {
+	return c.suspects[id] != nil && c.suspects[id].blocked
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -123,6 +123,7 @@
 
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
 	c.target.start(w, now)
+	o.crashes.recordSent(w.request.Prompt)
 	if !w.request.Resumes {
 		w.charge = o.shares.recordGranted(w.request.Workspace, w.cost)
 	}
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -102,11 +102,11 @@
 		now += second
 		req := Request{Service: "m", Workspace: "other", PromptTokens: 3500, Objective: second, RouteObjective: second, Deadline: 4 * second,
 			Prompt: []Part{{ID: 6, Tokens: 3500}}}
-		s.owner.AddRunning(Key{"n", 1}, req, "e00", false, 0, now)
+		s.owner.AddRunning(Key{"n", 1}, req, "e00", false, false, 0, now)
 		s.owner.RecordFirstEvent(Key{"n", 1}, now+100*time.Millisecond)
 		s.owner.End(Key{"n", 1}, api.AttemptServed, now+100*time.Millisecond)
 		now += 100*time.Millisecond + x.idleFor
-		s.owner.AddRunning(Key{"n", 3}, req, "e01", false, 0, now) // the other target is busy
+		s.owner.AddRunning(Key{"n", 3}, req, "e01", false, false, 0, now) // the other target is busy
 		s.owner.Decisions()
 		if x.suspect {
 			s.owner.targets["e00"].health.suspectUntil = now + second
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -67,6 +67,7 @@
 	CodeTooLate       = "too_late"       // the first event would come after the caller gives up
 	CodeShareExceeded = "share_exceeded" // misses its objective, and the workspace exceeds its share
 	CodeShareYields   = "share_yields"   // granted too much more than a workspace with unmet demand
+	CodePartCrashes   = "part_crashes"   // targets crash when they begin to answer a part of its prompt
 )
 
 // View is the configuration and fleet state that the owner decides by.
@@ -104,16 +105,19 @@
 	numPending    int
 	shares        *shares
 	retries       *retryTracker
+	crashes       *crashTracker
 	meanRunTimes  map[string]time.Duration // mean run time of a request on a target, by service
 	decisions     []Decision
-	lastTick      time.Duration // last review of the queued requests
+	newlyBlocked  []PartID
+	unsettled     map[*target]struct{} // targets with failures
+	lastTick      time.Duration        // last review of the queued requests
 }
 
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
 		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, requests: map[Key]*work{},
-		shares: newShares(c.ShareWindow), retries: newRetryTracker(), meanRunTimes: map[string]time.Duration{}}
+		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), unsettled: map[*target]struct{}{}, meanRunTimes: map[string]time.Duration{}}
 }
 
 // SetView replaces the fleet view. Running requests on removed targets are tracked until they
@@ -175,6 +179,11 @@
 	}
 	o.advanceShares(now)
 	w := newWork(k, req, now)
+	if remaining, refused := o.refusesPrompt(req, now); refused {
+		o.decisions = append(o.decisions, Decision{
+			Key: k, Code: CodePartCrashes, RetryAfter: max(remaining, minRetryAfter), ForwardShare: o.shares.forwardShare(req.Workspace)})
+		return
+	}
 	o.requests[k] = w
 	w.effectiveObjectiveAt = max(w.objectiveAt, now+time.Duration(longPromptFactor*float64(o.typicalPrefillTime(req)+baseLatency)))
 	if firstObjectiveAt, isRetry := o.retries.firstObjective(uniquePart(req.Prompt)); isRetry && !req.Resumes {
@@ -191,6 +200,89 @@
 	o.decide(w, now)
 }
 
+// refusesPrompt reports whether a request may crash its target: a part of its prompt is blocked,
+// or it has failed at a target and shares a part with other requests that did. A stream that is
+// resumed has been answered before.
+func (o *Owner) refusesPrompt(req Request, now time.Duration) (remaining time.Duration, refused bool) {
+	if req.Resumes {
+		return 0, false
+	}
+	if len(req.Tried) > 0 && o.crashes.isSuspect(req.Prompt, now) {
+		return maxRetryAfter, true
+	}
+	return o.crashes.refuses(req.Prompt, now)
+}
+
+// BlockedParts returns the prompt parts whose requests are refused, and a version that grows when
+// they change.
+func (o *Owner) BlockedParts(now time.Duration) ([]BlockedPart, uint64) {
+	return o.crashes.blockedParts(now), o.crashes.version
+}
+
+// MergeBlocked adds prompt parts that an earlier owner has blocked.
+func (o *Owner) MergeBlocked(parts []BlockedPart, now time.Duration) { o.crashes.merge(parts, now) }
+
+// NewlyBlocked returns the prompt parts that were blocked since the last call, for the log.
+func (o *Owner) NewlyBlocked() []PartID {
+	out := o.newlyBlocked
+	o.newlyBlocked = nil
+	return out
+}
+
+// RecordAnswered records that a target has begun to answer a running request and did not crash.
+func (o *Owner) RecordAnswered(k Key, now time.Duration) {
+	if w := o.requests[k]; w != nil && w.target != nil {
+		o.noteAnswered(w, now)
+	}
+}
+
+// noteFailure derives from an outcome whether the target may have crashed, or has answered. Without
+// an event for any request since this one was sent, a target that missed the deadline is taken for
+// one that crashed silently.
+func (o *Owner) noteFailure(w *work, outcome api.AttemptOutcome, now time.Duration) {
+	t := w.target
+	silent := outcome == api.AttemptTimedOut && t.lastFirstEventAt < w.sentAt
+	switch {
+	case outcome == api.AttemptServed:
+		o.noteAnswered(w, now)
+	case !w.answered && (outcome == api.AttemptIncomplete || silent) && len(t.failures) < maxFailures:
+		t.failures = append(t.failures, failure{now, w.request.Prompt})
+		o.unsettled[t] = struct{}{}
+	}
+	o.settleFailures(t, now)
+}
+
+// noteAnswered records that a target has answered a request. It has not crashed since it received
+// that request, because a crash ends all of them.
+func (o *Owner) noteAnswered(w *work, now time.Duration) {
+	if !w.answered {
+		w.answered = true
+		o.crashes.recordAnswered(w.request.Prompt, now)
+	}
+	t := w.target
+	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool { return w.sentAt < f.at })
+}
+
+// settleFailures counts the failures of a target as a crash once all of its requests that were sent
+// before have ended, or after maxSettleTime.
+func (o *Owner) settleFailures(t *target, now time.Duration) {
+	if len(t.failures) == 0 {
+		delete(o.unsettled, t)
+		return
+	}
+	oldest := now
+	for _, w := range t.running {
+		oldest = min(oldest, w.sentAt)
+	}
+	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool {
+		if oldest < f.at && now-f.at < maxSettleTime {
+			return false
+		}
+		o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(f.prompt, t.info.ID, now)...)
+		return true
+	})
+}
+
 // CountThrottled counts a request that a throttling entry instance refused on the owner's
 // behalf: its tokens as in View.TokensPerSecond, its unique prompt part, and the time left until
 // its first event is due (objective).
@@ -232,10 +324,10 @@
 
 // AddRunning adds a request that runs on a target without a decision of this owner: the
 // previous owner or the entry instance itself placed it. It was sent sentAgo before now;
-// firstEvent reports whether its first event has arrived. A request already known to run is
+// firstEvent reports whether its first event has arrived, answered is as in RecordAnswered. A request already known to run is
 // left unchanged, and a queued one leaves the queue. If the target is unknown, the request is
 // dropped.
-func (o *Owner) AddRunning(k Key, req Request, targetID string, firstEvent bool, sentAgo, now time.Duration) {
+func (o *Owner) AddRunning(k Key, req Request, targetID string, firstEvent, answered bool, sentAgo, now time.Duration) {
 	if w := o.requests[k]; w != nil {
 		if w.target != nil {
 			return
@@ -248,6 +340,7 @@
 		return
 	}
 	w := newWork(k, req, now)
+	w.answered = answered
 	o.requests[k] = w
 	t.start(w, now-max(0, sentAgo))
 	if firstEvent {
@@ -280,6 +373,7 @@
 	}
 	w.target.end(w)
 	w.target.health.record(outcome, now)
+	o.noteFailure(w, outcome, now)
 	if outcome == api.AttemptServed {
 		o.recordRunTime(w.target.info.Service, now-w.sentAt)
 	}
@@ -375,6 +469,9 @@
 	if !o.shares.slotEnded(now) {
 		return
 	}
+	for t := range o.unsettled {
+		o.settleFailures(t, now)
+	}
 	usable, all := 0, 0
 	for _, t := range o.sortedTargets {
 		all++
--- a/internal/placement/owner_test.go
+++ b/internal/placement/owner_test.go
@@ -156,9 +156,9 @@
 	s := newSim(9, 1, 2, 100_000, 100_000)
 	request := Request{Service: "m", Workspace: "w", PromptTokens: 10, OutputTokens: 1, Objective: 5 * second, Deadline: 20 * second,
 		RouteObjective: 5 * second, Prompt: []Part{{ID: 1, Tokens: 10}}}
-	s.owner.AddRunning(Key{"a", 1}, request, "e00", true, 0, 0)
-	s.owner.AddRunning(Key{"a", 1}, request, "e00", true, 0, 0)
-	s.owner.AddRunning(Key{"a", 2}, request, "gone", false, 0, 0)
+	s.owner.AddRunning(Key{"a", 1}, request, "e00", true, false, 0, 0)
+	s.owner.AddRunning(Key{"a", 1}, request, "e00", true, false, 0, 0)
+	s.owner.AddRunning(Key{"a", 2}, request, "gone", false, false, 0, 0)
 	s.owner.Submit(Key{"a", 3}, request, 0)
 	s.owner.Submit(Key{"a", 3}, request, 0)
 	is.Equal(len(s.owner.Decisions()), 1)
@@ -269,7 +269,7 @@
 	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(a.Number, b.Number) })
 	for _, k := range keys {
 		if c := s.calls[k]; !c.done && c.target != "" {
-			s.owner.AddRunning(k, c.remainingRequest(s.now), c.target, c.firstEventAt > 0, s.now-c.sentAt, s.now)
+			s.owner.AddRunning(k, c.remainingRequest(s.now), c.target, c.firstEventAt > 0, false, s.now-c.sentAt, s.now)
 		}
 	}
 	for _, k := range keys {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"nutmegrouter/internal/api"
@@ -27,6 +28,10 @@
 	throttles    map[string]*Throttle // by entry instance; nil = no throttling
 	shedShare    map[string]float64   // share of a workspace's requests that entry instances shed
 	onRefused    func(*call)          // called for each refused attempt; nil = none
+	deadly       PartID               // part that crashes each engine that begins to answer it; 0 = none
+	failShare    float64              // share of the requests with which engines fail at their first event
+	crashes      []time.Duration
+	deadlyStarts []time.Duration // when requests with the deadly part reached engines
 }
 
 // engine is a simulated target.
@@ -40,6 +45,8 @@
 	starts      []time.Duration
 	maxStarts   int // maximum number of starts within a second
 	unreachable bool
+	active      map[Key]*call // requests on the engine
+	incarnation int64
 }
 
 // call is a simulated request and its outcome.
@@ -55,6 +62,7 @@
 	done         bool
 	prefilled    int
 	retried      bool // this is the caller's second attempt
+	attempts     int  // on engines
 }
 
 type event struct {
@@ -88,7 +96,7 @@
 	}
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
-		s.engines[id] = &engine{id: id, speed: 40, slots: slots, cache: newPromptCache(cacheTokens)}
+		s.engines[id] = &engine{id: id, speed: 40, slots: slots, cache: newPromptCache(cacheTokens), active: map[Key]*call{}}
 		s.view.Targets = append(s.view.Targets, api.Target{ID: id, Service: "m", DataCentre: fmt.Sprint("z", i%4), Slots: slots})
 	}
 	s.owner.SetView(s.view, 0)
@@ -196,18 +204,40 @@
 		s.after(400*time.Millisecond, func() { s.owner.End(k, api.AttemptUnreachable, s.now); c.done, c.refused = true, "unreachable" })
 		return
 	}
+	if hasPart(c.request.Prompt, s.deadly) {
+		s.deadlyStarts = append(s.deadlyStarts, s.now)
+	}
 	e.running++
+	e.active[k] = c
+	c.attempts++
+	incarnation := e.incarnation
 	c.prefilled = e.cache.uncachedTokens(c.request.Prompt)
 	e.cache.pin(c.request.Prompt, 0)
 	step := 4 + 0.09*float64(e.running)
 	prefill := time.Duration((float64(c.prefilled)/e.speed + step) * float64(time.Millisecond))
 	e.busyUntil = max(e.busyUntil, s.now) + prefill
 	s.after(e.busyUntil-s.now, func() {
+		if e.incarnation != incarnation {
+			return
+		}
+		if hasPart(c.request.Prompt, s.deadly) {
+			s.crash(e)
+			return
+		}
+		if s.failShare > 0 && s.rng.Float64() < s.failShare {
+			s.fail(k, e)
+			return
+		}
 		c.firstEventAt = s.now
+		s.after(answerTime, func() { s.owner.RecordAnswered(k, s.now) })
 		s.after(s.messageDelay, func() { s.owner.RecordFirstEvent(k, s.now) })
 		generation := time.Duration(float64(c.request.OutputTokens) * (step + s.tokenPauseMs) * float64(time.Millisecond))
 		s.after(generation, func() {
+			if e.incarnation != incarnation {
+				return
+			}
 			e.running--
+			delete(e.active, k)
 			e.cache.unpin(c.request.Prompt, 0)
 			c.done = true
 			s.after(s.messageDelay, func() { s.owner.End(k, api.AttemptServed, s.now) })
@@ -215,6 +245,64 @@
 	})
 }
 
+// answerTime is the time from the first event until an entry instance reports that a target has
+// begun to answer; restartTime is how long a crashed engine is away.
+const (
+	answerTime  = 100 * time.Millisecond
+	restartTime = 3 * time.Second
+)
+
+func hasPart(prompt []Part, id PartID) bool {
+	return slices.ContainsFunc(prompt, func(p Part) bool { return id != 0 && p.ID == id })
+}
+
+// crash ends an engine and all of its requests. A new incarnation follows after restartTime.
+func (s *sim) crash(e *engine) {
+	s.crashes = append(s.crashes, s.now)
+	e.incarnation++
+	e.unreachable, e.running, e.busyUntil, e.cache = true, 0, 0, newPromptCache(e.cache.capacity)
+	for k, c := range e.active {
+		delete(e.active, k)
+		s.breakOff(k, c)
+	}
+	s.after(restartTime, func() {
+		e.unreachable = false
+		for i := range s.view.Targets {
+			if s.view.Targets[i].ID == e.id {
+				s.view.Targets[i].StartedUnixMs = e.incarnation
+			}
+		}
+		s.owner.SetView(s.view, s.now)
+	})
+}
+
+// fail breaks off one request of an engine that goes on running.
+func (s *sim) fail(k Key, e *engine) {
+	c := e.active[k]
+	delete(e.active, k)
+	e.running--
+	e.cache.unpin(c.request.Prompt, 0)
+	s.breakOff(k, c)
+}
+
+// breakOff ends an attempt without an answer. The entry instance tries one further target if no
+// event has arrived.
+func (s *sim) breakOff(k Key, c *call) {
+	s.after(s.messageDelay, func() {
+		s.owner.End(k, api.AttemptIncomplete, s.now)
+		if c.firstEventAt > 0 || c.attempts > 1 {
+			c.done, c.refused = true, "broken"
+			return
+		}
+		s.number++
+		next := Key{Entry: k.Entry, Number: s.number}
+		delete(s.calls, k)
+		c.request.Tried = []string{c.target}
+		s.calls[next] = c
+		s.owner.Submit(next, c.request, s.now)
+	})
+}
+
 const numEntries = 7 // entry instances
 
 // workload describes one kind of request of a workspace.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -54,6 +54,7 @@
 	uncached      int     // prompt tokens that need prefill
 	sentAt        time.Duration
 	gotFirstEvent bool
+	answered      bool // the target has begun to answer and did not crash
 	overtaken     bool // a request sent to the target later got its first event earlier
 }
 
@@ -105,6 +106,7 @@
 	lastStartAt      time.Duration
 	recentStarts     []time.Duration // start times within startWindow, oldest first
 	health           health
+	failures         []failure              // that may be a crash, oldest first
 	pending          []*work                // requests queued at the owner for this target
 	pendingByRank    [numRanks]pendingTotal // sums over pending
 
@@ -112,6 +114,20 @@
 	lastBacklog       time.Duration
 }
 
+// failure is a request that failed on a target before it was answered.
+type failure struct {
+	at     time.Duration
+	prompt []Part
+}
+
+const (
+	// maxFailures bounds the failures that are kept for a target.
+	maxFailures = 64
+	// maxSettleTime is how long failures wait for the other requests of the target to end. The
+	// entry instance of one of them may be disconnected.
+	maxSettleTime = time.Second
+)
+
 func newTarget(info api.Target, e routing.Engine, index cacheIndex) *target {
 	t := &target{
 		info: info, idHash: hashName(info.ID), engine: e, running: map[Key]*work{},
--- a/internal/placement/unit_test.go
+++ b/internal/placement/unit_test.go
@@ -87,7 +87,7 @@
 				req.Resumes = true
 				o.Submit(k, req, now)
 			case 2:
-				o.AddRunning(k, req, "e00", false, 0, now)
+				o.AddRunning(k, req, "e00", false, false, 0, now)
 				running[k] = true
 			case 3:
 				for k := range running {
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -38,6 +38,8 @@
 	Request
 	Target string `json:"a"`
 	Began  bool   `json:"b,omitempty"`
+	// Answered reports that the target has begun to answer and did not crash.
+	Answered bool `json:"v,omitempty"`
 	// AgoMs is the time since the target was chosen, in milliseconds.
 	AgoMs int64 `json:"g,omitempty"`
 }
@@ -58,7 +60,12 @@
 	Requests   []Request `json:"a,omitempty"`
 	Running    []Running `json:"r,omitempty"`
 	Began      []uint64  `json:"b,omitempty"` // numbers of requests whose response has begun
-	Ends       []End     `json:"e,omitempty"`
+	// Answered lists the numbers of requests that their targets have begun to answer without a
+	// crash.
+	Answered []uint64 `json:"v,omitempty"`
+	Ends     []End    `json:"e,omitempty"`
+	// Blocked lists, in a full report, the prompt parts that the last owner has blocked.
+	Blocked BlockedParts `json:"l,omitempty"`
 	// Refused lists the requests that the entry instance refused for its throttled
 	// workspaces without asking the owner, by workspace.
 	Refused map[string][]Refused `json:"x,omitempty"`
@@ -127,6 +134,30 @@
 	// NotOwner reports that the sender is not the owner in this term.
 	NotOwner  bool       `json:"x,omitempty"`
 	Decisions []Decision `json:"g,omitempty"`
+	// Blocked replaces the list of blocked prompt parts at the entry instance; nil = unchanged.
+	Blocked *BlockedParts `json:"b,omitempty"`
+}
+
+// BlockedParts lists blocked prompt parts: the ID of each, and the milliseconds until it is tried
+// again.
+type BlockedParts [][2]uint64
+
+// NewBlockedParts returns the message for blocked parts.
+func NewBlockedParts(parts []placement.BlockedPart) BlockedParts {
+	out := make(BlockedParts, len(parts))
+	for i, p := range parts {
+		out[i] = [2]uint64{uint64(p.Part), uint64(p.Remaining.Milliseconds())}
+	}
+	return out
+}
+
+// ToPlacement converts the message to the type of package placement.
+func (b BlockedParts) ToPlacement() []placement.BlockedPart {
+	out := make([]placement.BlockedPart, len(b))
+	for i, p := range b {
+		out[i] = placement.BlockedPart{Part: placement.PartID(p[0]), Remaining: time.Duration(p[1]) * time.Millisecond}
+	}
+	return out
 }
 
 // NewRequest returns the message for a request at time now.
--- /dev/null
+++ b/plugin/owner/blocked_test.go
@@ -0,0 +1,30 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"nutmegrouter/internal/placement"
+	"nutmegrouter/internal/placewire"
+)
+
+// Guards against blocked prompt parts that do not reach all entry instances, or are sent again with
+// each message.
+func TestBlockedPartsReachEachEntryOnce(t *testing.T) {
+	r := newHarness(t)
+	blocked := placewire.NewBlockedParts([]placement.BlockedPart{{Part: 7, Remaining: time.Minute}})
+	r.send(placewire.EntryMessage{FullReport: true})
+	r.o.inbox.Push(func() {
+		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: blocked})
+	})
+	for range 2 { // one for each entry instance
+		m := r.nextMessage()
+		r.True(m.Blocked != nil)
+		r.Equal(len(*m.Blocked), 1)
+		r.Equal((*m.Blocked)[0][0], uint64(7))
+	}
+	r.waitForCheck()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Equal(len(r.sent), 0)
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -76,8 +76,11 @@
 	// unconfirmed is set after a suspension until a majority has confirmed the ownership.
 	unconfirmed bool
 
-	grants, refusals *metrics.Counter
-	decideSeconds    *metrics.Histogram
+	// blockedSent is the version of the blocked prompt parts that each entry instance was sent.
+	blockedSent map[string]uint64
+
+	grants, refusals, blocks *metrics.Counter
+	decideSeconds            *metrics.Histogram
 }
 
 // Provision implements kernel.Plugin.
@@ -105,6 +108,7 @@
 	o.readClocks = kernel.ReadClocks
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
+	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
 	o.decideSeconds = c.Metrics.NewHistogram("nutmeg_owner_decide_seconds")
 	o.mesh.Handle(placewire.MethodUp, o.handleEntryMessage)
@@ -225,6 +229,7 @@
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed = s.Term, false
+		o.blockedSent = map[string]uint64{}
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -274,6 +279,7 @@
 		o.inbox.Push(func() {
 			if o.term != 0 {
 				o.state.RemoveEntry(c.Peer)
+				delete(o.blockedSent, c.Peer)
 			}
 		})
 	})
@@ -300,14 +306,19 @@
 	now := o.clock.Now()
 	if u.FullReport {
 		o.state.RemoveEntry(from)
+		o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
+		o.blockedSent[from] = 0
 	}
 	for i := range u.Running {
 		r := &u.Running[i]
-		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, time.Duration(r.AgoMs)*time.Millisecond, now)
+		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, r.Answered, time.Duration(r.AgoMs)*time.Millisecond, now)
 	}
 	for _, n := range u.Began {
 		o.state.RecordFirstEvent(placement.Key{Entry: from, Number: n}, now)
 	}
+	for _, n := range u.Answered {
+		o.state.RecordAnswered(placement.Key{Entry: from, Number: n}, now)
+	}
 	for _, e := range u.Ends {
 		o.state.End(placement.Key{Entry: from, Number: e.Number}, e.Outcome, now)
 	}
@@ -362,6 +373,9 @@
 		m := to(d.Key.Entry)
 		m.Decisions = append(m.Decisions, placewire.NewDecision(d))
 	}
+	if !o.unconfirmed {
+		o.addBlockedParts(to, now)
+	}
 	if now-o.lastHeartbeat >= heartbeatInterval && !o.unconfirmed {
 		o.lastHeartbeat = now
 		for _, entry := range o.state.WaitingEntries() {
@@ -376,6 +390,27 @@
 	}
 }
 
+// addBlockedParts adds the blocked prompt parts to the messages of the entry instances that do
+// not have the current version of them, and logs those that are new.
+func (o *Owner) addBlockedParts(to func(entry string) *placewire.OwnerMessage, now time.Duration) {
+	for _, part := range o.state.NewlyBlocked() {
+		o.blocks.Inc()
+		logqueue.Notice(o.log, "prompt part blocked: targets crash with it", "step", "crash", "part", uint64(part))
+	}
+	parts, version := o.state.BlockedParts(now)
+	var message placewire.BlockedParts
+	for entry, sent := range o.blockedSent {
+		if sent == version {
+			continue
+		}
+		if message == nil {
+			message = placewire.NewBlockedParts(parts)
+		}
+		to(entry).Blocked = &message
+		o.blockedSent[entry] = version
+	}
+}
+
 func (o *Owner) send(to string, d placewire.OwnerMessage) {
 	// If the message is lost, the entry instance places the request locally after a timeout.
 	if err := o.mesh.Notify(to, placewire.MethodDown, d); err != nil {
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -74,6 +74,8 @@
 	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
 	number          uint64              // number of the model request; 0 for plain requests
 	responseStarted bool
+	firstEventAt    time.Duration // 0 = no event yet
+	answered        bool          // the target has begun to answer and did not crash
 }
 
 // Target implements api.Placement.
@@ -100,8 +102,28 @@
 	a.placer.signalSend()
 }
 
+// answeredAfter is the time after its first event from which a request counts as answered: a
+// target that a prompt crashes ends as soon as it begins to write.
+const answeredAfter = 100 * time.Millisecond
+
 // ReportEvents implements api.Placement.
-func (a *assignment) ReportEvents(int) {}
+func (a *assignment) ReportEvents(int) {
+	if a.number == 0 || a.answered {
+		return
+	}
+	now := a.placer.clock.Now()
+	if a.firstEventAt == 0 {
+		a.firstEventAt = now
+	}
+	if now-a.firstEventAt < answeredAfter {
+		return
+	}
+	a.placer.mu.Lock()
+	defer a.placer.mu.Unlock()
+	a.answered = true
+	a.placer.pending.Answered = append(a.placer.pending.Answered, a.number) // sent with the next message
+	a.placer.signalSend()
+}
 
 // End implements api.Placement.
 func (a *assignment) End(o api.AttemptOutcome) {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -99,6 +99,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	if refusal := p.refuseBlocked(w, now); refusal != nil {
+		return refusal
+	}
 	if !p.throttle.Refuses(w.Workspace, placewire.LastPartID(w.Prompt), now) {
 		return nil
 	}
@@ -111,6 +114,25 @@
 	}
 }
 
+// refuseBlocked refuses a request with a prompt part that the owner has blocked; nil = not
+// refused. The lock must be held.
+func (p *Placer) refuseBlocked(w *api.PlacementRequest, now time.Duration) *api.Refusal {
+	if p.blocked.Empty() || len(w.Prompt) < 2 {
+		return nil
+	}
+	remaining := time.Duration(0)
+	for _, part := range w.Prompt[:len(w.Prompt)-1] {
+		remaining = max(remaining, p.blocked.Remaining(placewire.PartID(part.ID), now))
+	}
+	if remaining == 0 {
+		return nil
+	}
+	return &api.Refusal{
+		Code: placement.CodePartCrashes, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: remaining,
+		Message: "targets crash with a part of the prompt", LogAttrs: []any{"by", "entry", "term", p.owner.term},
+	}
+}
+
 // ReportShed implements api.Placer.
 func (p *Placer) ReportShed(w *api.PlacementRequest) {
 	p.mu.Lock()
@@ -252,7 +274,7 @@
 
 // report describes a running request to the owner.
 func (a *assignment) report(now time.Duration) placewire.Running {
-	return placewire.Running{Request: placewire.NewRequest(a.number, a.work, now), Target: a.target.ID, Began: a.responseStarted, AgoMs: (now - a.startedAt).Milliseconds()}
+	return placewire.Running{Request: placewire.NewRequest(a.number, a.work, now), Target: a.target.ID, Began: a.responseStarted, Answered: a.answered, AgoMs: (now - a.startedAt).Milliseconds()}
 }
 
 // acceptGrant logs the grant of a request and returns its placement.
@@ -304,11 +326,12 @@
 }
 
 // queueFullReport replaces the pending message by a full report of the waiting and running
-// requests. Refused and shed requests stay in it, because they are part of the demand that the
-// owner must learn. The lock must be held.
+// requests, with the blocked prompt parts. Refused and shed requests stay in it, because they are
+// part of the demand that the owner must learn. The lock must be held.
 func (p *Placer) queueFullReport() {
 	now := p.clock.Now()
-	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed}
+	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
+		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now))}
 	for _, a := range p.running {
 		p.pending.Running = append(p.pending.Running, a.report(now))
 	}
@@ -381,6 +404,9 @@
 		return nil, nil
 	}
 	p.owner.silence.reset(now)
+	if d.Blocked != nil {
+		p.blocked.Set(d.Blocked.ToPlacement(), now)
+	}
 	if len(p.waiting) > 0 {
 		p.checkSuspension(now)
 	}
