placement: targets that say they leave or ask for a pause are sent nothing

Neither Server-Leaving nor a target's Retry-After was read.

Change: the forwarder passes on what a target says in any answer whose head has arrived. The entry keeps it by ID and start of the target and checks it before the first byte of each send: a grant that crosses the answer, a local choice, a retry, a resume and a send over a new connection all pass that check. The owner is told with the next message, new owners by the full reports. Leaving: chosen is to stop at once in place of using the drain time. Other targets serve the request as well, and the owner's choice of a leaving target would only be overruled by other entries later. The cost: parts that only the leaving target has cached are read again. Pause: the owner takes the target as without room for all entries, because a target that is full for one is full for all; after the pause it gets requests as its backlog allows. AttemptPaused does not count as a failure. Callers that can't be served in time are refused at once, with the end of the first pause and up to half of it more. Bounds: a pause counts for a minute at most; one record for each listed target.

Tests written with the change (before it, the headers were not read, so each could only fail).

--- a/internal/api/dialect.go
+++ b/internal/api/dialect.go
@@ -92,6 +92,9 @@
 	// IdleTimeout is how long the target keeps an idle connection open; 0 =
 	// absent.
 	IdleTimeout time.Duration
+	Notice      TargetNotice
+	// InvalidPause reports that the target asks for a pause whose length cannot be read.
+	InvalidPause bool
 }
 
 // DirectoryEntry is one target in the platform's list.
--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -69,12 +69,21 @@
 	BeforeSend() error
 	// ResponseStarted reports that the first byte of the response has arrived.
 	ResponseStarted()
+	// ReportNotice reports what the target has said of itself in its response.
+	ReportNotice(n TargetNotice)
 	// ReportEvents reports the number of events received from the target so far.
 	ReportEvents(events int)
 	// End reports the outcome and frees the target. It must be called once.
 	End(o AttemptOutcome)
 }
 
+// TargetNotice is what a target says of itself in a response, whatever its status.
+type TargetNotice struct {
+	Leaving bool // it leaves and must not be sent new requests
+	// Pause is how long this instance must send it nothing; 0 = no pause.
+	Pause time.Duration
+}
+
 // AttemptOutcome is how an attempt on a target ended.
 type AttemptOutcome string
 
@@ -84,6 +93,7 @@
 	AttemptUnreachable AttemptOutcome = "unreachable" // no connection; nothing was sent
 	AttemptUnsent      AttemptOutcome = "unsent"      // abandoned before the first byte was sent
 	AttemptTargetFull  AttemptOutcome = "full"        // the target refused because it was full
+	AttemptPaused      AttemptOutcome = "paused"      // the target refused and asked for a pause
 	AttemptWrongTarget AttemptOutcome = "other"       // another target has the address
 	AttemptFailed      AttemptOutcome = "failed"      // the target returned an error response
 	AttemptIncomplete  AttemptOutcome = "broken"      // no response, or an incomplete one
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -158,7 +158,7 @@
 // its start limit allows a start.
 func (o *Owner) isIdle(t *target, now time.Duration) bool {
 	slots := t.slots()
-	return t.health.suspectUntil <= now && len(t.prefillQueue) == 0 && len(t.pending) == 0 &&
+	return t.health.suspectUntil <= now && t.pausedUntil <= now && len(t.prefillQueue) == 0 && len(t.pending) == 0 &&
 		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.startLimit(t, now), 0, now) == 0
 }
 
@@ -187,7 +187,7 @@
 	if !t.hasCapacity(w, uncached) || t.freeSlots() <= pendingBefore.requests {
 		c.wait = max(c.wait, t.capacityWait(pendingBefore.requests, o.meanRunTime(t.info.Service)))
 	}
-	c.wait = max(c.wait, t.startWait(o.startLimit(t, now), pendingBefore.requests, now))
+	c.wait = max(c.wait, t.startWait(o.startLimit(t, now), pendingBefore.requests, now), t.pausedUntil-now)
 	prefill := t.prefillTime(float64(c.uncached))
 	c.firstEventAfter = max(backlog, c.wait) + prefill + baseLatency
 	c.score = c.firstEventAfter + time.Duration(prefillWeight*float64(prefill)) +
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -118,9 +119,22 @@
 	}
 	d := o.newDecision(w, c)
 	d.Code, d.RetryAfter = code, min(max(wait, minRetryAfter), maxRetryAfter)
+	if c.target != nil && c.target.pausedUntil > now {
+		d.RetryAfter = max(d.RetryAfter, spreadPause(c.target.pausedUntil-now, w.key))
+	}
 	o.decisions = append(o.decisions, d)
 }
 
+// pauseSpread is the fraction by which the Retry-After of callers exceeds the pause of a target at
+// most, so that they do not return together.
+const pauseSpread = 0.5
+
+// spreadPause returns the Retry-After for a request that waits for the end of a pause.
+func spreadPause(pause time.Duration, k Key) time.Duration {
+	fraction := float64(mix(k.Number, hashName(k.Entry))) / math.MaxUint64
+	return time.Duration(float64(pause) * (1 + pauseSpread*fraction))
+}
+
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
 	c.target.start(w, now)
 	o.crashes.recordSent(w.request.Prompt)
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -57,6 +57,7 @@
 	Targets      []api.Target
 	OutOfService map[string]bool // data centres out of service
 	Tried        []string        // IDs of targets to which the request was already sent
+	Notices      *Notices        // nil = none
 	Now          time.Duration
 	// AffinityPart is the prompt part by which the affinity target is selected, from
 	// the function AffinityPart; 0 = none.
@@ -99,7 +100,28 @@
 
 // usable reports whether a target serves the query's service and accepts new requests.
 func (q *Query) usable(t *api.Target) bool {
-	return t.Service == q.Service && !t.Leaving && !q.OutOfService[t.DataCentre] && t.ColdUntil <= q.Now
+	return q.mayUse(t) && (q.Notices == nil || q.Notices.Pause(t, q.Now) == 0)
+}
+
+// mayUse is usable without regard to pauses.
+func (q *Query) mayUse(t *api.Target) bool {
+	return t.Service == q.Service && !t.Leaving && (q.Notices == nil || !q.Notices.Leaving(t)) && !q.OutOfService[t.DataCentre] && t.ColdUntil <= q.Now
+}
+
+// PauseEnd returns the time until the first of the paused targets may be sent requests again, 0 if
+// none is paused.
+func (q *Query) PauseEnd() time.Duration {
+	soonest := time.Duration(0)
+	if q.Notices == nil {
+		return 0
+	}
+	for i := range q.Targets {
+		t := &q.Targets[i]
+		if pause := q.Notices.Pause(t, q.Now); pause > 0 && q.mayUse(t) && (soonest == 0 || pause < soonest) {
+			soonest = pause
+		}
+	}
+	return soonest
 }
 
 // affinityIndex returns the index of the target that all instances prefer for the prompt
--- /dev/null
+++ b/internal/placement/notices.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"nutmegrouter/internal/api"
+)
+
+// maxPause bounds the pause that a target may ask for.
+const maxPause = time.Minute
+
+// TargetNotice is what a target has said of itself in a response.
+type TargetNotice struct {
+	Target        string // ID
+	StartedUnixMs int64  // api.Target.StartedUnixMs, which identifies the incarnation
+	Leaving       bool   // it leaves and must not be sent new requests
+	// Pause is how long it must not be sent new requests from now on; 0 = no pause.
+	Pause time.Duration
+}
+
+// Notices holds the notices of targets for an entry instance, which decides by them at the moment
+// of sending. They end with the incarnation of the target. It is not safe for concurrent use.
+type Notices struct {
+	byTarget map[string]storedNotice
+}
+
+type storedNotice struct {
+	startedUnixMs int64
+	leaving       bool
+	pausedUntil   time.Duration
+}
+
+// NewNotices returns a Notices without notices.
+func NewNotices() *Notices { return &Notices{byTarget: map[string]storedNotice{}} }
+
+// Record adds a notice and reports whether it says something new.
+func (n *Notices) Record(notice TargetNotice, now time.Duration) bool {
+	old := n.byTarget[notice.Target]
+	if old.startedUnixMs != notice.StartedUnixMs {
+		old = storedNotice{startedUnixMs: notice.StartedUnixMs}
+	}
+	stored := old
+	stored.leaving = old.leaving || notice.Leaving
+	if notice.Pause > 0 {
+		stored.pausedUntil = max(old.pausedUntil, now+min(notice.Pause, maxPause))
+	}
+	n.byTarget[notice.Target] = stored
+	return stored != old
+}
+
+// Leaving reports whether a target has said that it leaves.
+func (n *Notices) Leaving(t *api.Target) bool {
+	s, ok := n.byTarget[t.ID]
+	return ok && s.startedUnixMs == t.StartedUnixMs && s.leaving
+}
+
+// Pause returns the time until a target may be sent requests again, 0 if it may be sent some now.
+func (n *Notices) Pause(t *api.Target, now time.Duration) time.Duration {
+	s, ok := n.byTarget[t.ID]
+	if !ok || s.startedUnixMs != t.StartedUnixMs {
+		return 0
+	}
+	return max(0, s.pausedUntil-now)
+}
+
+// List returns the notices that still hold, ordered by target.
+func (n *Notices) List(now time.Duration) []TargetNotice {
+	var out []TargetNotice
+	for id, s := range n.byTarget {
+		if s.leaving || s.pausedUntil > now {
+			out = append(out, TargetNotice{id, s.startedUnixMs, s.leaving, max(0, s.pausedUntil-now)})
+		}
+	}
+	slices.SortFunc(out, func(a, b TargetNotice) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// Retain removes the notices of targets that are not in the list.
+func (n *Notices) Retain(targets []api.Target) {
+	listed := make(map[string]int64, len(targets))
+	for _, t := range targets {
+		listed[t.ID] = t.StartedUnixMs
+	}
+	for id, s := range n.byTarget {
+		if started, ok := listed[id]; !ok || started != s.startedUnixMs {
+			delete(n.byTarget, id)
+		}
+	}
+}
+
+// RecordNotice applies the notice of a target to the decisions for all entry instances. Requests
+// that are queued for it are decided anew. A notice of an unknown target or of an earlier
+// incarnation is ignored.
+func (o *Owner) RecordNotice(notice TargetNotice, now time.Duration) {
+	t := o.targets[notice.Target]
+	if t == nil || t.info.StartedUnixMs != notice.StartedUnixMs {
+		return
+	}
+	if notice.Pause > 0 {
+		t.pausedUntil = max(t.pausedUntil, now+min(notice.Pause, maxPause))
+	}
+	if notice.Leaving && !t.saysLeaving {
+		t.saysLeaving = true
+		o.usable[t.info.Service] = slices.DeleteFunc(o.usable[t.info.Service], func(u *target) bool { return u == t })
+	}
+	o.redecidePending(t, now)
+}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -378,7 +378,7 @@
 		o.recordRunTime(w.target.info.Service, now-w.sentAt)
 	}
 	switch outcome {
-	case api.AttemptUnreachable, api.AttemptUnsent, api.AttemptTargetFull, api.AttemptWrongTarget:
+	case api.AttemptUnreachable, api.AttemptUnsent, api.AttemptTargetFull, api.AttemptPaused, api.AttemptWrongTarget:
 		o.shares.refund(w.request.Workspace, w.charge)
 	}
 	if w.target.health.suspectUntil > now {
@@ -491,5 +491,5 @@
 
 // inService reports whether a target accepts new requests.
 func (o *Owner) inService(t *target) bool {
-	return !t.info.Leaving && !o.view.OutOfService[t.info.DataCentre]
+	return !t.info.Leaving && !t.saysLeaving && !o.view.OutOfService[t.info.DataCentre]
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -106,6 +106,8 @@
 	lastStartAt      time.Duration
 	recentStarts     []time.Duration // start times within startWindow, oldest first
 	health           health
+	saysLeaving      bool                   // it has said that it leaves, whatever the list says
+	pausedUntil      time.Duration          // it has asked for no requests until then
 	failures         []failure              // that may be a crash, oldest first
 	pending          []*work                // requests queued at the owner for this target
 	pendingByRank    [numRanks]pendingTotal // sums over pending
@@ -222,7 +224,7 @@
 // canStart reports whether the target can accept a request now: by its backlog, slots, memory
 // and start limit.
 func (t *target) canStart(w *work, startLimit float64, now time.Duration) bool {
-	return t.backlog(now) <= maxTargetBacklog &&
+	return t.backlog(now) <= maxTargetBacklog && t.pausedUntil <= now &&
 		t.hasCapacity(w, t.cache.uncachedTokens(w.request.Prompt)) &&
 		t.startWait(startLimit, 0, now) == 0
 }
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -64,6 +64,8 @@
 	// crash.
 	Answered []uint64 `json:"v,omitempty"`
 	Ends     []End    `json:"e,omitempty"`
+	// Notices lists what targets have said of themselves: what is new, or in a full report all.
+	Notices []Notice `json:"q,omitempty"`
 	// Blocked lists, in a full report, the prompt parts that the last owner has blocked.
 	Blocked BlockedParts `json:"l,omitempty"`
 	// Refused lists the requests that the entry instance refused for its throttled
@@ -138,6 +140,24 @@
 	Blocked *BlockedParts `json:"b,omitempty"`
 }
 
+// Notice is what a target has said of itself, as in placement.TargetNotice.
+type Notice struct {
+	Target        string `json:"a"`
+	StartedUnixMs int64  `json:"s,omitempty"`
+	Leaving       bool   `json:"l,omitempty"`
+	PauseMs       int64  `json:"p,omitempty"`
+}
+
+// NewNotice returns the message for a notice.
+func NewNotice(n placement.TargetNotice) Notice {
+	return Notice{n.Target, n.StartedUnixMs, n.Leaving, n.Pause.Milliseconds()}
+}
+
+// ToPlacement converts the message to the type of package placement.
+func (n Notice) ToPlacement() placement.TargetNotice {
+	return placement.TargetNotice{Target: n.Target, StartedUnixMs: n.StartedUnixMs, Leaving: n.Leaving, Pause: time.Duration(n.PauseMs) * time.Millisecond}
+}
+
 // BlockedParts lists blocked prompt parts: the ID of each, and the milliseconds until it is tried
 // again.
 type BlockedParts [][2]uint64
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -235,7 +235,20 @@
 	if a.exchange, failure = a.connectAndSend(); failure != nil {
 		return fields, failure
 	}
-	return a.matchResponse()
+	if fields, failure = a.matchResponse(); failure == nil {
+		a.passNotice(fields)
+	}
+	return fields, failure
+}
+
+// passNotice passes on what the target says of itself.
+func (a *attempt) passNotice(fields api.ResponseFields) {
+	if fields.InvalidPause {
+		a.call.fwd.stats.invalidPauses.Inc()
+	}
+	if fields.Notice != (api.TargetNotice{}) {
+		a.placement.ReportNotice(fields.Notice)
+	}
 }
 
 // connectAndSend sends the request over a pooled or new connection. If the target closed
@@ -411,8 +424,11 @@
 	switch {
 	case fields.NotRun:
 		outcome := api.AttemptTargetFull
-		if fields.WrongTarget {
+		switch {
+		case fields.WrongTarget:
 			outcome = api.AttemptWrongTarget
+		case fields.Notice.Pause > 0:
+			outcome = api.AttemptPaused
 		}
 		return nil, a.fail(&attemptFailure{outcome: outcome, step: "head",
 			cause: errors.Errorf("status %d, the target has not run the request", status), notRun: true})
--- a/plugin/forward/stats.go
+++ b/plugin/forward/stats.go
@@ -8,7 +8,7 @@
 	reusedConns, newConns                           *metrics.Counter
 	retries, retriesOverBudget                      *metrics.Counter
 	resumes, strayResponses, duplicateEvents        *metrics.Counter
-	outOfMemory                                     *metrics.Counter
+	outOfMemory, invalidPauses                      *metrics.Counter
 	headerSeconds, eventGapSeconds, responseSeconds *metrics.Histogram
 }
 
@@ -22,6 +22,7 @@
 		resumes:           set.NewCounter("nutmeg_forward_resumes_total"),
 		strayResponses:    set.NewCounter("nutmeg_forward_stray_answers_total"),
 		duplicateEvents:   set.NewCounter("nutmeg_forward_duplicate_events_total"),
+		invalidPauses:     set.NewCounter("nutmeg_forward_invalid_pauses_total"),
 		outOfMemory:       set.NewCounter("nutmeg_forward_no_memory_total"),
 		headerSeconds:     set.NewHistogram("nutmeg_forward_head_seconds"),
 		eventGapSeconds:   set.NewHistogram("nutmeg_forward_event_gap_seconds"),
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -56,6 +56,7 @@
 
 	mu       sync.Mutex
 	outcomes []api.AttemptOutcome
+	notices  []api.TargetNotice
 	placed   int
 	precheck *api.Refusal // returned by Precheck
 	// shed has the ids of the requests that ReportShed reported.
@@ -182,6 +183,11 @@
 func (p *placement) BeforeSend() error  { return nil }
 func (p *placement) ResponseStarted()   {}
 func (p *placement) ReportEvents(int)   {}
+func (p *placement) ReportNotice(n api.TargetNotice) {
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	p.r.notices = append(p.r.notices, n)
+}
 func (p *placement) End(o api.AttemptOutcome) {
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -467,3 +467,38 @@
 	is.Equal(retries(100), 1) // 0.6 of the slack, 0.85 for the 5 requests
 	is.Equal(retries(0), 0)   // number of instances not known yet
 }
+
+// Guards against notices of a target that are missed in one of its answers: a success, a stream's
+// head, an error, a 421, or a refusal; and against a pause that cannot be read.
+func TestTargetNoticesArePassedOn(t *testing.T) {
+	cases := []struct {
+		name, path, head string
+		want             []api.TargetNotice
+	}{
+		{"success", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
+		{"stream", "/draft/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
+		{"error", "/look/1", "HTTP/1.1 500 Internal Server Error\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
+		{"421", "/look/1", "HTTP/1.1 421 Misdirected Request\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
+		{"pause", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": 1.5\r\n", []api.TargetNotice{{Pause: 1500 * time.Millisecond}}},
+		{"both", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderLeaving + ": 1\r\n" + standin.HeaderPause + ": 2\r\n", []api.TargetNotice{{Leaving: true, Pause: 2 * time.Second}}},
+		{"huge", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": 1e300\r\n", []api.TargetNotice{{Pause: 24 * time.Hour}}},
+		{"date", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": Wed, 21 Oct 2026 07:28:00 GMT\r\n", nil},
+		{"negative", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": -3\r\n", nil},
+		{"no pause with another status", "/look/1", "HTTP/1.1 500 Internal Server Error\r\n" + standin.HeaderPause + ": 3\r\n", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := newTarget(t, "t1", func(conn net.Conn, r *http.Request, _ int) {
+				write(conn, c.head+standin.HeaderAttempt+": "+attemptID(r)+"\r\n"+standin.HeaderStamp+": s\r\nContent-Length: 0\r\n\r\n")
+			})
+			r := newRig(t, x).configure(1)
+			caller := r.dial()
+			caller.send(request("POST", c.path, "a1", "x"))
+			_, _, err := caller.readResponse()
+			r.is.NoErr(err)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.is.Equal(r.notices, c.want)
+		})
+	}
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -309,6 +309,9 @@
 		o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
 		o.blockedSent[from] = 0
 	}
+	for _, n := range u.Notices {
+		o.state.RecordNotice(n.ToPlacement(), now)
+	}
 	for i := range u.Running {
 		r := &u.Running[i]
 		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, r.Answered, time.Duration(r.AgoMs)*time.Millisecond, now)
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -34,11 +34,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	q.Notices = p.notices
 	t, ok := p.local.Choose(q)
 	if !ok {
+		retryAfter := noTargetRetryAfter
+		if pause := q.PauseEnd(); pause > 0 {
+			retryAfter = pause + time.Duration(rand.Float64()*float64(pause)/2) // callers do not return together
+		}
 		return nil, &api.Refusal{
 			Code: placement.CodeNoTarget, Status: 503, Run: api.NotRun, Step: "place",
-			Message: "no target of the service may be used", RetryAfter: noTargetRetryAfter,
+			Message: "no target of the service may be used", RetryAfter: retryAfter,
 		}
 	}
 	p.local.Start(t)
@@ -106,6 +111,26 @@
 // target that a prompt crashes ends as soon as it begins to write.
 const answeredAfter = 100 * time.Millisecond
 
+// ReportNotice implements api.Placement. The owner is told at once what is new.
+func (a *assignment) ReportNotice(n api.TargetNotice) {
+	p := a.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	notice := placement.TargetNotice{Target: a.target.ID, StartedUnixMs: a.target.StartedUnixMs, Leaving: n.Leaving, Pause: n.Pause}
+	if !p.notices.Record(notice, p.clock.Now()) {
+		return
+	}
+	if n.Leaving {
+		p.leavingNotices.Inc()
+	}
+	if n.Pause > 0 {
+		p.pauseNotices.Inc()
+	}
+	p.log.Info("target notice", "step", "notice", "request", a.work.RequestID, "target", notice.Target, "leaving", n.Leaving, "pause_ms", n.Pause.Milliseconds())
+	p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(notice))
+	p.signalSend()
+}
+
 // ReportEvents implements api.Placement.
 func (a *assignment) ReportEvents(int) {
 	if a.number == 0 || a.answered {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -332,6 +332,9 @@
 	now := p.clock.Now()
 	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
 		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now))}
+	for _, n := range p.notices.List(now) {
+		p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(n))
+	}
 	for _, a := range p.running {
 		p.pending.Running = append(p.pending.Running, a.report(now))
 	}
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -43,6 +43,7 @@
 	local         *placement.Local
 	throttle      *placement.Throttle
 	blocked       *placement.BlockList // prompt parts that the owner has blocked
+	notices       *placement.Notices   // what targets have said of themselves
 	owner         ownerState
 	lastNumber    uint64                    // number of the newest model request
 	waiting       map[uint64]*waiter        // model requests without the owner's response, by number
@@ -54,6 +55,7 @@
 	watchSignal   chan struct{}             // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
+	leavingNotices, pauseNotices                                          *metrics.Counter
 	waitSeconds                                                           *metrics.Histogram
 }
 
@@ -82,12 +84,14 @@
 	}
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
-	p.blocked = placement.NewBlockList()
+	p.blocked, p.notices = placement.NewBlockList(), placement.NewNotices()
 	p.waiting, p.running, p.sendSignal = map[uint64]*waiter{}, map[uint64]*assignment{}, make(chan struct{}, 1)
 	p.watchSignal, p.readClocks = make(chan struct{}, 1), kernel.ReadClocks
 	p.ownerGrants = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
 	p.localPlacements = c.Metrics.NewCounter("nutmeg_placer_local_total")
 	p.throttled = c.Metrics.NewCounter("nutmeg_placer_held_back_total")
+	p.leavingNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="leaving"}`)
+	p.pauseNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="pause"}`)
 	p.expiredGrants = c.Metrics.NewCounter("nutmeg_placer_grants_expired_total")
 	p.ownerTimeouts = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
 	p.waitSeconds = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
@@ -114,12 +118,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.local.Retain(p.directory.Targets())
+	p.notices.Retain(p.directory.Targets())
 }
 
 // Errors of an assignment whose target must not be used any more.
 var (
 	errTargetLeaving = errors.New("the target leaves or is gone")
 	errDataCentreOut = errors.New("the target's data centre is out of service")
+	errTargetPaused  = errors.New("the target has asked for a pause")
 )
 
 // checkTarget returns an error if the target must not receive a request any more.
@@ -127,6 +133,15 @@
 	if p.fleet.View().DataCentresOut[t.DataCentre] {
 		return errDataCentreOut
 	}
+	p.mu.Lock()
+	leaving, pause := p.notices.Leaving(&t), p.notices.Pause(&t, p.clock.Now())
+	p.mu.Unlock()
+	switch {
+	case leaving:
+		return errTargetLeaving
+	case pause > 0:
+		return errTargetPaused
+	}
 	if current, ok := p.directory.Target(t.ID); ok && current.StartedUnixMs == t.StartedUnixMs && !current.Leaving {
 		return nil
 	}
