placement: the loss of all targets at once blames no prompt part

Change: crashes within 50 ms count as one for a part, because crashes of several targets at once have a common cause. A request that names the code part_crashes says so in its message, also when the owner refuses it.

TestLossOfAllTargetsBlamesNoPart failed before. TestPartThatCrashesTargetsIsBlocked now has 4 to 14 crashes in its twenty runs, because a second attempt crashes its target within 50 ms there; at most one request is late, three are allowed.

--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -22,6 +22,9 @@
 	maxChance = 1e-4
 	// sameCrashTime is the time within which failures on one target count as one crash.
 	sameCrashTime = time.Second
+	// commonCauseTime is the time within which crashes of several targets count as one. They have a
+	// common cause, such as a loss of power.
+	commonCauseTime = 50 * time.Millisecond
 	// initialBlockTime is how long a part is blocked at first. Then one request tries it; each
 	// further crash doubles the time up to maxBlockTime.
 	initialBlockTime = time.Minute
@@ -69,6 +72,7 @@
 	sent         int    // requests with the part that were sent to targets since the first crash
 	target       string // of the newest crash
 	crashedAt    time.Duration
+	countedAt    time.Duration // when crashes last grew
 	blocked      bool
 	blockedUntil time.Duration
 	blockTime    time.Duration
@@ -104,8 +108,9 @@
 			*s = suspect{}
 		}
 		s.addRequest(uniquePart(prompt))
-		if s.crashes == 0 || s.target != targetID || now-s.crashedAt > sameCrashTime {
+		if s.crashes == 0 || (now-s.countedAt > commonCauseTime && (s.target != targetID || now-s.crashedAt > sameCrashTime)) {
 			s.crashes++
+			s.countedAt = now
 		}
 		s.sent = max(s.sent, s.crashes)
 		s.target, s.crashedAt = targetID, now
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// partCrashesMessage is the message of refusals with placement.CodePartCrashes.
+const partCrashesMessage = "targets crash with a part of the prompt"
+
 // refuseBlocked refuses a request with a prompt part that the owner has blocked; nil = not
 // refused. The lock must be held.
 func (p *Placer) refuseBlocked(w *api.PlacementRequest, now time.Duration) *api.Refusal {
@@ -129,7 +132,7 @@
 	}
 	return &api.Refusal{
 		Code: placement.CodePartCrashes, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: remaining,
-		Message: "targets crash with a part of the prompt", LogAttrs: []any{"by", "entry", "term", p.owner.term},
+		Message: partCrashesMessage, LogAttrs: []any{"by", "entry", "term", p.owner.term},
 	}
 }
 
@@ -298,9 +301,13 @@
 
 // refusal converts the owner's refusal of a request for the caller.
 func (p *Placer) refusal(w *api.PlacementRequest, g placewire.Decision) *api.Refusal {
+	message := "the targets cannot serve the request in time"
+	if g.Code == placement.CodePartCrashes {
+		message = partCrashesMessage
+	}
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
-		Message: "the targets cannot serve the request in time", RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
+		Message: message, RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
 		LogAttrs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "idle_target", g.IdleTarget, "term", g.Term},
 	}
 }
