owner: blocked prompt parts cost nothing per message, and old lists do not come back

Found in a read of the diff: each round of decisions sorted the blocked parts and walked all entry instances, so the cost per request grew with both. They are now touched only when the version changes or an entry instance reports in full. Also, an entry instance whose link was down while a part was cleared reported its old list afterwards and the part was blocked again. An owner now takes the list only from the first report of each entry instance. TestBlockedPartsReachEachEntryOnce has that case; it failed before (two parts in place of one).

--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -60,7 +60,7 @@
 			t.Logf("share %v seed %d: %d crashes, %d requests reached targets late, sound: %+v", share, seed, len(s.crashes), late, sound)
 			is.True(late <= 3)
 			is.True(sound.started*10 >= sound.asked*9)
-			blocked, _ := s.owner.BlockedParts(s.now)
+			blocked := s.owner.BlockedParts(s.now)
 			is.Equal(len(blocked), 1) // neither the first part nor a document
 			is.Equal(blocked[0].Part, deadlyPart)
 		}
@@ -103,7 +103,7 @@
 			})
 		}
 		s.run(65 * second)
-		blocked, _ := s.owner.BlockedParts(s.now)
+		blocked := s.owner.BlockedParts(s.now)
 		is.Equal(len(blocked), 0)
 		is.Equal(s.owner.crashes.version, uint64(0)) // nor was one blocked meanwhile
 	}
@@ -220,7 +220,7 @@
 	for n := range uint64(2 * maxCrashes) {
 		timeOut(50+n, 6, false)
 	}
-	blocked, _ := s.owner.BlockedParts(s.now)
+	blocked := s.owner.BlockedParts(s.now)
 	is.Equal(len(blocked), 1)
 	is.Equal(blocked[0].Part, PartID(6))
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -213,11 +213,11 @@
 	return o.crashes.refuses(req.Prompt, now)
 }
 
-// BlockedParts returns the prompt parts whose requests are refused, and a version that grows when
-// they change.
-func (o *Owner) BlockedParts(now time.Duration) ([]BlockedPart, uint64) {
-	return o.crashes.blockedParts(now), o.crashes.version
-}
+// BlockedParts returns the prompt parts whose requests are refused, ordered by ID.
+func (o *Owner) BlockedParts(now time.Duration) []BlockedPart { return o.crashes.blockedParts(now) }
+
+// BlockedVersion returns a number that grows when BlockedParts changes other than by time.
+func (o *Owner) BlockedVersion() uint64 { return o.crashes.version }
 
 // MergeBlocked adds prompt parts that an earlier owner has blocked.
 func (o *Owner) MergeBlocked(parts []BlockedPart, now time.Duration) { o.crashes.merge(parts, now) }
--- a/plugin/owner/blocked_test.go
+++ b/plugin/owner/blocked_test.go
@@ -23,6 +23,13 @@
 		r.Equal(len(*m.Blocked), 1)
 		r.Equal((*m.Blocked)[0][0], uint64(7))
 	}
+	r.o.inbox.Push(func() { // a list that is older than this owner's
+		old := placewire.NewBlockedParts([]placement.BlockedPart{{Part: 8, Remaining: time.Minute}})
+		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: old})
+	})
+	m := r.nextMessage()
+	r.Equal(len(*m.Blocked), 1)
+	r.Equal((*m.Blocked)[0][0], uint64(7))
 	r.waitForCheck()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -77,7 +77,10 @@
 	unconfirmed bool
 
 	// blockedSent is the version of the blocked prompt parts that each entry instance was sent.
-	blockedSent map[string]uint64
+	// blockedDue is set if one of them may lack the version blockedVersion or a later one.
+	blockedSent    map[string]uint64
+	blockedDue     bool
+	blockedVersion uint64
 
 	grants, refusals, blocks *metrics.Counter
 	decideSeconds            *metrics.Histogram
@@ -229,7 +232,7 @@
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed = s.Term, false
-		o.blockedSent = map[string]uint64{}
+		o.blockedSent, o.blockedDue, o.blockedVersion = map[string]uint64{}, false, 0
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -279,7 +282,6 @@
 		o.inbox.Push(func() {
 			if o.term != 0 {
 				o.state.RemoveEntry(c.Peer)
-				delete(o.blockedSent, c.Peer)
 			}
 		})
 	})
@@ -306,8 +308,10 @@
 	now := o.clock.Now()
 	if u.FullReport {
 		o.state.RemoveEntry(from)
-		o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
-		o.blockedSent[from] = 0
+		if _, known := o.blockedSent[from]; !known { // otherwise its list may be older than this owner's
+			o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
+		}
+		o.blockedSent[from], o.blockedDue = 0, true
 	}
 	for _, n := range u.Notices {
 		o.state.RecordNotice(n.ToPlacement(), now)
@@ -400,15 +404,16 @@
 		o.blocks.Inc()
 		logqueue.Notice(o.log, "prompt part blocked: targets crash with it", "step", "crash", "part", uint64(part))
 	}
-	parts, version := o.state.BlockedParts(now)
-	var message placewire.BlockedParts
+	version := o.state.BlockedVersion()
+	if !o.blockedDue && version == o.blockedVersion {
+		return
+	}
+	o.blockedDue, o.blockedVersion = false, version
+	message := placewire.NewBlockedParts(o.state.BlockedParts(now))
 	for entry, sent := range o.blockedSent {
 		if sent == version {
 			continue
 		}
-		if message == nil {
-			message = placewire.NewBlockedParts(parts)
-		}
 		to(entry).Blocked = &message
 		o.blockedSent[entry] = version
 	}
