placement: bystanders of earlier crashes do not shield a part that crashes targets

Change: the other part must have taken part in the newest crash, and all requests of a crash are recorded before a part is blamed. TestBystandersDoNotShieldPart failed before (nothing blocked after four crashes).

--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -89,13 +89,27 @@
 	return prompt[:min(len(prompt)-1, maxPartsPerPrompt)]
 }
 
-// recordCrash records that a target failed before it had answered a request. It returns the parts
-// that are blocked from now on.
-func (c *crashTracker) recordCrash(prompt []Part, targetID string, now time.Duration) (blocked []PartID) {
+// recordCrash records that a target failed before it had answered the requests with some prompts.
+// It returns the parts that are blocked from now on.
+func (c *crashTracker) recordCrash(targetID string, now time.Duration, prompts ...[]Part) (blocked []PartID) {
+	for _, prompt := range prompts {
+		c.recordFailed(prompt, targetID, now)
+	}
+	for _, prompt := range prompts {
+		for _, p := range sharedParts(prompt) {
+			if s := c.suspects[p.ID]; s != nil && c.block(s, now) {
+				blocked = append(blocked, p.ID)
+			}
+		}
+	}
+	return blocked
+}
+
+// recordFailed adds a failed request to the records of its parts.
+func (c *crashTracker) recordFailed(prompt []Part, targetID string, now time.Duration) {
 	c.decay(now)
 	c.failed++
-	parts := sharedParts(prompt)
-	for _, p := range parts {
+	for _, p := range sharedParts(prompt) {
 		s := c.suspects[p.ID]
 		if s == nil {
 			if !c.makeRoom(now) {
@@ -115,12 +129,6 @@
 		s.sent = max(s.sent, s.crashes)
 		s.target, s.crashedAt = targetID, now
 	}
-	for _, p := range parts {
-		if s := c.suspects[p.ID]; s != nil && c.block(s, now) {
-			blocked = append(blocked, p.ID)
-		}
-	}
-	return blocked
 }
 
 // addRequest counts a request that has not been counted before.
@@ -151,12 +159,12 @@
 	return true
 }
 
-// hasNarrowerSuspect reports whether another part explains the crashes of a part and fewer requests
-// have it. Where targets crash faster than they answer, the parts that many requests share are
+// hasNarrowerSuspect reports whether another part, which took part in the newest crash, explains the
+// crashes of a part and fewer requests have it. Where targets crash faster than they answer, the parts that many requests share are
 // suspect, too.
 func (c *crashTracker) hasNarrowerSuspect(s *suspect, now time.Duration) bool {
 	for _, other := range c.suspects {
-		if other == s || other.blocked || other.numRequests < minCrashRequests || now-other.crashedAt > suspicionTime {
+		if other == s || other.blocked || other.numRequests < minCrashRequests || now-other.crashedAt > sameCrashTime {
 			continue
 		}
 		if (2*other.crashes >= s.crashes && 2*other.sent <= s.sent) || (other.crashes+1 >= s.crashes && other.sent < s.sent) {
--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -121,7 +121,7 @@
 func blockPart(is *is.I, c *crashTracker, now time.Duration) {
 	for n := range maxCrashes {
 		at := now - time.Duration(maxCrashes-n)*100*time.Millisecond
-		if blocked := c.recordCrash(prompt(deadlyPart, PartID(1000+n)), fmt.Sprint("t", n), at); len(blocked) > 0 {
+		if blocked := c.recordCrash(fmt.Sprint("t", n), at, prompt(deadlyPart, PartID(1000+n))); len(blocked) > 0 {
 			is.Equal(blocked, []PartID{deadlyPart})
 			return
 		}
@@ -144,8 +144,8 @@
 	now += initialBlockTime
 	is.True(passed())  // the trial
 	is.True(!passed()) // one at a time
-	is.Equal(c.recordCrash(prompt(deadlyPart, 5), "t9", now+second), []PartID{deadlyPart})
-	is.Equal(c.recordCrash(prompt(deadlyPart, 6), "t9", now+second), nil) // a bystander
+	is.Equal(c.recordCrash("t9", now+second, prompt(deadlyPart, 5)), []PartID{deadlyPart})
+	is.Equal(c.recordCrash("t9", now+second, prompt(deadlyPart, 6)), nil) // a bystander
 	now += second + 2*initialBlockTime - time.Millisecond
 	is.True(!passed()) // for twice as long
 	now += time.Millisecond
@@ -164,20 +164,40 @@
 	is := is.New(t)
 	c := newCrashTracker()
 	for n := range 50 { // bystanders of one crash
-		is.Equal(len(c.recordCrash(prompt(rootPart, PartID(n)), "t1", second)), 0)
+		is.Equal(len(c.recordCrash("t1", second, prompt(rootPart, PartID(n)))), 0)
 	}
 	for n := range 50 { // one request that is repeated
-		is.Equal(len(c.recordCrash(prompt(2, 99), fmt.Sprint("t", n), second)), 0)
+		is.Equal(len(c.recordCrash(fmt.Sprint("t", n), second, prompt(2, 99))), 0)
 	}
 }
 
+// Guards against a part that goes unblamed because of bystanders of earlier crashes, of whose parts
+// no request has come since.
+func TestBystandersDoNotShieldPart(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTracker()
+	for n := range 100 {
+		c.recordAnswered(prompt(7, PartID(n)), 0)
+	}
+	var blocked []PartID
+	for n := range 4 {
+		crashed := [][]Part{prompt(deadlyPart, PartID(1000+n))}
+		if n < 2 { // two bystanders, which are repeated once
+			crashed = append(crashed, prompt(8, 1), prompt(8, 2))
+		}
+		blocked = append(blocked, c.recordCrash(fmt.Sprint("t", n), time.Duration(n+1)*2*second, crashed...)...)
+	}
+	is.Equal(blocked, []PartID{deadlyPart})
+	is.True(c.suspects[deadlyPart].crashes <= minCrashes+1)
+}
+
 // Guards against false suspects without a bound in memory, and against those that keep a part that
 // crashes targets from being found.
 func TestManySuspectsStayBounded(t *testing.T) {
 	is := is.New(t)
 	c := newCrashTracker()
 	for n := range 20 * maxSuspects {
-		c.recordCrash(prompt(PartID(10_000+n), 1), fmt.Sprint("f", n), time.Duration(n)*time.Millisecond)
+		c.recordCrash(fmt.Sprint("f", n), time.Duration(n)*time.Millisecond, prompt(PartID(10_000+n), 1))
 		c.recordAnswered(prompt(3, 4), time.Duration(n)*time.Millisecond)
 	}
 	is.True(len(c.suspects) <= maxSuspects)
@@ -185,7 +205,7 @@
 	now := 20 * maxSuspects * time.Millisecond
 	for n := range 2 * maxBlocked { // many parts that look deadly
 		for i := range 10 {
-			c.recordCrash(prompt(PartID(500_000+n), PartID(i)), fmt.Sprint("g", i), now+time.Duration(i)*100*time.Millisecond)
+			c.recordCrash(fmt.Sprint("g", i), now+time.Duration(i)*100*time.Millisecond, prompt(PartID(500_000+n), PartID(i)))
 		}
 	}
 	is.Equal(c.numBlocked, maxBlocked)
@@ -254,7 +274,7 @@
 			p := prompt(PartID(rapid.IntRange(1, 4).Draw(t, "first")), PartID(rapid.IntRange(5, 8).Draw(t, "second")), PartID(rapid.IntRange(100, 120).Draw(t, "own")))
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
-				blocked := c.recordCrash(p, fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target")), now)
+				blocked := c.recordCrash(fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target")), now, p)
 				for _, part := range p[:2] {
 					if requests[part.ID] == nil {
 						requests[part.ID] = map[PartID]bool{}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -274,13 +274,15 @@
 	for _, w := range t.running {
 		oldest = min(oldest, w.sentAt)
 	}
+	var prompts [][]Part
 	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool {
 		if oldest < f.at && now-f.at < maxSettleTime {
 			return false
 		}
-		o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(f.prompt, t.info.ID, now)...)
+		prompts = append(prompts, f.prompt)
 		return true
 	})
+	o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(t.info.ID, now, prompts...)...)
 }
 
 // CountThrottled counts a request that a throttling entry instance refused on the owner's
