placement: blocks that have ended keep no other part from being blocked

Found in the last read of the diff: at 256 blocked parts no further one was blocked, and parts whose block had ended stayed among them for as long as no request with them came, so after many false suspects a part that crashes targets was sent on for good.

Change: at the limit, blocked parts whose time has ended are forgotten. TestManySuspectsStayBounded has the case; it failed before.

--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -145,9 +145,9 @@
 	switch {
 	case s.blocked && now < s.trialUntil:
 		s.blockTime = min(maxBlockTime, 2*s.blockTime)
-	case s.blocked || c.numBlocked >= maxBlocked || s.numRequests < minCrashRequests || s.crashes < c.requiredCrashes(s):
+	case s.blocked || s.numRequests < minCrashRequests || s.crashes < c.requiredCrashes(s):
 		return false
-	case c.hasNarrowerSuspect(s, now):
+	case c.hasNarrowerSuspect(s, now) || !c.makeRoomBlocked(now):
 		return false
 	default:
 		s.blocked, s.blockTime = true, initialBlockTime
@@ -174,6 +174,20 @@
 	return false
 }
 
+// makeRoomBlocked reports whether another part may be blocked. At the limit it forgets the blocked
+// parts whose time has ended.
+func (c *crashTracker) makeRoomBlocked(now time.Duration) bool {
+	if c.numBlocked < maxBlocked {
+		return true
+	}
+	for id, s := range c.suspects {
+		if s.blocked && max(s.blockedUntil, s.trialUntil) <= now {
+			c.remove(id, s)
+		}
+	}
+	return c.numBlocked < maxBlocked
+}
+
 // acquitOthers forgets the crashes of all parts that are not blocked: the newly blocked part
 // explains them.
 func (c *crashTracker) acquitOthers() {
--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -212,6 +212,12 @@
 	is.True(len(c.blockedParts(now)) <= maxBlocked)
 	_, refused := c.refuses(prompt(deadlyPart, 1), now)
 	is.True(refused)
+	now += 2 * initialBlockTime // the blocks have ended, and no request with those parts has come
+	for i := range 10 {
+		c.recordCrash(fmt.Sprint("h", i), now+time.Duration(i)*100*time.Millisecond, prompt(900_000, PartID(i)))
+	}
+	_, refused = c.refuses(prompt(900_000, 1), now+second)
+	is.True(refused) // they keep no other part from being blocked
 }
 
 // Guards against silence that is not seen as a crash, and against slow targets that are.
