placer: what targets say of their rate limit is read and logged

Responses are now read for it; 'target notice' and nutmeg_placer_target_notices_total{kind=limit} tell it, nutmeg_forward_invalid_rate_limits_total counts those that can't be read. A response says one of three things: a limit, none, or nothing that can be relied on (unreadable, or from another target). One that was received after a later statement of the limit and sent before it says nothing.

Nothing acts on it yet.

TestTargetNoticesArePassedOn: the rig ignores notices that say nothing, since one is passed for each response now; a 421 says nothing of the limit.

--- a/internal/api/dialect.go
+++ b/internal/api/dialect.go
@@ -93,8 +93,9 @@
 	// absent.
 	IdleTimeout time.Duration
 	Notice      TargetNotice
-	// InvalidPause reports that the target asks for a pause whose length cannot be read.
-	InvalidPause bool
+	// InvalidPause reports that the target asks for a pause whose length cannot be read,
+	// InvalidRateLimit that it names a rate limit that cannot be read.
+	InvalidPause, InvalidRateLimit bool
 }
 
 // DirectoryEntry is one target in the platform's list.
--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -69,7 +69,8 @@
 	BeforeSend() error
 	// ResponseStarted reports that the first byte of the response has arrived.
 	ResponseStarted()
-	// ReportNotice reports what the target has said of itself in its response.
+	// ReportNotice reports what the target has said of itself in its response. It is called for
+	// each response, because one that names no rate limit ends the limit.
 	ReportNotice(n TargetNotice)
 	// ReportEvents reports the number of events received from the target so far.
 	ReportEvents(events int)
@@ -81,7 +82,17 @@
 type TargetNotice struct {
 	Leaving bool // it leaves and must not be sent new requests
 	// Pause is how long this instance must send it nothing; 0 = no pause.
-	Pause time.Duration
+	Pause     time.Duration
+	RateLimit RateLimit
+}
+
+// RateLimit is what a response says of the requests per second that its target takes from all
+// instances together. The zero value says that it has no limit.
+type RateLimit struct {
+	Limited   bool
+	PerSecond float64 // if Limited
+	// Unknown reports that the response says nothing: what was known before still holds.
+	Unknown bool
 }
 
 // AttemptOutcome is how an attempt on a target ended.
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -10,6 +10,8 @@
 // short requests to plain services, and all requests while no owner responds. Its load is
 // that of one entry instance.
 //
+// Notices holds what targets have said of themselves, for one entry instance.
+//
 // A target processes a prompt (prefill) before it generates output. It keeps processed prompt
 // parts in its prompt cache, so that only uncached tokens need prefill.
 //
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -18,6 +18,7 @@
 	Leaving       bool   // it leaves and must not be sent new requests
 	// Pause is how long it must not be sent new requests from now on; 0 = no pause.
 	Pause time.Duration
+	Limit LimitNotice
 }
 
 // Notices holds the notices of targets for an entry instance, which decides by them at the moment
@@ -30,12 +31,13 @@
 	startedUnixMs int64
 	leaving       bool
 	pausedUntil   time.Duration
+	limit         storedLimit
 }
 
 // NewNotices returns a Notices without notices.
 func NewNotices() *Notices { return &Notices{byTarget: map[string]storedNotice{}} }
 
-// Record adds a notice and reports whether it says something new.
+// Record adds a notice that a target leaves or pauses and reports whether it says something new.
 func (n *Notices) Record(notice TargetNotice, now time.Duration) bool {
 	old := n.byTarget[notice.Target]
 	if old.startedUnixMs != notice.StartedUnixMs {
@@ -52,16 +54,13 @@
 
 // Leaving reports whether a target has said that it leaves.
 func (n *Notices) Leaving(t *api.Target) bool {
-	s, ok := n.byTarget[t.ID]
-	return ok && s.startedUnixMs == t.StartedUnixMs && s.leaving
+	s, _ := n.stored(t)
+	return s.leaving
 }
 
 // Pause returns the time until a target may be sent requests again, 0 if it may be sent some now.
 func (n *Notices) Pause(t *api.Target, now time.Duration) time.Duration {
-	s, ok := n.byTarget[t.ID]
-	if !ok || s.startedUnixMs != t.StartedUnixMs {
-		return 0
-	}
+	s, _ := n.stored(t)
 	return max(0, s.pausedUntil-now)
 }
 
@@ -70,7 +69,7 @@
 	var out []TargetNotice
 	for id, s := range n.byTarget {
 		if s.leaving || s.pausedUntil > now {
-			out = append(out, TargetNotice{id, s.startedUnixMs, s.leaving, max(0, s.pausedUntil-now)})
+			out = append(out, TargetNotice{Target: id, StartedUnixMs: s.startedUnixMs, Leaving: s.leaving, Pause: max(0, s.pausedUntil-now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b TargetNotice) int { return cmp.Compare(a.Target, b.Target) })
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -246,9 +246,13 @@
 	if fields.InvalidPause {
 		a.call.fwd.stats.invalidPauses.Inc()
 	}
-	if fields.Notice != (api.TargetNotice{}) {
-		a.placement.ReportNotice(fields.Notice)
+	if fields.InvalidRateLimit {
+		a.call.fwd.stats.invalidRateLimits.Inc()
 	}
+	if fields.WrongTarget {
+		fields.Notice.RateLimit = api.RateLimit{Unknown: true} // that of another target
+	}
+	a.placement.ReportNotice(fields.Notice)
 }
 
 // connectAndSend sends the request over a pooled or new connection. If the target closed
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -186,6 +186,9 @@
 func (p *placement) ReportNotice(n api.TargetNotice) {
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
+	if n == (api.TargetNotice{}) {
+		return
+	}
 	p.r.notices = append(p.r.notices, n)
 }
 func (p *placement) End(o api.AttemptOutcome) {
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -469,8 +469,12 @@
 }
 
 // Guards against notices of a target that are missed in one of its answers: a success, a stream's
-// head, an error, a 421, or a refusal; and against a pause that cannot be read.
+// head, an error, a 421, or a refusal; and against a pause or a rate limit that cannot be read.
 func TestTargetNoticesArePassedOn(t *testing.T) {
+	unknown := api.RateLimit{Unknown: true}
+	limit := func(perSecond float64) api.TargetNotice {
+		return api.TargetNotice{RateLimit: api.RateLimit{Limited: true, PerSecond: perSecond}}
+	}
 	cases := []struct {
 		name, path, head string
 		want             []api.TargetNotice
@@ -478,7 +482,16 @@
 		{"success", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
 		{"stream", "/draft/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
 		{"error", "/look/1", "HTTP/1.1 500 Internal Server Error\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
-		{"421", "/look/1", "HTTP/1.1 421 Misdirected Request\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true}}},
+		{"421", "/look/1", "HTTP/1.1 421 Misdirected Request\r\n" + standin.HeaderLeaving + ": 1\r\n", []api.TargetNotice{{Leaving: true, RateLimit: unknown}}},
+		{"limit", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": 4.25\r\n", []api.TargetNotice{limit(4.25)}},
+		{"limit of a stream", "/draft/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": 0.3\r\n", []api.TargetNotice{limit(0.3)}},
+		{"limit with an error", "/look/1", "HTTP/1.1 500 Internal Server Error\r\n" + standin.HeaderRateLimit + ": 0\r\n", []api.TargetNotice{limit(0)}},
+		{"limit with a refusal", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderRateLimit + ": 2\r\n", []api.TargetNotice{limit(2)}},
+		{"limit of another target", "/look/1", "HTTP/1.1 421 Misdirected Request\r\n" + standin.HeaderRateLimit + ": 2\r\n", []api.TargetNotice{{RateLimit: unknown}}},
+		{"huge limit", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": 1e300\r\n", []api.TargetNotice{limit(1e6)}},
+		{"negative limit", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": -1\r\n", []api.TargetNotice{{RateLimit: unknown}}},
+		{"unreadable limit", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": NaN\r\n", []api.TargetNotice{{RateLimit: unknown}}},
+		{"empty limit", "/look/1", "HTTP/1.1 200 OK\r\n" + standin.HeaderRateLimit + ": \r\n", []api.TargetNotice{{RateLimit: unknown}}},
 		{"pause", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": 1.5\r\n", []api.TargetNotice{{Pause: 1500 * time.Millisecond}}},
 		{"both", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderLeaving + ": 1\r\n" + standin.HeaderPause + ": 2\r\n", []api.TargetNotice{{Leaving: true, Pause: 2 * time.Second}}},
 		{"huge", "/look/1", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n" + standin.HeaderPause + ": 1e300\r\n", []api.TargetNotice{{Pause: 24 * time.Hour}}},
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -75,6 +75,7 @@
 	work            *api.PlacementRequest
 	target          api.Target
 	startedAt       time.Duration       // when the target was chosen, on the kernel clock
+	sentAt          time.Duration       // first byte of the newest send, on the kernel clock
 	chosenBy        string              // instance that chose the target: owner or entry
 	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
 	number          uint64              // number of the model request; 0 for plain requests
@@ -92,6 +93,7 @@
 		a.placer.recordExpired("before the request was sent", age)
 		return errExpired
 	}
+	a.sentAt = a.placer.clock.Now()
 	return a.placer.checkTarget(a.target)
 }
 
@@ -116,8 +118,17 @@
 	p := a.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if limit, isNew, _ := p.notices.RecordLimit(&a.target, n.RateLimit, a.sentAt, now); isNew {
+		p.limitNotices.Inc()
+		p.log.Info("target notice", "step", "notice", "request", a.work.RequestID, "target", limit.Target,
+			"limited", limit.Limit.Limited, "per_second", limit.Limit.PerSecond)
+	}
+	if !n.Leaving && n.Pause == 0 {
+		return
+	}
 	notice := placement.TargetNotice{Target: a.target.ID, StartedUnixMs: a.target.StartedUnixMs, Leaving: n.Leaving, Pause: n.Pause}
-	if !p.notices.Record(notice, p.clock.Now()) {
+	if !p.notices.Record(notice, now) {
 		return
 	}
 	if n.Leaving {
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -55,7 +55,7 @@
 	watchSignal   chan struct{}             // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
-	leavingNotices, pauseNotices                                          *metrics.Counter
+	leavingNotices, pauseNotices, limitNotices                            *metrics.Counter
 	waitSeconds                                                           *metrics.Histogram
 }
 
@@ -92,6 +92,7 @@
 	p.throttled = c.Metrics.NewCounter("nutmeg_placer_held_back_total")
 	p.leavingNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="leaving"}`)
 	p.pauseNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="pause"}`)
+	p.limitNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="limit"}`)
 	p.expiredGrants = c.Metrics.NewCounter("nutmeg_placer_grants_expired_total")
 	p.ownerTimeouts = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
 	p.waitSeconds = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
