--- a/cmd/nutmegsoak/main.go
+++ b/cmd/nutmegsoak/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -38,10 +39,14 @@
 	flags.IntVar(&o.TokensPerS, "tokens", 400_000, "tokens a second that the engines produce together")
 	flags.DurationVar(&o.Duration, "for", 20*time.Second, "duration of the fault phase")
 	flags.BoolVar(&o.Quiet, "quiet", false, "inject no faults")
+	faults := flags.String("faults", "", "names of the faults to inject, separated by commas; empty = all")
 	verbose := flags.Bool("v", false, "log each injected fault")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
+	if *faults != "" {
+		o.Faults = strings.Split(*faults, ",")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	failed := 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,10 +5,14 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"nutmegrouter/internal/standin/relay"
+	"nutmegrouter/platform/standin"
 )
 
 // fault is a fault that a run can inject.
@@ -72,6 +76,7 @@
 		{"targets-refuse", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 400, 0, 0, 0) }},
 		{"targets-cut", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 0, 0, 200, 0) }},
 		{"targets-hang", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 0, 0, 0, 150) }},
+		{"targets-limit", 0, limitTargets},
 		{"target-dark", 0, func(ctx context.Context, h *harness, rng *rand.Rand) {
 			p := h.targetRelays[h.targets[rng.IntN(len(h.targets))].ID]
 			p.Cut(relay.Both)
@@ -93,6 +98,21 @@
 	}
 }
 
+// faultsNamed returns the faults with the given names, all without a name. It fails if there is none
+// with one of the names.
+func faultsNamed(names []string) ([]fault, error) {
+	all := faults()
+	if len(names) == 0 {
+		return all, nil
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(all, func(f fault) bool { return f.name == name }) {
+			return nil, errors.Errorf("there is no fault %q", name)
+		}
+	}
+	return slices.DeleteFunc(all, func(f fault) bool { return !slices.Contains(names, f.name) }), nil
+}
+
 // pick returns a random element of the list.
 func pick[T any](list []T, rng *rand.Rand) T { return list[rng.IntN(len(list))] }
 
@@ -221,6 +241,25 @@
 	}
 }
 
+// limitTargets makes about two thirds of the targets name a rate limit, which changes once, for 8 s.
+func limitTargets(ctx context.Context, h *harness, rng *rand.Rand) {
+	var affected []*standin.Target
+	for _, t := range slices.Clone(h.targets) {
+		if rng.IntN(3) > 0 {
+			affected = append(affected, t)
+		}
+	}
+	for range 2 {
+		for _, t := range affected {
+			t.SetRateLimit(0.5 + 3.5*rng.Float64())
+		}
+		sleep(ctx, 4*time.Second)
+	}
+	for _, t := range affected {
+		t.SetRateLimit(-1)
+	}
+}
+
 // replaceTarget starts a replacement for a target, has the list show the old target as
 // leaving, and stops the old one up to 3 s after the bound on new work there (leaveMs).
 func replaceTarget(ctx context.Context, h *harness, rng *rand.Rand) {
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -35,6 +35,8 @@
 	// this time.
 	Duration time.Duration
 	Quiet    bool // inject no faults
+	// Faults are the names of the faults that are injected; empty = all.
+	Faults []string
 	// Log receives the progress and the failures of the faults. It must not be nil.
 	Log     func(format string, args ...any)
 	Network int // second byte of the loopback addresses; must differ between runs at the same time
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -88,7 +88,7 @@
 	var mu sync.Mutex
 	var started []string
 	controlsDown := 0
-	allFaults := faults()
+	allFaults, _ := faultsNamed(h.opt.Faults) // Validate has checked the names
 	var wg sync.WaitGroup
 	for series := range 2 {
 		rng := rand.New(rand.NewPCG(h.opt.Seed, uint64(10+series)))
@@ -150,7 +150,7 @@
 }
 
 // Validate returns an error if the fleet would lack a control instance, an entry
-// instance or a target of either service, or if Binary or Dir is empty.
+// instance or a target of either service, if Binary or Dir is empty, or if a fault is unknown.
 func (o *Options) Validate() error {
 	if o.Controls < 1 || o.Entries < 1 || o.Engines < 1 || o.Plain < 1 {
 		return errors.New("at least one control instance, entry instance, engine and plain service is needed")
@@ -158,5 +158,6 @@
 	if o.Binary == "" || o.Dir == "" {
 		return errors.New("the path of the daemon and the folder must be set")
 	}
-	return nil
+	_, err := faultsNamed(o.Faults)
+	return err
 }
