placement: targets get no more requests than the rate limit that they name

Callers saw nothing at first: targets that name a limit answer. Users saw targets that got up to 183 requests in 4 s where 42 are allowed (LIMIT).

Cause: the limit was read nowhere, and no account covered all requests to a target. The owner places model requests of all entry instances, but counted starts only against the cold limit; plain requests, and all while no owner responds, are placed by each instance for itself. Class of fault: a bound on the whole fleet that is kept by each instance, or by one of several ways to a target.

Change: the owner keeps a token bucket for each target that names a limit, of either kind. A bucket begins empty, so a new owner beside its predecessor stays within the limit. Grants say whether they were counted; an entry instance that knows the limit sends nothing that was not, and reports the limit to the owner, which may not know it. Plain requests prefer targets without a limit; for the others the instance asks the owner, which grants the first of up to 8 candidates with room or refuses at once, later for each caller refused before. While no owner responds, an instance uses its part of a quarter of the limit, beginning at a random time. Of two statements the later counts; none ends a limit unless the request was sent after the limit was last named. Limits below 0.2 a second are used at 0.2, because only answers tell that a limit has ended.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -137,12 +137,13 @@
 
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
 	c.target.start(w, now)
+	w.metered = c.target.countAgainstLimit(now)
 	o.crashes.recordSent(w.request.Prompt)
 	if !w.request.Resumes {
 		w.charge = o.shares.recordGranted(w.request.Workspace, w.cost)
 	}
 	d := o.newDecision(w, c)
-	d.Target, d.QueueDelay = c.target.info.ID, now-w.submittedAt
+	d.Target, d.Metered, d.QueueDelay = c.target.info.ID, w.metered, now-w.submittedAt
 	o.decisions = append(o.decisions, d)
 }
 
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -23,6 +23,8 @@
 	failureLoad = 8.0
 	// affinityLoadBonus is the cost reduction of the affinity target, in running requests.
 	affinityLoadBonus = 3.0
+	// limitedLoad is the cost of a target with a rate limit, in running requests.
+	limitedLoad = 1.0
 	// slowLoad is the cost, in running requests, of each multiple of the service's typical
 	// latency by which a target is slower.
 	slowLoad = 1.0
@@ -69,8 +71,8 @@
 }
 
 // Choose returns the target with the lowest cost, or false if none is usable. Targets that are
-// leaving or cold, have MaxRunning requests or are in a data centre out of service are not used.
-// Targets that are suspect after a failure or already tried are used only if there is no other.
+// leaving or cold, have MaxRunning requests, have a rate limit or are in a data centre out of service
+// are not used. Targets that are suspect after a failure or already tried are used only if there is no other.
 func (l *Local) Choose(q Query) (api.Target, bool) {
 	best, minCost := -1, math.Inf(1)
 	preferred := q.affinityIndex()
@@ -78,10 +80,7 @@
 	for i := range q.Targets {
 		j := (i + offset) % len(q.Targets)
 		t := &q.Targets[j]
-		if !q.usable(t) {
-			continue
-		}
-		if q.MaxRunning > 0 && l.loadOf(t).running >= q.MaxRunning {
+		if !q.usable(t) || q.limited(t) || q.MaxRunning > 0 && l.loadOf(t).running >= q.MaxRunning {
 			continue
 		}
 		c := l.cost(t, q)
@@ -98,6 +97,53 @@
 	return q.Targets[best], true
 }
 
+// ChooseLimited returns the usable targets with a rate limit that have the lowest cost, at most 8, best
+// first. Each needs the owner's grant or this instance's share of the limit.
+func (l *Local) ChooseLimited(q Query) []api.Target {
+	if q.Notices == nil || q.Notices.numLimited == 0 {
+		return nil
+	}
+	type choice struct {
+		index int
+		cost  float64
+	}
+	var best []choice
+	offset := int(q.Random * float64(len(q.Targets)))
+	for i := range q.Targets {
+		j := (i + offset) % len(q.Targets)
+		t := &q.Targets[j]
+		if !q.limited(t) || !q.usable(t) || q.MaxRunning > 0 && l.loadOf(t).running >= q.MaxRunning {
+			continue
+		}
+		c := choice{j, l.cost(t, q)}
+		if len(best) == maxCandidates && c.cost >= best[maxCandidates-1].cost {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, c, func(x, y choice) int {
+			if x.cost <= y.cost {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, c)
+		best = best[:min(len(best), maxCandidates)]
+	}
+	out := make([]api.Target, len(best))
+	for i, c := range best {
+		out[i] = q.Targets[c.index]
+	}
+	return out
+}
+
+// PrefersLimited reports whether a target with a rate limit, which costs a message to the owner, is
+// better than another one without.
+func (l *Local) PrefersLimited(limited, other api.Target, q Query) bool {
+	return l.cost(&limited, q)+limitedLoad < l.cost(&other, q)
+}
+
+// limited reports whether a target has a rate limit.
+func (q *Query) limited(t *api.Target) bool { return q.Notices != nil && q.Notices.Limited(t) }
+
 // usable reports whether a target serves the query's service and accepts new requests.
 func (q *Query) usable(t *api.Target) bool {
 	return q.mayUse(t) && (q.Notices == nil || q.Notices.Pause(t, q.Now) == 0)
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -24,7 +23,8 @@
 // Notices holds the notices of targets for an entry instance, which decides by them at the moment
 // of sending. They end with the incarnation of the target. It is not safe for concurrent use.
 type Notices struct {
-	byTarget map[string]storedNotice
+	byTarget   map[string]storedNotice
+	numLimited int // targets with a rate limit
 }
 
 type storedNotice struct {
@@ -37,11 +37,24 @@
 // NewNotices returns a Notices without notices.
 func NewNotices() *Notices { return &Notices{byTarget: map[string]storedNotice{}} }
 
+// stored returns what is known of an incarnation of a target.
+func (n *Notices) stored(t *api.Target) (storedNotice, bool) {
+	if len(n.byTarget) == 0 {
+		return storedNotice{}, false
+	}
+	s, ok := n.byTarget[t.ID]
+	if !ok || s.startedUnixMs != t.StartedUnixMs {
+		return storedNotice{}, false
+	}
+	return s, true
+}
+
 // Record adds a notice that a target leaves or pauses and reports whether it says something new.
 func (n *Notices) Record(notice TargetNotice, now time.Duration) bool {
 	old := n.byTarget[notice.Target]
 	if old.startedUnixMs != notice.StartedUnixMs {
 		old = storedNotice{startedUnixMs: notice.StartedUnixMs}
+		n.storeLimit(notice.Target, old)
 	}
 	stored := old
 	stored.leaving = old.leaving || notice.Leaving
@@ -49,7 +62,7 @@
 		stored.pausedUntil = max(old.pausedUntil, now+min(notice.Pause, maxPause))
 	}
 	n.byTarget[notice.Target] = stored
-	return stored != old
+	return stored.leaving != old.leaving || stored.pausedUntil != old.pausedUntil
 }
 
 // Leaving reports whether a target has said that it leaves.
@@ -64,16 +77,19 @@
 	return max(0, s.pausedUntil-now)
 }
 
-// List returns the notices that still hold, ordered by target.
+// List returns the notices that still hold, ordered by target. Of the rate limits it has those that
+// this instance has observed itself: other instances report the others.
 func (n *Notices) List(now time.Duration) []TargetNotice {
 	var out []TargetNotice
 	for id, s := range n.byTarget {
 		if s.leaving || s.pausedUntil > now {
 			out = append(out, TargetNotice{Target: id, StartedUnixMs: s.startedUnixMs, Leaving: s.leaving, Pause: max(0, s.pausedUntil-now)})
 		}
+		if s.limit.limited && s.limit.observed {
+			out = append(out, limitNotice(id, s, now))
+		}
 	}
-	slices.SortFunc(out, func(a, b TargetNotice) int { return cmp.Compare(a.Target, b.Target) })
-	return out
+	return sortedByTarget(out)
 }
 
 // Retain removes the notices of targets that are not in the list.
@@ -84,6 +100,7 @@
 	}
 	for id, s := range n.byTarget {
 		if started, ok := listed[id]; !ok || started != s.startedUnixMs {
+			n.storeLimit(id, storedNotice{})
 			delete(n.byTarget, id)
 		}
 	}
@@ -93,8 +110,9 @@
 // that are queued for it are decided anew. A notice of an unknown target or of an earlier
 // incarnation is ignored.
 func (o *Owner) RecordNotice(notice TargetNotice, now time.Duration) {
+	o.recordLimit(notice, now)
 	t := o.targets[notice.Target]
-	if t == nil || t.info.StartedUnixMs != notice.StartedUnixMs {
+	if !notice.Leaving && notice.Pause == 0 || t == nil || t.info.StartedUnixMs != notice.StartedUnixMs {
 		return
 	}
 	if notice.Pause > 0 {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -32,13 +32,18 @@
 	RouteObjective time.Duration
 	Tried          []string // IDs of targets to which the request was already sent
 	Resumes        bool     // the request continues an interrupted stream
+	// Candidates are, for a plain request, the IDs of the targets with a rate limit of which the entry
+	// instance asks for one, best first.
+	Candidates []string
 }
 
 // Decision is the owner's reply to a Request: a grant with a target, or a refusal with a code.
 type Decision struct {
 	Key Key
-	// Target is the ID of the granted target; "" = refused.
-	Target string
+	// Target is the ID of the granted target; "" = refused. Metered reports that the request was
+	// counted against the target's rate limit.
+	Target  string
+	Metered bool
 	// Code is the reason of a refusal, RetryAfter the time after which the caller may retry.
 	Code       string
 	RetryAfter time.Duration
@@ -67,6 +72,7 @@
 	CodeTooLate       = "too_late"       // the first event would come after the caller gives up
 	CodeShareExceeded = "share_exceeded" // misses its objective, and the workspace exceeds its share
 	CodeShareYields   = "share_yields"   // granted too much more than a workspace with unmet demand
+	CodeLimitReached  = "limit_reached"  // all targets are at the rate limit that they have named
 	CodePartCrashes   = "part_crashes"   // targets crash when they begin to answer a part of its prompt
 )
 
@@ -110,24 +116,30 @@
 	decisions     []Decision
 	newlyBlocked  []PartID
 	unsettled     map[*target]struct{} // targets with failures
-	lastTick      time.Duration        // last review of the queued requests
+	listed        map[string]int64     // Target.StartedUnixMs of all targets, plain ones too, by ID
+	limits        map[string]*targetLimit
+	changedLimits map[string]struct{} // IDs of targets whose rate limit has changed
+	lastTick      time.Duration       // last review of the queued requests
 }
 
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
 		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, requests: map[Key]*work{},
-		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), unsettled: map[*target]struct{}{}, meanRunTimes: map[string]time.Duration{}}
+		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{}}
 }
 
 // SetView replaces the fleet view. Running requests on removed targets are tracked until they
 // end. Requests queued for targets that are removed or accept no requests are decided anew.
 func (o *Owner) SetView(v View, now time.Duration) {
 	o.view = v
+	o.retainLimits(v.Targets)
 	current := make(map[string]*target, len(v.Targets))
 	for _, info := range v.Targets {
 		if s := v.Services[info.Service]; s != nil && s.Engine != nil {
-			current[info.ID] = o.targetModel(info, *s.Engine)
+			t := o.targetModel(info, *s.Engine)
+			t.limit = o.limits[info.ID]
+			current[info.ID] = t
 		}
 	}
 	previous := o.sortedTargets
@@ -177,6 +189,10 @@
 	if o.requests[k] != nil {
 		return
 	}
+	if len(req.Candidates) > 0 {
+		o.grantCandidate(k, req, now)
+		return
+	}
 	o.advanceShares(now)
 	w := newWork(k, req, now)
 	if remaining, refused := o.refusesPrompt(req, now); refused {
@@ -345,6 +361,9 @@
 	w.answered = answered
 	o.requests[k] = w
 	t.start(w, now-max(0, sentAgo))
+	if sentAgo < startWindow {
+		w.metered = t.countAgainstLimit(now)
+	}
 	if firstEvent {
 		w.gotFirstEvent = true
 		t.removeFromPrefill(w, false)
@@ -383,6 +402,9 @@
 	case api.AttemptUnreachable, api.AttemptUnsent, api.AttemptTargetFull, api.AttemptPaused, api.AttemptWrongTarget:
 		o.shares.refund(w.request.Workspace, w.charge)
 	}
+	if w.metered && (outcome == api.AttemptUnreachable || outcome == api.AttemptUnsent) {
+		w.target.limit.account.giveBack(now)
+	}
 	if w.target.health.suspectUntil > now {
 		o.redecidePending(w.target, now)
 		return
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -51,6 +51,7 @@
 
 	target        *target // on which it runs; nil while queued
 	charge        charge  // against the share of its workspace
+	metered       bool    // counted against the target's rate limit
 	uncached      int     // prompt tokens that need prefill
 	sentAt        time.Duration
 	gotFirstEvent bool
@@ -108,6 +109,7 @@
 	health           health
 	saysLeaving      bool                   // it has said that it leaves, whatever the list says
 	pausedUntil      time.Duration          // it has asked for no requests until then
+	limit            *targetLimit           // its rate limit; nil = it has named none
 	failures         []failure              // that may be a crash, oldest first
 	pending          []*work                // requests queued at the owner for this target
 	pendingByRank    [numRanks]pendingTotal // sums over pending
@@ -265,8 +267,13 @@
 }
 
 // startWait returns the time until one more start, after pendingBefore others, stays within a
-// limit on starts per second; perSecond <= 0 = no limit.
+// limit on starts per second, perSecond <= 0 = no limit, and within the target's rate limit.
 func (t *target) startWait(perSecond float64, pendingBefore int, now time.Duration) time.Duration {
+	return max(t.limitWait(pendingBefore, now), t.startWindowWait(perSecond, pendingBefore, now))
+}
+
+// startWindowWait is startWait without the target's rate limit.
+func (t *target) startWindowWait(perSecond float64, pendingBefore int, now time.Duration) time.Duration {
 	for len(t.recentStarts) > 0 && now-t.recentStarts[0] >= startWindow {
 		t.recentStarts = t.recentStarts[1:]
 	}
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -4,6 +4,7 @@
 package placewire
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"time"
 
@@ -30,6 +31,9 @@
 	TimesMs      [3]int64 `json:"d"`
 	TriedTargets []string `json:"t,omitempty"` // IDs of the targets of earlier attempts
 	Resumed      bool     `json:"r,omitempty"` // a stream that was already begun is resumed
+	// Candidates lists, for a plain request, the IDs of the targets with a rate limit of which one is
+	// asked for, best first.
+	Candidates []string `json:"c,omitempty"`
 }
 
 // Running is a request that runs on a target. Target is the target's ID; Began reports
@@ -105,6 +109,8 @@
 	Target  string `json:"a,omitempty"`
 	Code    string `json:"c,omitempty"`
 	RetryMs int64  `json:"r,omitempty"`
+	// Metered reports that the request was counted against the rate limit of the target.
+	Metered bool `json:"e,omitempty"`
 	// WaitMs, Excess and UncachedTokens are inputs of the decision, for the log: the wait
 	// for a target in milliseconds, by how much the workspace exceeds its share, and the
 	// uncached tokens of the prompt on the target.
@@ -138,6 +144,9 @@
 	Decisions []Decision `json:"g,omitempty"`
 	// Blocked replaces the list of blocked prompt parts at the entry instance; nil = unchanged.
 	Blocked *BlockedParts `json:"b,omitempty"`
+	// Limits lists rate limits of targets as a JSON array of Notice: those that have changed, or all
+	// after a full report. It is encoded once for all entry instances.
+	Limits json.RawMessage `json:"l,omitempty"`
 }
 
 // Notice is what a target has said of itself, as in placement.TargetNotice.
@@ -146,16 +155,44 @@
 	StartedUnixMs int64  `json:"s,omitempty"`
 	Leaving       bool   `json:"l,omitempty"`
 	PauseMs       int64  `json:"p,omitempty"`
+	// Rate is the rate limit in requests per second; nil = not told. Unlimited reports that the target
+	// has none any more. StatedAgoMs is as in placement.LimitNotice, in milliseconds.
+	Rate        *float64 `json:"r,omitempty"`
+	Unlimited   bool     `json:"u,omitempty"`
+	StatedAgoMs int64    `json:"o,omitempty"`
 }
 
 // NewNotice returns the message for a notice.
 func NewNotice(n placement.TargetNotice) Notice {
-	return Notice{n.Target, n.StartedUnixMs, n.Leaving, n.Pause.Milliseconds()}
+	out := Notice{Target: n.Target, StartedUnixMs: n.StartedUnixMs, Leaving: n.Leaving, PauseMs: n.Pause.Milliseconds()}
+	if n.Limit.Stated {
+		out.Unlimited, out.StatedAgoMs = !n.Limit.Limited, n.Limit.StatedAgo.Milliseconds()
+		if n.Limit.Limited {
+			out.Rate = &n.Limit.PerSecond
+		}
+	}
+	return out
+}
+
+// NewNotices returns the messages for notices.
+func NewNotices(notices []placement.TargetNotice) []Notice {
+	out := make([]Notice, len(notices))
+	for i, n := range notices {
+		out[i] = NewNotice(n)
+	}
+	return out
 }
 
 // ToPlacement converts the message to the type of package placement.
 func (n Notice) ToPlacement() placement.TargetNotice {
-	return placement.TargetNotice{Target: n.Target, StartedUnixMs: n.StartedUnixMs, Leaving: n.Leaving, Pause: time.Duration(n.PauseMs) * time.Millisecond}
+	out := placement.TargetNotice{Target: n.Target, StartedUnixMs: n.StartedUnixMs, Leaving: n.Leaving, Pause: time.Duration(n.PauseMs) * time.Millisecond}
+	if n.Rate != nil || n.Unlimited {
+		out.Limit = placement.LimitNotice{Stated: true, Limited: n.Rate != nil, StatedAgo: time.Duration(n.StatedAgoMs) * time.Millisecond}
+	}
+	if n.Rate != nil {
+		out.Limit.PerSecond = *n.Rate
+	}
+	return out
 }
 
 // BlockedParts lists blocked prompt parts: the ID of each, and the milliseconds until it is tried
@@ -226,13 +263,14 @@
 		Service: r.Service, Workspace: r.Workspace, DataCentre: dataCentre,
 		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: prompt,
 		Objective: ms(r.TimesMs[0]), Deadline: ms(r.TimesMs[1]), RouteObjective: ms(r.TimesMs[2]), Tried: r.TriedTargets, Resumes: r.Resumed,
+		Candidates: r.Candidates,
 	}
 }
 
 // NewDecision returns the message for a decision. Excess is truncated to hundredths.
 func NewDecision(d placement.Decision) Decision {
 	return Decision{
-		Number: d.Key.Number, Target: d.Target, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
+		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
 		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
 	}
--- /dev/null
+++ b/plugin/owner/limits_test.go
@@ -0,0 +1,36 @@
+package owner
+
+import (
+	"encoding/json"
+	"testing"
+
+	"nutmegrouter/internal/placement"
+	"nutmegrouter/internal/placewire"
+)
+
+// Guards against rate limits that do not reach all entry instances, those that start later included, or
+// are sent again with each message.
+func TestRateLimitsReachEachEntryOnce(t *testing.T) {
+	r := newHarness(t)
+	limits := func(m placewire.OwnerMessage) []placewire.Notice {
+		var out []placewire.Notice
+		r.NoErr(json.Unmarshal(m.Limits, &out))
+		return out
+	}
+	r.send(placewire.EntryMessage{FullReport: true})
+	r.o.inbox.Push(func() { r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true}) })
+	notice := placewire.NewNotice(placement.TargetNotice{Target: "t1", Limit: placement.LimitNotice{Stated: true, Limited: true, PerSecond: 4}})
+	r.send(placewire.EntryMessage{Notices: []placewire.Notice{notice}})
+	for range 2 { // one for each entry instance
+		m := limits(r.nextMessage())
+		r.Equal(len(m), 1)
+		r.Equal(*m[0].Rate, 4.0)
+	}
+	r.send(placewire.EntryMessage{Notices: []placewire.Notice{notice}}) // it still holds
+	r.o.inbox.Push(func() { r.o.applyUpdate("g", &placewire.EntryMessage{Term: 7, FullReport: true}) })
+	r.Equal(limits(r.nextMessage())[0].Target, "t1")
+	r.waitForCheck()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Equal(len(r.sent), 0)
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -49,6 +49,8 @@
 	suspensionThreshold = 400 * time.Millisecond
 	// confirmTimeout bounds one read that confirms the leadership with a majority.
 	confirmTimeout = time.Second
+	// limitsInterval is the minimum time between two messages with changed rate limits of targets.
+	limitsInterval = 100 * time.Millisecond
 	// confirmRetryDelay is the time between two such reads.
 	confirmRetryDelay = 20 * time.Millisecond
 )
@@ -81,6 +83,10 @@
 	blockedSent    map[string]uint64
 	blockedDue     bool
 	blockedVersion uint64
+	// limitsDue are the entry instances that must be sent all rate limits of targets, limitsSentAt is
+	// when changes were last sent.
+	limitsDue    map[string]bool
+	limitsSentAt time.Duration
 
 	grants, refusals, blocks *metrics.Counter
 	decideSeconds            *metrics.Histogram
@@ -233,6 +239,7 @@
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed = s.Term, false
 		o.blockedSent, o.blockedDue, o.blockedVersion = map[string]uint64{}, false, 0
+		o.limitsDue = map[string]bool{}
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -312,6 +319,7 @@
 			o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
 		}
 		o.blockedSent[from], o.blockedDue = 0, true
+		o.limitsDue[from] = true
 	}
 	for _, n := range u.Notices {
 		o.state.RecordNotice(n.ToPlacement(), now)
@@ -382,6 +390,7 @@
 	}
 	if !o.unconfirmed {
 		o.addBlockedParts(to, now)
+		o.addLimits(to, now)
 	}
 	if now-o.lastHeartbeat >= heartbeatInterval && !o.unconfirmed {
 		o.lastHeartbeat = now
@@ -419,6 +428,48 @@
 	}
 }
 
+// addLimits adds the rate limits of targets to the messages: all to the entry instances that have sent a
+// full report, the changes to the others.
+func (o *Owner) addLimits(to func(entry string) *placewire.OwnerMessage, now time.Duration) {
+	if len(o.limitsDue) > 0 {
+		if all := o.encodeLimits(o.state.Limits(now)); all != nil {
+			for entry := range o.limitsDue {
+				to(entry).Limits = all
+			}
+		}
+		clear(o.limitsDue)
+		return // the changes follow with the next message
+	}
+	if now-o.limitsSentAt < limitsInterval {
+		return
+	}
+	changed := o.state.ChangedLimits(now)
+	if len(changed) == 0 {
+		return
+	}
+	o.limitsSentAt = now
+	for _, n := range changed {
+		logqueue.Notice(o.log, "rate limit of a target", "step", "limit", "target", n.Target, "limited", n.Limit.Limited, "per_second", n.Limit.PerSecond)
+	}
+	encoded := o.encodeLimits(changed)
+	for entry := range o.blockedSent {
+		to(entry).Limits = encoded
+	}
+}
+
+// encodeLimits returns rate limits as they are sent to entry instances, nil without any.
+func (o *Owner) encodeLimits(limits []placement.TargetNotice) json.RawMessage {
+	if len(limits) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(placewire.NewNotices(limits))
+	if err != nil {
+		o.log.Error("rate limits not encoded", "step", "limit", "error", err)
+		return nil
+	}
+	return raw
+}
+
 func (o *Owner) send(to string, d placewire.OwnerMessage) {
 	// If the message is lost, the entry instance places the request locally after a timeout.
 	if err := o.mesh.Notify(to, placewire.MethodDown, d); err != nil {
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -19,45 +20,130 @@
 	localSlotFraction = 0.7
 	// defaultEntryCount is the assumed number of entry instances until the topology is known.
 	defaultEntryCount = 16
+	// maxLimitRetryAfter bounds the retry delay for callers while this instance's share of the rate
+	// limits has no room: an owner may respond again sooner.
+	maxLimitRetryAfter = 2 * time.Second
 )
 
-// placeLocal chooses a target from the state that this instance has itself. The error is
-// an *api.Refusal if no target may be used.
-func (p *Placer) placeLocal(w *api.PlacementRequest) (*assignment, error) {
+const limitReachedMessage = "all targets of the service are at the rate limit that they have named"
+
+// query describes the local choice of a target for a request. Its notices may be used only under the
+// lock.
+func (p *Placer) query(w *api.PlacementRequest) placement.Query {
 	now := p.clock.Now()
 	q := placement.Query{
 		Service: w.Service, Targets: p.directory.Targets(), OutOfService: p.fleet.View().DataCentresOut,
-		Tried: w.TriedTargets, Now: now, Random: rand.Float64(),
+		Tried: w.TriedTargets, Now: now, Random: rand.Float64(), Notices: p.notices,
 	}
 	if w.Engine != nil {
 		q.AffinityPart, q.MaxRunning = affinityPart(w.Prompt), p.maxRunning(w.Engine.Slots)
 	}
+	return q
+}
+
+// placePlain chooses a target for a request to a plain service. One with a rate limit, which counts
+// the requests of all entry instances, needs the owner's grant.
+func (p *Placer) placePlain(ctx context.Context, w *api.PlacementRequest) (*assignment, error) {
+	q := p.query(w)
+	p.mu.Lock()
+	limited := p.local.ChooseLimited(q)
+	if len(limited) > 0 {
+		if t, ok := p.local.Choose(q); ok && !p.local.PrefersLimited(limited[0], t, q) {
+			limited = nil
+		}
+	}
+	p.mu.Unlock()
+	if len(limited) == 0 {
+		return p.placeLocal(w)
+	}
+	number, wt, ok := p.askOwner(w, limited)
+	if !ok {
+		return p.placeLocal(w)
+	}
+	resp, err := p.awaitOwner(ctx, number, wt)
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.granted != nil:
+		return p.acceptGrant(w, resp), nil
+	case resp.placeLocally || resp.askAgain:
+		return p.placeLocal(w)
+	}
+	a, ok := p.placeUnlimited(w)
+	if !ok {
+		return nil, p.refusal(w, resp.decision)
+	}
+	return a, nil
+}
+
+// placeUnlimited chooses a target without a rate limit from the state that this instance has itself.
+func (p *Placer) placeUnlimited(w *api.PlacementRequest) (*assignment, bool) {
+	q := p.query(w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q.Notices = p.notices
 	t, ok := p.local.Choose(q)
 	if !ok {
-		retryAfter := noTargetRetryAfter
-		if pause := q.PauseEnd(); pause > 0 {
-			retryAfter = pause + time.Duration(rand.Float64()*float64(pause)/2) // callers do not return together
+		return nil, false
+	}
+	return p.startLocal(w, t), true
+}
+
+// placeLocal chooses a target from the state that this instance has itself: one without a rate limit,
+// or else one on which this instance's share of the limit has room. The error is an *api.Refusal if
+// no target may be used.
+func (p *Placer) placeLocal(w *api.PlacementRequest) (*assignment, error) {
+	q := p.query(w)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, ok := p.local.Choose(q); ok {
+		return p.startLocal(w, t), nil
+	}
+	soonest := time.Duration(0)
+	for _, t := range p.local.ChooseLimited(q) {
+		wait, ok := p.notices.TakeShare(&t, p.entryCount(), rand.Float64(), q.Now)
+		if ok {
+			a := p.startLocal(w, t)
+			a.metered = true
+			return a, nil
 		}
+		if soonest == 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	if soonest > 0 {
 		return nil, &api.Refusal{
-			Code: placement.CodeNoTarget, Status: 503, Run: api.NotRun, Step: "place",
-			Message: "no target of the service may be used", RetryAfter: retryAfter,
+			Code: placement.CodeLimitReached, Status: 503, Run: api.NotRun, Step: "place",
+			Message: limitReachedMessage, RetryAfter: min(soonest, maxLimitRetryAfter), LogAttrs: []any{"by", "entry"},
 		}
 	}
+	retryAfter := noTargetRetryAfter
+	if pause := q.PauseEnd(); pause > 0 {
+		retryAfter = pause + time.Duration(rand.Float64()*float64(pause)/2) // callers do not return together
+	}
+	return nil, &api.Refusal{
+		Code: placement.CodeNoTarget, Status: 503, Run: api.NotRun, Step: "place",
+		Message: "no target of the service may be used", RetryAfter: retryAfter,
+	}
+}
+
+// startLocal starts a request on a target that this instance has chosen. The lock must be held.
+func (p *Placer) startLocal(w *api.PlacementRequest, t api.Target) *assignment {
 	p.local.Start(t)
-	return &assignment{placer: p, work: w, target: t, startedAt: now, chosenBy: "entry", chosenAt: p.readClocks()}, nil
+	return &assignment{placer: p, work: w, target: t, startedAt: p.clock.Now(), chosenBy: "entry", chosenAt: p.readClocks()}
 }
 
 // maxRunning returns how many requests this instance may run on a target with the given
 // number of slots: its part of localSlotFraction, at least 1.
 func (p *Placer) maxRunning(slots int) int {
-	entries := p.topology.EntryCount()
-	if entries == 0 {
-		entries = defaultEntryCount
+	return max(1, int(localSlotFraction*float64(slots)/float64(p.entryCount())+0.5))
+}
+
+// entryCount returns the number of entry instances, or an assumed one.
+func (p *Placer) entryCount() int {
+	if n := p.topology.EntryCount(); n > 0 {
+		return n
 	}
-	return max(1, int(localSlotFraction*float64(slots)/float64(entries)+0.5))
+	return defaultEntryCount
 }
 
 // affinityPart returns the prompt part by which requests are routed to the same target,
@@ -76,6 +162,7 @@
 	target          api.Target
 	startedAt       time.Duration       // when the target was chosen, on the kernel clock
 	sentAt          time.Duration       // first byte of the newest send, on the kernel clock
+	metered         bool                // one send is counted against the target's rate limit
 	chosenBy        string              // instance that chose the target: owner or entry
 	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
 	number          uint64              // number of the model request; 0 for plain requests
@@ -93,8 +180,36 @@
 		a.placer.recordExpired("before the request was sent", age)
 		return errExpired
 	}
+	if err := a.placer.checkTarget(a.target); err != nil {
+		return err
+	}
+	if err := a.checkLimit(); err != nil {
+		return err
+	}
 	a.sentAt = a.placer.clock.Now()
-	return a.placer.checkTarget(a.target)
+	return nil
+}
+
+// checkLimit returns an error if the target has a rate limit against which this send is not counted:
+// the limit was not known when the target was chosen, or the request is sent to it again. The owner is
+// told of the limit, because it may not know it.
+func (a *assignment) checkLimit() error {
+	p := a.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.notices.Limited(&a.target) && !a.metered {
+		p.unmeteredSends.Inc()
+		p.reportLimit(&a.target)
+		return errTargetLimited
+	}
+	a.metered = false
+	return nil
+}
+
+// reportLimit tells the owner of a target's rate limit. The lock must be held.
+func (p *Placer) reportLimit(t *api.Target) {
+	p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(p.notices.ReportLimit(t, p.clock.Now())))
+	p.signalSend()
 }
 
 // ResponseStarted implements api.Placement.
@@ -119,7 +234,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if limit, isNew, _ := p.notices.RecordLimit(&a.target, n.RateLimit, a.sentAt, now); isNew {
+	limit, isNew, due := p.notices.RecordLimit(&a.target, n.RateLimit, a.sentAt, now)
+	if due {
+		p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(limit))
+		p.signalSend()
+	}
+	if isNew {
 		p.limitNotices.Inc()
 		p.log.Info("target notice", "step", "notice", "request", a.work.RequestID, "target", limit.Target,
 			"limited", limit.Limit.Limited, "per_second", limit.Limit.PerSecond)
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -40,9 +40,20 @@
 
 // waiter is a model request that waits for the owner's response.
 type waiter struct {
-	work     *api.PlacementRequest
-	askedAt  time.Duration
-	response chan ownerResponse // capacity 1
+	work *api.PlacementRequest
+	// candidates are the targets of which a plain request asks for one, best first.
+	candidates []api.Target
+	askedAt    time.Duration
+	response   chan ownerResponse // capacity 1
+}
+
+// request returns the message for the request.
+func (wt *waiter) request(number uint64, now time.Duration) placewire.Request {
+	r := placewire.NewRequest(number, wt.work, now)
+	for _, t := range wt.candidates {
+		r.Candidates = append(r.Candidates, t.ID)
+	}
+	return r
 }
 
 // ownerResponse ends the wait of a request. At most one of its flags is set; without one,
@@ -57,10 +68,10 @@
 // Place implements api.Placer.
 func (p *Placer) Place(ctx context.Context, w *api.PlacementRequest) (api.Placement, error) {
 	if w.Engine == nil {
-		return asPlacement(p.placeLocal(w))
+		return asPlacement(p.placePlain(ctx, w))
 	}
 	for {
-		number, wt, ok := p.askOwner(w)
+		number, wt, ok := p.askOwner(w, nil)
 		if !ok {
 			return asPlacement(p.placeEngineLocal(w, "no owner"))
 		}
@@ -150,9 +161,10 @@
 	return a, nil
 }
 
-// askOwner sends a request to the owner and returns its number and waiter. It reports
-// false if the owner is unknown, unreachable or within ownerRetryDelay.
-func (p *Placer) askOwner(w *api.PlacementRequest) (uint64, *waiter, bool) {
+// askOwner sends a request to the owner and returns its number and waiter. A plain request asks for one
+// of its candidates, of whose rate limits the owner is told first. It reports false if the owner is
+// unknown, unreachable or within ownerRetryDelay.
+func (p *Placer) askOwner(w *api.PlacementRequest, candidates []api.Target) (uint64, *waiter, bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,7 +172,12 @@
 		return 0, nil, false
 	}
 	p.lastNumber++
-	wt := &waiter{work: w, askedAt: now, response: make(chan ownerResponse, 1)}
+	wt := &waiter{work: w, candidates: candidates, askedAt: now, response: make(chan ownerResponse, 1)}
+	for i := range candidates {
+		if p.notices.Unreported(&candidates[i]) {
+			p.reportLimit(&candidates[i])
+		}
+	}
 	if len(p.waiting) == 0 {
 		p.owner.silence.reset(now)
 		p.suspension.Reset() // the clock was not checked since the last wait
@@ -168,7 +185,7 @@
 	}
 	p.checkSuspension(now)
 	p.waiting[p.lastNumber] = wt
-	p.pending.Requests = append(p.pending.Requests, placewire.NewRequest(p.lastNumber, w, now))
+	p.pending.Requests = append(p.pending.Requests, wt.request(p.lastNumber, now))
 	p.signalSend()
 	return p.lastNumber, wt, true
 }
@@ -281,7 +298,7 @@
 }
 
 // acceptGrant logs the grant of a request and returns its placement.
-func (p *Placer) acceptGrant(w *api.PlacementRequest, resp ownerResponse) api.Placement {
+func (p *Placer) acceptGrant(w *api.PlacementRequest, resp ownerResponse) *assignment {
 	g := resp.decision
 	p.ownerGrants.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
@@ -292,9 +309,12 @@
 // startGranted starts a request on the target that the owner has granted. It is reported to a
 // new owner from now on. The lock must be held.
 func (p *Placer) startGranted(w *api.PlacementRequest, g placewire.Decision) *assignment {
-	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", number: g.Number, chosenAt: p.readClocks()}
+	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered}
 	a.target, _ = p.directory.Target(g.Target) // checkTarget rejects a removed target later
-	p.running[g.Number] = a
+	if w.Engine != nil {
+		a.number = g.Number
+		p.running[g.Number] = a
+	}
 	p.local.Start(a.target)
 	return a
 }
@@ -302,8 +322,11 @@
 // refusal converts the owner's refusal of a request for the caller.
 func (p *Placer) refusal(w *api.PlacementRequest, g placewire.Decision) *api.Refusal {
 	message := "the targets cannot serve the request in time"
-	if g.Code == placement.CodePartCrashes {
+	switch g.Code {
+	case placement.CodePartCrashes:
 		message = partCrashesMessage
+	case placement.CodeLimitReached:
+		message = limitReachedMessage
 	}
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
@@ -337,6 +360,7 @@
 // part of the demand that the owner must learn. The lock must be held.
 func (p *Placer) queueFullReport() {
 	now := p.clock.Now()
+	p.notices.ResetReports()
 	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
 		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now))}
 	for _, n := range p.notices.List(now) {
@@ -346,7 +370,7 @@
 		p.pending.Running = append(p.pending.Running, a.report(now))
 	}
 	for n, wt := range p.waiting {
-		p.pending.Requests = append(p.pending.Requests, placewire.NewRequest(n, wt.work, now))
+		p.pending.Requests = append(p.pending.Requests, wt.request(n, now))
 	}
 	p.signalSend()
 }
@@ -417,6 +441,11 @@
 	if d.Blocked != nil {
 		p.blocked.Set(d.Blocked.ToPlacement(), now)
 	}
+	if len(d.Limits) > 0 {
+		if err := p.mergeLimits(d.Limits, now); err != nil {
+			return nil, err
+		}
+	}
 	if len(p.waiting) > 0 {
 		p.checkSuspension(now)
 	}
@@ -426,6 +455,18 @@
 	return nil, nil
 }
 
+// mergeLimits applies the rate limits that the owner tells of. The lock must be held.
+func (p *Placer) mergeLimits(raw json.RawMessage, now time.Duration) error {
+	var limits []placewire.Notice
+	if err := json.Unmarshal(raw, &limits); err != nil {
+		return errors.WithMessage(err, placewire.MethodDown)
+	}
+	for _, l := range limits {
+		p.notices.MergeLimit(l.ToPlacement(), now)
+	}
+	return nil
+}
+
 // deliverDecision passes the owner's decision to the request that waits for it. A grant for
 // a request that no longer waits is released. The lock must be held.
 func (p *Placer) deliverDecision(g placewire.Decision) {
@@ -446,7 +487,9 @@
 		wt.response <- ownerResponse{askAgain: true}
 		return
 	}
-	p.throttle.SetShare(wt.work.Workspace, g.ForwardShare(), p.clock.Now())
+	if wt.work.Engine != nil {
+		p.throttle.SetShare(wt.work.Workspace, g.ForwardShare(), p.clock.Now())
+	}
 	g.Term = p.owner.term
 	resp := ownerResponse{decision: g}
 	if g.Target != "" {
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -55,7 +55,7 @@
 	watchSignal   chan struct{}             // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
-	leavingNotices, pauseNotices, limitNotices                            *metrics.Counter
+	leavingNotices, pauseNotices, limitNotices, unmeteredSends            *metrics.Counter
 	waitSeconds                                                           *metrics.Histogram
 }
 
@@ -93,6 +93,7 @@
 	p.leavingNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="leaving"}`)
 	p.pauseNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="pause"}`)
 	p.limitNotices = c.Metrics.NewCounter(`nutmeg_placer_target_notices_total{kind="limit"}`)
+	p.unmeteredSends = c.Metrics.NewCounter("nutmeg_placer_unmetered_total")
 	p.expiredGrants = c.Metrics.NewCounter("nutmeg_placer_grants_expired_total")
 	p.ownerTimeouts = c.Metrics.NewCounter("nutmeg_placer_unanswered_total")
 	p.waitSeconds = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
@@ -127,6 +128,7 @@
 	errTargetLeaving = errors.New("the target leaves or is gone")
 	errDataCentreOut = errors.New("the target's data centre is out of service")
 	errTargetPaused  = errors.New("the target has asked for a pause")
+	errTargetLimited = errors.New("the request is not counted against the target's rate limit")
 )
 
 // checkTarget returns an error if the target must not receive a request any more.
