forward: a target that breaks off a request is checked for a crash

After a broken exchange the instance now opens a connection to the target, once for all requests that failed with it: a process that has ended refuses it. One that is accepted is kept for later requests.

--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -55,6 +55,8 @@
 	// TriedTargets lists the IDs of the targets to which the request was already
 	// sent.
 	TriedTargets []string
+	// Identity relates the request to its repeats; nil = not known.
+	Identity *RequestIdentity
 	// Resumed reports that a broken stream is resumed; the caller has already
 	// received its beginning.
 	Resumed bool
@@ -74,6 +76,9 @@
 	ReportNotice(n TargetNotice)
 	// ReportEvents reports the number of events received from the target so far.
 	ReportEvents(events int)
+	// ReportCrash reports, after End, that the target has crashed while it ran the request with a
+	// fingerprint.
+	ReportCrash(f Fingerprint)
 	// End reports the outcome and frees the target. It must be called once.
 	End(o AttemptOutcome)
 }
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -50,6 +50,8 @@
 	mayHaveRun     bool     // an attempt may have run the request on a target
 	triedTargets   []string // IDs of the targets of all attempts
 	lastEventID    string   // ID of the last delivered event, if a stream is being resumed
+
+	requestIdentity *api.RequestIdentity // nil until it is needed
 }
 
 // attempt is the placement of a request on one target and the exchange with it.
@@ -503,4 +505,7 @@
 	}
 	a.call.fwd.stats.countOutcome(a.call.req.Service, string(outcome))
 	a.placement.End(outcome)
+	if outcome == api.AttemptIncomplete {
+		a.checkCrash()
+	}
 }
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -7,9 +7,11 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
 
 	"nutmegrouter/internal/api"
@@ -41,6 +43,9 @@
 	outputLengths  *outputEstimator
 	responseMemory *overload.MemoryLimit // memory of buffered responses and of events
 	stats          *stats
+
+	crashChecks singleflight.Group // by address of the target
+	checks      sync.WaitGroup     // running crash checks
 }
 
 // Settings of connections to targets and of response memory.
@@ -122,8 +127,10 @@
 	return nil
 }
 
-// Cleanup implements kernel.Cleaner. It closes the idle connections to targets.
+// Cleanup implements kernel.Cleaner. It waits for running crash checks, each of which ends within
+// dialTimeout, and closes the idle connections to targets.
 func (f *Forwarder) Cleanup() error {
+	f.checks.Wait()
 	f.conns.Close()
 	return nil
 }
--- a/plugin/forward/stats.go
+++ b/plugin/forward/stats.go
@@ -9,6 +9,7 @@
 	retries, retriesOverBudget                      *metrics.Counter
 	resumes, strayResponses, duplicateEvents        *metrics.Counter
 	outOfMemory, invalidPauses, invalidRateLimits   *metrics.Counter
+	crashes                                         *metrics.Counter
 	headerSeconds, eventGapSeconds, responseSeconds *metrics.Histogram
 }
 
@@ -23,6 +24,7 @@
 		strayResponses:    set.NewCounter("nutmeg_forward_stray_answers_total"),
 		duplicateEvents:   set.NewCounter("nutmeg_forward_duplicate_events_total"),
 		invalidPauses:     set.NewCounter("nutmeg_forward_invalid_pauses_total"),
+		crashes:           set.NewCounter("nutmeg_forward_crashes_total"),
 		invalidRateLimits: set.NewCounter("nutmeg_forward_invalid_rate_limits_total"),
 		outOfMemory:       set.NewCounter("nutmeg_forward_no_memory_total"),
 		headerSeconds:     set.NewHistogram("nutmeg_forward_head_seconds"),
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -57,6 +57,7 @@
 	mu       sync.Mutex
 	outcomes []api.AttemptOutcome
 	notices  []api.TargetNotice
+	crashes  []string // targets and fingerprints
 	placed   int
 	precheck *api.Refusal // returned by Precheck
 	// shed has the ids of the requests that ReportShed reported.
@@ -191,6 +192,11 @@
 	}
 	p.r.notices = append(p.r.notices, n)
 }
+func (p *placement) ReportCrash(f api.Fingerprint) {
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	p.r.crashes = append(p.r.crashes, p.t.id+" "+f.String())
+}
 func (p *placement) End(o api.AttemptOutcome) {
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -281,6 +281,9 @@
 	a.placer.signalSend()
 }
 
+// ReportCrash implements api.Placement.
+func (a *assignment) ReportCrash(api.Fingerprint) {}
+
 // End implements api.Placement.
 func (a *assignment) End(o api.AttemptOutcome) {
 	p := a.placer
