--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"nutmegrouter/platform/standin"
@@ -25,9 +26,46 @@
 		}
 		violations = append(violations, checkRuns(req, list)...)
 	}
+	violations = append(violations, checkDeadly(requests, runs)...)
 	return append(violations, h.checkRetryBudget(requests, runs)...)
 }
 
+// Bounds on a request that crashes its targets: so long after its third crash, it reaches targets in at
+// most maxLateDeadly repeats.
+const (
+	deadlyCrashes = 3
+	deadlyGrace   = 3 * time.Second
+	maxLateDeadly = 3
+)
+
+// checkDeadly checks how often requests reached targets that they had crashed deadlyCrashes of.
+func checkDeadly(requests []*request, runs map[string][]standin.Run) (violations []string) {
+	byPath := map[string][]time.Time{}
+	for _, req := range requests {
+		if req.deadly {
+			for _, run := range runs[req.call.ID] {
+				byPath[req.call.Path] = append(byPath[req.call.Path], run.At)
+			}
+		}
+	}
+	for path, times := range byPath {
+		if len(times) <= deadlyCrashes {
+			continue
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		late := 0
+		for _, at := range times {
+			if at.Sub(times[deadlyCrashes-1]) > deadlyGrace {
+				late++
+			}
+		}
+		if late > maxLateDeadly {
+			violations = append(violations, fmt.Sprintf("%s: crashed %d targets, %d later than %v after the third", path, len(times), late, deadlyGrace))
+		}
+	}
+	return violations
+}
+
 // checkResponse checks the response to one request: its content, that the request did
 // not run if the status promises so and no target signed the response, and that the
 // response ended at most 700 ms after the route's time limit. Idempotent requests may
@@ -119,7 +157,7 @@
 // disconnect, and those of them that got a complete, correct response of status 200.
 func countServed(requests []*request, from, to time.Time) (servedCount, total int) {
 	for _, req := range requests {
-		if req.disconnects || req.sentAt.Before(from) || req.sentAt.After(to) {
+		if req.disconnects || req.deadly || req.sentAt.Before(from) || req.sentAt.After(to) {
 			continue
 		}
 		total++
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -77,6 +78,7 @@
 		{"targets-cut", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 0, 0, 200, 0) }},
 		{"targets-hang", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 0, 0, 0, 150) }},
 		{"targets-limit", 0, limitTargets},
+		{"deadly-request", 0, repeatDeadlyRequest},
 		{"target-dark", 0, func(ctx context.Context, h *harness, rng *rand.Rand) {
 			p := h.targetRelays[h.targets[rng.IntN(len(h.targets))].ID]
 			p.Cut(relay.Both)
@@ -260,6 +262,18 @@
 	}
 }
 
+// repeatDeadlyRequest sends the same request to a random route again and again for 9 s, at random entry
+// instances. It crashes each target that begins to run it.
+func repeatDeadlyRequest(ctx context.Context, h *harness, rng *rand.Rand) {
+	route := h.config.Routes[rng.IntN(4)]
+	path := route.Prefix + "1" + standin.DeadlyPath + fmt.Sprint(rng.Uint32())
+	prompt := []standin.Part{{ID: "a1", Tokens: 100}, {ID: "b1", Tokens: 800}, {ID: path, Tokens: 400}}
+	for end := time.Now().Add(9 * time.Second); time.Now().Before(end) && ctx.Err() == nil; {
+		h.load.sendDeadly(route, path, prompt, rng)
+		sleep(ctx, time.Duration(50+rng.IntN(100))*time.Millisecond)
+	}
+}
+
 // replaceTarget starts a replacement for a target, has the list show the old target as
 // leaving, and stops the old one up to 3 s after the bound on new work there (leaveMs).
 func replaceTarget(ctx context.Context, h *harness, rng *rand.Rand) {
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -91,11 +92,14 @@
 	directory       *standin.Directory
 	runLog          *standin.RunLog
 	targets         []*standin.Target
+	relaysMu        sync.Mutex              // for crashTarget, which runs beside the faults
 	targetRelays    map[string]*relay.Relay // in front of the targets, by target id
 	config          standin.Config
 	operator        standin.Operator
 	targetCount     int
 	acceptedVersion int // newest configuration version that was accepted
+	load            *loadGenerator
+	restarts        sync.WaitGroup // of crashed targets
 }
 
 // newHarness starts the list of targets and the targets, and lays out the instances
@@ -155,6 +159,7 @@
 		ID: fmt.Sprintf("i-%s-%d", service, h.targetCount), Service: service, DataCentre: dc, Engine: engine, Slots: slots,
 		RunLog: h.runLog, MaxColdPerSecond: standin.ColdPerSecond*coldOverage + coldSlack, StartedAt: time.Now(),
 	}
+	t.OnDeadly = h.crashTarget
 	if err := t.Start(h.ip(0)); err != nil {
 		return nil, err
 	}
@@ -163,12 +168,33 @@
 		return nil, err
 	}
 	t.ListedAddress = p.Addr()
+	h.relaysMu.Lock()
 	h.targetRelays[t.ID] = p
+	h.relaysMu.Unlock()
 	h.targets = append(h.targets, t)
 	h.directory.Add(t)
 	return t, nil
 }
 
+// restartTime is how long a crashed target is away.
+const restartTime = 3 * time.Second
+
+// crashTarget ends all requests of a target, which refuses connections until it is back as another
+// incarnation after restartTime.
+func (h *harness) crashTarget(t *standin.Target) {
+	h.relaysMu.Lock()
+	r := h.targetRelays[t.ID]
+	h.relaysMu.Unlock()
+	r.Refuse()
+	h.restarts.Go(func() {
+		time.Sleep(restartTime)
+		t.Restart()
+		if err := r.Accept(); err != nil {
+			h.opt.Log("restart %s: %v", t.ID, err)
+		}
+	})
+}
+
 // writeSettings writes the settings file of an instance.
 func (h *harness) writeSettings(inst *instance) error {
 	s := settings.Settings{
@@ -252,6 +278,7 @@
 // close kills the processes and stops the relays, the targets and the list.
 func (h *harness) close() {
 	h.procs.KillAll()
+	h.restarts.Wait()
 	for _, inst := range h.instances {
 		if inst.relay != nil {
 			inst.relay.Close()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -19,6 +19,7 @@
 	sentAt      time.Time
 	response    standin.Response
 	disconnects bool // the caller disconnects 100 ms after sending
+	deadly      bool // crashes the targets that run it
 }
 
 // loadGenerator sends requests to the entry instances and records the responses.
@@ -94,6 +95,24 @@
 	return req
 }
 
+// sendDeadly sends a request to a route that crashes the targets that run it. All such requests with one
+// path are the same but for their IDs.
+func (g *loadGenerator) sendDeadly(route standin.Route, path string, prompt []standin.Part, rng *rand.Rand) {
+	req := &request{route: route, entry: g.harness.entryInstances()[rng.IntN(g.harness.opt.Entries)], deadly: true}
+	req.call = standin.Call{
+		ID: fmt.Sprintf("%x-deadly-%x", g.harness.opt.Seed, rng.Uint64()), Host: route.Host, Path: path, Method: http.MethodPost,
+		Deadline: time.Duration(route.TimeoutMs) * time.Millisecond, Body: []byte("the same each time"),
+	}
+	if !route.Public {
+		req.call.APIKey = "key-small"
+	}
+	if route.Kind == "streaming" {
+		req.call.MaxOutput, req.call.Prompt = 200, prompt
+	}
+	client := g.clients[rng.IntN(len(g.clients))]
+	g.wg.Go(func() { g.send(req, client) })
+}
+
 // send sends the request and records it when its response has ended.
 func (g *loadGenerator) send(req *request, client *http.Client) {
 	ctx := context.Background()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,6 +55,7 @@
 	}
 	h.acceptedVersion = h.config.Version
 	generator := newLoadGenerator(h)
+	h.load = generator
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { generator.run(loadCtx) })
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -25,10 +25,11 @@
 // Relay forwards TCP connections to a target address. All methods are safe for
 // concurrent use.
 type Relay struct {
-	listener net.Listener
-	wg       sync.WaitGroup
+	address string
+	wg      sync.WaitGroup
 
 	mu       sync.Mutex
+	listener net.Listener
 	target   string
 	cut      Direction // directions in which no bytes are forwarded
 	down     bool      // new connections are closed on accept
@@ -62,14 +63,14 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, conns: map[*forwardedConn]bool{}, changed: make(chan struct{})}
+	r := &Relay{address: l.Addr().String(), listener: l, target: target, conns: map[*forwardedConn]bool{}, changed: make(chan struct{})}
 	r.wg.Add(1)
-	go r.accept()
+	go r.accept(l)
 	return r, nil
 }
 
 // Addr returns the IP:port at which the relay listens.
-func (r *Relay) Addr() string { return r.listener.Addr().String() }
+func (r *Relay) Addr() string { return r.address }
 
 // SetTarget changes the address to which new connections are forwarded.
 func (r *Relay) SetTarget(address string) { r.update(func() { r.target = address }) }
@@ -88,6 +89,34 @@
 	})
 }
 
+// Refuse closes all connections and the listener until Accept, as if the process of the target had
+// ended: new connections are refused.
+func (r *Relay) Refuse() {
+	r.update(func() {
+		_ = r.listener.Close()
+		for fc := range r.conns {
+			fc.close()
+		}
+	})
+}
+
+// Accept ends Refuse. It returns an error if it cannot listen at its address again.
+func (r *Relay) Accept() error {
+	l, err := net.Listen("tcp", r.Addr())
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return l.Close()
+	}
+	r.listener = l
+	r.wg.Add(1)
+	go r.accept(l)
+	return nil
+}
+
 // Heal ends Cut and Down. Bytes received during a cut are then forwarded. Connections
 // silenced by Silence remain silent.
 func (r *Relay) Heal() { r.update(func() { r.cut, r.down = 0, false }) }
@@ -119,8 +148,8 @@
 		for fc := range r.conns {
 			fc.close()
 		}
+		_ = r.listener.Close()
 	})
-	_ = r.listener.Close()
 	r.wg.Wait()
 }
 
@@ -133,10 +162,10 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	defer r.wg.Done()
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/scenario/soak_test.go
@@ -0,0 +1,49 @@
+package scenario
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"nutmegrouter/internal/soak"
+)
+
+// Guards against targets that get more requests from all entry instances together than they take.
+func TestTargetsGetNoMoreThanTheirLimit(t *testing.T) {
+	playFault(t, "targets-limit", 1, 7*time.Second)
+}
+
+// Guards against a request that crashes target after target, because each repeat counts as another
+// request. The seeds play it on the plain and on the model service.
+func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		playFault(t, "deadly-request", seed, 8*time.Second)
+	}
+}
+
+// playFault injects one kind of fault into a fleet under load and fails the test if a guarantee is
+// violated.
+func playFault(t *testing.T, fault string, seed uint64, duration time.Duration) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts a whole fleet")
+	}
+	o := soak.Options{
+		Seed: seed, Dir: t.TempDir(), Binary: filepath.Join(binDir, "nutmegd"), Controls: 3, Entries: 4, Engines: 6, Plain: 3, Losses: 1,
+		RequestsPerS: 120, TokensPerS: 400_000, Duration: duration, Network: 41, Faults: []string{fault},
+		Log: func(string, ...any) {},
+	}
+	if err := o.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	report, err := soak.Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: %d of %d served", seed, report.Served, report.Attempts)
+	if len(report.Violations) > 0 {
+		t.Errorf("%d violations, the first:\n%s", len(report.Violations), strings.Join(report.Violations[:min(5, len(report.Violations))], "\n"))
+	}
+}
