placement: a request that crashes its targets stops after three

Cause: a repeat of a request has another id, may come at any instance and goes to a target that has not failed yet, so no failure of the first counts for the second.

After two crashes one repeat at a time is sent, after three none for a minute; then one tries it, and each further crash doubles the time. Any answer clears it, an error too. Crashes of several targets within 50 ms have a common cause and count as one. Entry instances have the list of suspect requests: they compare a cheap hash with each request and read the body only of one that matches, refuse blocked ones at once, also without an owner, and ask for permission for the others. A new owner gets the list with the full reports; crash reports are kept until an owner has them. 4,096 records, 256 suspect requests; the oldest crash goes first.

--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -32,9 +32,14 @@
 	RouteObjective time.Duration
 	Tried          []string // IDs of targets to which the request was already sent
 	Resumes        bool     // the request continues an interrupted stream
+	// Plain reports that it is a request to a plain service, with no more than the service, the
+	// fingerprint and the candidates.
+	Plain bool
 	// Candidates are, for a plain request, the IDs of the targets with a rate limit of which the entry
-	// instance asks for one, best first.
+	// instance asks for one, best first. Without candidates it asks whether it may send the request.
 	Candidates []string
+	// Fingerprint is set if several targets have crashed with the request.
+	Fingerprint api.Fingerprint
 }
 
 // Decision is the owner's reply to a Request: a grant with a target, or a refusal with a code.
@@ -44,6 +49,8 @@
 	// counted against the target's rate limit.
 	Target  string
 	Metered bool
+	// Permitted reports, for a plain request without candidates, that it may be sent.
+	Permitted bool
 	// Code is the reason of a refusal, RetryAfter the time after which the caller may retry.
 	Code       string
 	RetryAfter time.Duration
@@ -68,12 +75,13 @@
 
 // Reasons of refusals.
 const (
-	CodeNoTarget      = "no_target"      // no target of the service accepts requests
-	CodeTooLate       = "too_late"       // the first event would come after the caller gives up
-	CodeShareExceeded = "share_exceeded" // misses its objective, and the workspace exceeds its share
-	CodeShareYields   = "share_yields"   // granted too much more than a workspace with unmet demand
-	CodeLimitReached  = "limit_reached"  // all targets are at the rate limit that they have named
-	CodePartCrashes   = "part_crashes"   // targets crash when they begin to answer a part of its prompt
+	CodeNoTarget       = "no_target"       // no target of the service accepts requests
+	CodeTooLate        = "too_late"        // the first event would come after the caller gives up
+	CodeShareExceeded  = "share_exceeded"  // misses its objective, and the workspace exceeds its share
+	CodeShareYields    = "share_yields"    // granted too much more than a workspace with unmet demand
+	CodeLimitReached   = "limit_reached"   // all targets are at the rate limit that they have named
+	CodeRequestCrashes = "request_crashes" // targets crash when they run it
+	CodePartCrashes    = "part_crashes"    // targets crash when they begin to answer a part of its prompt
 )
 
 // View is the configuration and fleet state that the owner decides by.
@@ -100,33 +108,34 @@
 // it arrives: it is granted a target, refused, or queued for the target with the lowest
 // score. It is not safe for concurrent use.
 type Owner struct {
-	cfg           Config
-	view          View
-	targets       map[string]*target
-	sortedTargets []*target            // by ID
-	usable        map[string][]*target // targets that accept new requests, by service, sorted by ID
-	cacheIndex    cacheIndex
-	scanFrom      int // index of the target at which the next scan of choose begins
-	requests      map[Key]*work
-	numPending    int
-	shares        *shares
-	retries       *retryTracker
-	crashes       *crashTracker
-	meanRunTimes  map[string]time.Duration // mean run time of a request on a target, by service
-	decisions     []Decision
-	newlyBlocked  []PartID
-	unsettled     map[*target]struct{} // targets with failures
-	listed        map[string]int64     // Target.StartedUnixMs of all targets, plain ones too, by ID
-	limits        map[string]*targetLimit
-	changedLimits map[string]struct{} // IDs of targets whose rate limit has changed
-	lastTick      time.Duration       // last review of the queued requests
+	cfg            Config
+	view           View
+	targets        map[string]*target
+	sortedTargets  []*target            // by ID
+	usable         map[string][]*target // targets that accept new requests, by service, sorted by ID
+	cacheIndex     cacheIndex
+	scanFrom       int // index of the target at which the next scan of choose begins
+	requests       map[Key]*work
+	numPending     int
+	shares         *shares
+	retries        *retryTracker
+	crashes        *crashTracker
+	requestCrashes *requestCrashes
+	meanRunTimes   map[string]time.Duration // mean run time of a request on a target, by service
+	decisions      []Decision
+	newlyBlocked   []PartID
+	unsettled      map[*target]struct{} // targets with failures
+	listed         map[string]int64     // Target.StartedUnixMs of all targets, plain ones too, by ID
+	limits         map[string]*targetLimit
+	changedLimits  map[string]struct{} // IDs of targets whose rate limit has changed
+	lastTick       time.Duration       // last review of the queued requests
 }
 
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
 		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, requests: map[Key]*work{},
-		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{}}
+		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), requestCrashes: newRequestCrashes(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{}}
 }
 
 // SetView replaces the fleet view. Running requests on removed targets are tracked until they
@@ -189,8 +198,11 @@
 	if o.requests[k] != nil {
 		return
 	}
-	if len(req.Candidates) > 0 {
-		o.grantCandidate(k, req, now)
+	if o.refuseRepeat(k, req, now) {
+		return
+	}
+	if req.Plain {
+		o.decidePlain(k, req, now)
 		return
 	}
 	o.advanceShares(now)
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -206,11 +206,11 @@
 	return notices
 }
 
-// grantCandidate grants a plain request the first of its candidates that has room within its rate
-// limit, or refuses it. It does not count how many requests run: plain targets are chosen by the entry
-// instances.
-func (o *Owner) grantCandidate(k Key, req Request, now time.Duration) {
-	d := Decision{Key: k, ForwardShare: 1}
+// decidePlain grants a plain request the first of its candidates that has room within its rate limit,
+// or refuses it. Without candidates it permits the request: the entry instance chooses the target. It
+// does not count how many plain requests run.
+func (o *Owner) decidePlain(k Key, req Request, now time.Duration) {
+	d := Decision{Key: k, ForwardShare: 1, Permitted: len(req.Candidates) == 0}
 	var soonest *targetLimit
 	soonestWait := time.Duration(math.MaxInt64)
 	for _, id := range req.Candidates[:min(len(req.Candidates), maxCandidates)] {
@@ -229,7 +229,7 @@
 			soonest, soonestWait = l, wait
 		}
 	}
-	if d.Target == "" {
+	if d.Target == "" && !d.Permitted {
 		d.Code, d.RetryAfter = CodeLimitReached, soonest.retryAfter(now)
 	}
 	o.decisions = append(o.decisions, d)
--- a/internal/placement/ratelimit_test.go
+++ b/internal/placement/ratelimit_test.go
@@ -216,7 +216,7 @@
 	now := time.Duration(0)
 	for n := range uint64(600) {
 		now += 33 * time.Millisecond
-		s.owner.Submit(Key{fmt.Sprint("n", n%7), n}, Request{Service: "plain", Candidates: []string{"p0", "p1"}, Deadline: second}, now)
+		s.owner.Submit(Key{fmt.Sprint("n", n%7), n}, Request{Service: "plain", Plain: true, Candidates: []string{"p0", "p1"}, Deadline: second}, now)
 		decisions := s.owner.Decisions()
 		is.Equal(len(decisions), 1) // at once
 		if d := decisions[0]; d.Target != "" {
@@ -235,7 +235,7 @@
 	is.True(mostIn(sent["p1"], 4*second) <= 2*4+1)
 	is.True(len(sent["p0"])+len(sent["p1"]) >= int(0.9*6*now.Seconds()))
 	is.True(len(advice) > 10)
-	s.owner.Submit(Key{"n0", 1000}, Request{Service: "plain", Candidates: []string{"unknown"}, Deadline: second}, now)
+	s.owner.Submit(Key{"n0", 1000}, Request{Service: "plain", Plain: true, Candidates: []string{"unknown"}, Deadline: second}, now)
 	is.True(!s.owner.Decisions()[0].Metered) // the entry instance must report the limit first
 }
 
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -31,9 +31,54 @@
 	TimesMs      [3]int64 `json:"d"`
 	TriedTargets []string `json:"t,omitempty"` // IDs of the targets of earlier attempts
 	Resumed      bool     `json:"r,omitempty"` // a stream that was already begun is resumed
-	// Candidates lists, for a plain request, the IDs of the targets with a rate limit of which one is
-	// asked for, best first.
-	Candidates []string `json:"c,omitempty"`
+	// Plain, Candidates and Fingerprint are as in placement.Request.
+	Plain       bool         `json:"y,omitempty"`
+	Candidates  []string     `json:"c,omitempty"`
+	Fingerprint *Fingerprint `json:"f,omitempty"` // nil = none
+}
+
+// Fingerprint is an api.Fingerprint: its selector and the halves of its digest.
+type Fingerprint [3]uint64
+
+// NewFingerprint returns the message for a fingerprint.
+func NewFingerprint(f api.Fingerprint) Fingerprint {
+	return Fingerprint{f.Selector, f.Digest[0], f.Digest[1]}
+}
+
+// ToAPI converts the message to the type of package api.
+func (f Fingerprint) ToAPI() api.Fingerprint {
+	return api.Fingerprint{Selector: f[0], Digest: [2]uint64{f[1], f[2]}}
+}
+
+// RequestCrash reports that a target has crashed while it ran a request.
+type RequestCrash struct {
+	Fingerprint Fingerprint `json:"f"`
+	Target      string      `json:"a"`
+}
+
+// SuspectRequest is a placement.SuspectRequest. RemainingMs is in milliseconds.
+type SuspectRequest struct {
+	Fingerprint Fingerprint `json:"f"`
+	Blocked     bool        `json:"b,omitempty"`
+	RemainingMs int64       `json:"r,omitempty"`
+}
+
+// NewSuspects returns the messages for suspect requests.
+func NewSuspects(requests []placement.SuspectRequest) []SuspectRequest {
+	out := make([]SuspectRequest, len(requests))
+	for i, r := range requests {
+		out[i] = SuspectRequest{NewFingerprint(r.Fingerprint), r.Blocked, r.Remaining.Milliseconds()}
+	}
+	return out
+}
+
+// SuspectsToPlacement converts messages to the type of package placement.
+func SuspectsToPlacement(requests []SuspectRequest) []placement.SuspectRequest {
+	out := make([]placement.SuspectRequest, len(requests))
+	for i, r := range requests {
+		out[i] = placement.SuspectRequest{Fingerprint: r.Fingerprint.ToAPI(), Blocked: r.Blocked, Remaining: time.Duration(r.RemainingMs) * time.Millisecond}
+	}
+	return out
 }
 
 // Running is a request that runs on a target. Target is the target's ID; Began reports
@@ -70,6 +115,12 @@
 	Ends     []End    `json:"e,omitempty"`
 	// Notices lists what targets have said of themselves: what is new, or in a full report all.
 	Notices []Notice `json:"q,omitempty"`
+	// Crashes lists requests that targets ran when they crashed, AnsweredSuspects those of the owner's
+	// list that a target has answered.
+	Crashes          []RequestCrash `json:"k,omitempty"`
+	AnsweredSuspects []Fingerprint  `json:"s,omitempty"`
+	// Suspects lists, in a full report, the requests of the last owner's list.
+	Suspects []SuspectRequest `json:"u,omitempty"`
 	// Blocked lists, in a full report, the prompt parts that the last owner has blocked.
 	Blocked BlockedParts `json:"l,omitempty"`
 	// Refused lists the requests that the entry instance refused for its throttled
@@ -111,6 +162,8 @@
 	RetryMs int64  `json:"r,omitempty"`
 	// Metered reports that the request was counted against the rate limit of the target.
 	Metered bool `json:"e,omitempty"`
+	// Permitted reports that a plain request without candidates may be sent.
+	Permitted bool `json:"p,omitempty"`
 	// WaitMs, Excess and UncachedTokens are inputs of the decision, for the log: the wait
 	// for a target in milliseconds, by how much the workspace exceeds its share, and the
 	// uncached tokens of the prompt on the target.
@@ -147,6 +200,9 @@
 	// Limits lists rate limits of targets as a JSON array of Notice: those that have changed, or all
 	// after a full report. It is encoded once for all entry instances.
 	Limits json.RawMessage `json:"l,omitempty"`
+	// Suspects replaces the list of suspect requests at the entry instance, as a JSON array of
+	// SuspectRequest that is encoded once for all; nil = unchanged.
+	Suspects json.RawMessage `json:"s,omitempty"`
 }
 
 // Notice is what a target has said of itself, as in placement.TargetNotice.
@@ -259,18 +315,22 @@
 		prompt[i] = placement.Part{ID: placement.PartID(p[0]), Tokens: int(p[1])}
 	}
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	var fingerprint api.Fingerprint
+	if r.Fingerprint != nil {
+		fingerprint = r.Fingerprint.ToAPI()
+	}
 	return placement.Request{
 		Service: r.Service, Workspace: r.Workspace, DataCentre: dataCentre,
 		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: prompt,
 		Objective: ms(r.TimesMs[0]), Deadline: ms(r.TimesMs[1]), RouteObjective: ms(r.TimesMs[2]), Tried: r.TriedTargets, Resumes: r.Resumed,
-		Candidates: r.Candidates,
+		Plain: r.Plain, Candidates: r.Candidates, Fingerprint: fingerprint,
 	}
 }
 
 // NewDecision returns the message for a decision. Excess is truncated to hundredths.
 func NewDecision(d placement.Decision) Decision {
 	return Decision{
-		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
+		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Permitted: d.Permitted, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
 		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
 	}
--- a/internal/placewire/refusals.go
+++ b/internal/placewire/refusals.go
@@ -19,6 +19,17 @@
 	m.Shed[workspace] += tokens
 }
 
+// maxUnsentCrashes bounds the crashes and answers that are kept of messages that could not be sent.
+const maxUnsentCrashes = 1024
+
+// AddCrashes adds the crashes and answered suspects of a message that could not be sent.
+func (m *EntryMessage) AddCrashes(unsent EntryMessage) {
+	m.Crashes = append(unsent.Crashes, m.Crashes...)
+	m.Crashes = m.Crashes[:min(len(m.Crashes), maxUnsentCrashes)]
+	m.AnsweredSuspects = append(unsent.AnsweredSuspects, m.AnsweredSuspects...)
+	m.AnsweredSuspects = m.AnsweredSuspects[:min(len(m.AnsweredSuspects), maxUnsentCrashes)]
+}
+
 // AddRefusals adds the refused and shed requests of a message that could not be sent, with at
 // most limit refused requests for each workspace.
 func (m *EntryMessage) AddRefusals(unsent EntryMessage, limit int) {
--- a/plugin/gateway/targets_test.go
+++ b/plugin/gateway/targets_test.go
@@ -515,3 +515,30 @@
 		})
 	}
 }
+
+// Guards against a crash of a target that is not told from a broken connection, against a request that
+// is blamed without its identity, and against a check that delays the caller.
+func TestCrashOfTargetIsReported(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		var x *target
+		x = newTarget(t, "t1", func(c net.Conn, r *http.Request, n int) {
+			if crashes {
+				x.listener.Close()
+			}
+			resetConn(c)
+		})
+		r := newRig(t, x).configure(1)
+		c := r.dial()
+		c.send(request("POST", "/order/1", "id1", "deadly"))
+		c.want(502, "*")
+		want := api.NewRequestIdentity("w", []byte("POST"), []byte("f.example"), []byte("/order/1"), []byte("deadly")).Fingerprint()
+		r.waitUntil("checked", func() bool { return strings.Contains(r.logs.String(), "target checked after a failure") })
+		r.mu.Lock()
+		if crashes {
+			r.is.Equal(r.crashes, []string{"t1 " + want.String()})
+		} else {
+			r.is.Equal(len(r.crashes), 0)
+		}
+		r.mu.Unlock()
+	}
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -51,6 +51,8 @@
 	confirmTimeout = time.Second
 	// limitsInterval is the minimum time between two messages with changed rate limits of targets.
 	limitsInterval = 100 * time.Millisecond
+	// suspectsInterval is the minimum time between two messages with suspect requests.
+	suspectsInterval = 50 * time.Millisecond
 	// confirmRetryDelay is the time between two such reads.
 	confirmRetryDelay = 20 * time.Millisecond
 )
@@ -78,18 +80,17 @@
 	// unconfirmed is set after a suspension until a majority has confirmed the ownership.
 	unconfirmed bool
 
-	// blockedSent is the version of the blocked prompt parts that each entry instance was sent.
-	// blockedDue is set if one of them may lack the version blockedVersion or a later one.
-	blockedSent    map[string]uint64
-	blockedDue     bool
-	blockedVersion uint64
+	entries        map[string]bool // entry instances that have sent a full report
+	blockedParts   broadcast
+	suspects       broadcast
+	suspectsSentAt time.Duration
 	// limitsDue are the entry instances that must be sent all rate limits of targets, limitsSentAt is
 	// when changes were last sent.
 	limitsDue    map[string]bool
 	limitsSentAt time.Duration
 
-	grants, refusals, blocks *metrics.Counter
-	decideSeconds            *metrics.Histogram
+	grants, refusals, blocks, blockedRequests *metrics.Counter
+	decideSeconds                             *metrics.Histogram
 }
 
 // Provision implements kernel.Plugin.
@@ -118,6 +119,7 @@
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
+	o.blockedRequests = c.Metrics.NewCounter("nutmeg_owner_requests_blocked_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
 	o.decideSeconds = c.Metrics.NewHistogram("nutmeg_owner_decide_seconds")
 	o.mesh.Handle(placewire.MethodUp, o.handleEntryMessage)
@@ -238,8 +240,8 @@
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed = s.Term, false
-		o.blockedSent, o.blockedDue, o.blockedVersion = map[string]uint64{}, false, 0
-		o.limitsDue = map[string]bool{}
+		o.entries, o.limitsDue = map[string]bool{}, map[string]bool{}
+		o.blockedParts, o.suspects = newBroadcast(), newBroadcast()
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -315,11 +317,23 @@
 	now := o.clock.Now()
 	if u.FullReport {
 		o.state.RemoveEntry(from)
-		if _, known := o.blockedSent[from]; !known { // otherwise its list may be older than this owner's
+		if !o.entries[from] { // otherwise its lists may be older than this owner's
 			o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
+			o.state.MergeSuspects(placewire.SuspectsToPlacement(u.Suspects), now)
 		}
-		o.blockedSent[from], o.blockedDue = 0, true
-		o.limitsDue[from] = true
+		o.entries[from], o.limitsDue[from] = true, true
+		o.blockedParts.add(from)
+		o.suspects.add(from)
+	}
+	for _, c := range u.Crashes {
+		f := c.Fingerprint.ToAPI()
+		if o.state.RecordRequestCrash(f, c.Target, now) {
+			o.blockedRequests.Inc()
+			logqueue.Notice(o.log, "request blocked: targets crash with it", "step", "crash", "fingerprint", f.String(), "target", c.Target)
+		}
+	}
+	for _, f := range u.AnsweredSuspects {
+		o.state.RecordRequestAnswered(f.ToAPI())
 	}
 	for _, n := range u.Notices {
 		o.state.RecordNotice(n.ToPlacement(), now)
@@ -390,6 +404,7 @@
 	}
 	if !o.unconfirmed {
 		o.addBlockedParts(to, now)
+		o.addSuspects(to, now)
 		o.addLimits(to, now)
 	}
 	if now-o.lastHeartbeat >= heartbeatInterval && !o.unconfirmed {
@@ -413,18 +428,34 @@
 		o.blocks.Inc()
 		logqueue.Notice(o.log, "prompt part blocked: targets crash with it", "step", "crash", "part", uint64(part))
 	}
-	version := o.state.BlockedVersion()
-	if !o.blockedDue && version == o.blockedVersion {
+	entries := o.blockedParts.next(o.state.BlockedVersion())
+	if len(entries) == 0 {
 		return
 	}
-	o.blockedDue, o.blockedVersion = false, version
 	message := placewire.NewBlockedParts(o.state.BlockedParts(now))
-	for entry, sent := range o.blockedSent {
-		if sent == version {
-			continue
-		}
+	for _, entry := range entries {
 		to(entry).Blocked = &message
-		o.blockedSent[entry] = version
+	}
+}
+
+// addSuspects adds the suspect requests to the messages of the entry instances that do not have the
+// current version of them.
+func (o *Owner) addSuspects(to func(entry string) *placewire.OwnerMessage, now time.Duration) {
+	if now-o.suspectsSentAt < suspectsInterval && o.suspectsSentAt > 0 {
+		return
+	}
+	entries := o.suspects.next(o.state.SuspectVersion())
+	if len(entries) == 0 {
+		return
+	}
+	raw, err := json.Marshal(placewire.NewSuspects(o.state.SuspectRequests(now)))
+	if err != nil {
+		o.log.Error("suspect requests not encoded", "step", "crash", "error", err)
+		return
+	}
+	o.suspectsSentAt = now
+	for _, entry := range entries {
+		to(entry).Suspects = raw
 	}
 }
 
@@ -452,7 +483,7 @@
 		logqueue.Notice(o.log, "rate limit of a target", "step", "limit", "target", n.Target, "limited", n.Limit.Limited, "per_second", n.Limit.PerSecond)
 	}
 	encoded := o.encodeLimits(changed)
-	for entry := range o.blockedSent {
+	for entry := range o.entries {
 		to(entry).Limits = encoded
 	}
 }
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -41,9 +41,10 @@
 	return q
 }
 
-// placePlain chooses a target for a request to a plain service. One with a rate limit, which counts
-// the requests of all entry instances, needs the owner's grant.
-func (p *Placer) placePlain(ctx context.Context, w *api.PlacementRequest) (*assignment, error) {
+// placePlain chooses a target for a request to a plain service. A target with a rate limit, which
+// counts the requests of all entry instances, needs the owner's grant, and a suspect request its
+// permission.
+func (p *Placer) placePlain(ctx context.Context, w *api.PlacementRequest, s suspicion) (*assignment, error) {
 	q := p.query(w)
 	p.mu.Lock()
 	limited := p.local.ChooseLimited(q)
@@ -53,12 +54,12 @@
 		}
 	}
 	p.mu.Unlock()
-	if len(limited) == 0 {
+	if len(limited) == 0 && !s.suspect() {
 		return p.placeLocal(w)
 	}
-	number, wt, ok := p.askOwner(w, limited)
+	number, wt, ok := p.askOwner(w, limited, s)
 	if !ok {
-		return p.placeLocal(w)
+		return p.placeWithoutOwner(w, s)
 	}
 	resp, err := p.awaitOwner(ctx, number, wt)
 	switch {
@@ -67,7 +68,11 @@
 	case resp.granted != nil:
 		return p.acceptGrant(w, resp), nil
 	case resp.placeLocally || resp.askAgain:
+		return p.placeWithoutOwner(w, s)
+	case resp.decision.Permitted:
 		return p.placeLocal(w)
+	case resp.decision.Code == placement.CodeRequestCrashes:
+		return nil, p.refusal(w, resp.decision)
 	}
 	a, ok := p.placeUnlimited(w)
 	if !ok {
@@ -76,6 +81,14 @@
 	return a, nil
 }
 
+// placeWithoutOwner chooses a target for a plain request, unless the last owner has blocked it.
+func (p *Placer) placeWithoutOwner(w *api.PlacementRequest, s suspicion) (*assignment, error) {
+	if s.blocked {
+		return nil, p.crashRefusal(blockedRetryAfter)
+	}
+	return p.placeLocal(w)
+}
+
 // placeUnlimited chooses a target without a rate limit from the state that this instance has itself.
 func (p *Placer) placeUnlimited(w *api.PlacementRequest) (*assignment, bool) {
 	q := p.query(w)
@@ -163,6 +176,7 @@
 	startedAt       time.Duration       // when the target was chosen, on the kernel clock
 	sentAt          time.Duration       // first byte of the newest send, on the kernel clock
 	metered         bool                // one send is counted against the target's rate limit
+	suspect         api.Fingerprint     // set if targets have crashed with the request and none has answered it
 	chosenBy        string              // instance that chose the target: owner or entry
 	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
 	number          uint64              // number of the model request; 0 for plain requests
@@ -277,12 +291,34 @@
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
 	a.answered = true
+	a.reportAnswered()
 	a.placer.pending.Answered = append(a.placer.pending.Answered, a.number) // sent with the next message
 	a.placer.signalSend()
 }
 
-// ReportCrash implements api.Placement.
-func (a *assignment) ReportCrash(api.Fingerprint) {}
+// ReportCrash implements api.Placement. A target that has answered a request does not crash because of
+// it.
+func (a *assignment) ReportCrash(f api.Fingerprint) {
+	p := a.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.answered {
+		return
+	}
+	p.pending.Crashes = append(p.pending.Crashes, placewire.RequestCrash{Fingerprint: placewire.NewFingerprint(f), Target: a.target.ID})
+	p.signalSend()
+}
+
+// reportAnswered tells the owner that a target has answered a suspect request. The lock must be held.
+func (a *assignment) reportAnswered() {
+	if a.suspect == (api.Fingerprint{}) {
+		return
+	}
+	p := a.placer
+	p.pending.AnsweredSuspects = append(p.pending.AnsweredSuspects, placewire.NewFingerprint(a.suspect))
+	a.suspect = api.Fingerprint{}
+	p.signalSend()
+}
 
 // End implements api.Placement.
 func (a *assignment) End(o api.AttemptOutcome) {
@@ -291,6 +327,9 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	p.local.End(a.target, o, now-a.startedAt, now)
+	if o == api.AttemptServed || o == api.AttemptFailed {
+		a.reportAnswered()
+	}
 	if a.number != 0 {
 		delete(p.running, a.number)
 		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: a.number, Outcome: o})
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -43,6 +43,7 @@
 	work *api.PlacementRequest
 	// candidates are the targets of which a plain request asks for one, best first.
 	candidates []api.Target
+	suspicion  suspicion
 	askedAt    time.Duration
 	response   chan ownerResponse // capacity 1
 }
@@ -50,9 +51,14 @@
 // request returns the message for the request.
 func (wt *waiter) request(number uint64, now time.Duration) placewire.Request {
 	r := placewire.NewRequest(number, wt.work, now)
+	r.Plain = wt.work.Engine == nil
 	for _, t := range wt.candidates {
 		r.Candidates = append(r.Candidates, t.ID)
 	}
+	if wt.suspicion.suspect() {
+		f := placewire.NewFingerprint(wt.suspicion.fingerprint)
+		r.Fingerprint = &f
+	}
 	return r
 }
 
@@ -67,13 +73,29 @@
 
 // Place implements api.Placer.
 func (p *Placer) Place(ctx context.Context, w *api.PlacementRequest) (api.Placement, error) {
+	s := p.findSuspicion(w)
+	if s.remaining > 0 {
+		return nil, p.crashRefusal(s.remaining)
+	}
+	place := p.placeEngine
 	if w.Engine == nil {
-		return asPlacement(p.placePlain(ctx, w))
+		place = p.placePlain
+	}
+	a, err := place(ctx, w, s)
+	if err != nil {
+		return nil, err
 	}
+	a.suspect = s.fingerprint
+	return a, nil
+}
+
+// placeEngine has the owner choose a target for a model request, or chooses one locally while no owner
+// responds.
+func (p *Placer) placeEngine(ctx context.Context, w *api.PlacementRequest, s suspicion) (*assignment, error) {
 	for {
-		number, wt, ok := p.askOwner(w, nil)
+		number, wt, ok := p.askOwner(w, nil, s)
 		if !ok {
-			return asPlacement(p.placeEngineLocal(w, "no owner"))
+			return p.placeEngineLocal(w, s, "no owner")
 		}
 		resp, err := p.awaitOwner(ctx, number, wt)
 		switch {
@@ -81,8 +103,8 @@
 			return nil, err
 		case resp.askAgain:
 		case resp.placeLocally:
-			return asPlacement(p.placeEngineLocal(w, "owner does not answer"))
-		case resp.decision.Target == "":
+			return p.placeEngineLocal(w, s, "owner does not answer")
+		case resp.granted == nil:
 			return nil, p.refusal(w, resp.decision)
 		default:
 			return p.acceptGrant(w, resp), nil
@@ -154,17 +176,10 @@
 	p.pending.AddShed(w.Workspace, placewire.Tokens(w)) // sent with the next message
 }
 
-func asPlacement(a *assignment, err error) (api.Placement, error) {
-	if err != nil {
-		return nil, err
-	}
-	return a, nil
-}
-
 // askOwner sends a request to the owner and returns its number and waiter. A plain request asks for one
 // of its candidates, of whose rate limits the owner is told first. It reports false if the owner is
 // unknown, unreachable or within ownerRetryDelay.
-func (p *Placer) askOwner(w *api.PlacementRequest, candidates []api.Target) (uint64, *waiter, bool) {
+func (p *Placer) askOwner(w *api.PlacementRequest, candidates []api.Target, s suspicion) (uint64, *waiter, bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -172,7 +187,7 @@
 		return 0, nil, false
 	}
 	p.lastNumber++
-	wt := &waiter{work: w, candidates: candidates, askedAt: now, response: make(chan ownerResponse, 1)}
+	wt := &waiter{work: w, candidates: candidates, suspicion: s, askedAt: now, response: make(chan ownerResponse, 1)}
 	for i := range candidates {
 		if p.notices.Unreported(&candidates[i]) {
 			p.reportLimit(&candidates[i])
@@ -274,8 +289,12 @@
 	p.signalSend()
 }
 
-// placeEngineLocal places a model request locally and reports it to the owner.
-func (p *Placer) placeEngineLocal(w *api.PlacementRequest, reason string) (*assignment, error) {
+// placeEngineLocal places a model request locally and reports it to the owner. One that the last owner
+// has blocked is refused.
+func (p *Placer) placeEngineLocal(w *api.PlacementRequest, s suspicion, reason string) (*assignment, error) {
+	if s.blocked {
+		return nil, p.crashRefusal(blockedRetryAfter)
+	}
 	a, err := p.placeLocal(w)
 	p.localPlacements.Inc()
 	if err != nil {
@@ -327,6 +346,8 @@
 		message = partCrashesMessage
 	case placement.CodeLimitReached:
 		message = limitReachedMessage
+	case placement.CodeRequestCrashes:
+		message = requestCrashesMessage
 	}
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
@@ -362,7 +383,8 @@
 	now := p.clock.Now()
 	p.notices.ResetReports()
 	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
-		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now))}
+		Crashes: p.pending.Crashes, AnsweredSuspects: p.pending.AnsweredSuspects,
+		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now)), Suspects: placewire.NewSuspects(p.suspects.Requests(now))}
 	for _, n := range p.notices.List(now) {
 		p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(n))
 	}
@@ -405,6 +427,9 @@
 	u := p.pending
 	p.pending = placewire.EntryMessage{}
 	owner := p.owner
+	if owner.name == "" {
+		p.pending.AddCrashes(u)
+	}
 	p.mu.Unlock()
 	if owner.name == "" {
 		return true
@@ -414,6 +439,7 @@
 		p.log.Debug("report to the owner not sent", "step", "owner", "peer", owner.name, "error", err)
 		p.mu.Lock()
 		p.pending.AddRefusals(u, maxPendingRefusals)
+		p.pending.AddCrashes(u)
 		p.queueFullReport()
 		p.mu.Unlock()
 		return false
@@ -441,6 +467,11 @@
 	if d.Blocked != nil {
 		p.blocked.Set(d.Blocked.ToPlacement(), now)
 	}
+	if len(d.Suspects) > 0 {
+		if err := p.setSuspects(d.Suspects, now); err != nil {
+			return nil, err
+		}
+	}
 	if len(d.Limits) > 0 {
 		if err := p.mergeLimits(d.Limits, now); err != nil {
 			return nil, err
