placer: instances that have just started, or have no owner, send no request that crashes targets

An instance that has just started places requests before the owner's list has arrived. The same gap let it choose plain targets with a rate limit as if they had none.

Change: the owner answers each full report with the list of suspect requests, also an empty one, after the rate limits. For 1 s after its start an instance places nothing before. It also counts the crashes of its own requests: while no owner responds, it refuses a request after the third, and reports it to the next owner as blocked.

--- a/internal/placement/requestcrashes.go
+++ b/internal/placement/requestcrashes.go
@@ -258,11 +258,13 @@
 	o.requestCrashes.merge(requests, now)
 }
 
-// SuspectList holds the requests with which several targets have crashed, for an entry instance. The
+// SuspectList holds the requests with which several targets have crashed, for an entry instance: those
+// on the owner's list, and until the next list those that crashed targets at this instance alone. The
 // repeats of those need the owner's permission; while no owner responds, blocked ones are refused. It
 // is not safe for concurrent use.
 type SuspectList struct {
 	bySelector map[uint64][]listedRequest
+	own        *requestCrashes // crashes at this instance
 }
 
 type listedRequest struct {
@@ -272,7 +274,28 @@
 }
 
 // NewSuspectList returns an empty list.
-func NewSuspectList() *SuspectList { return &SuspectList{bySelector: map[uint64][]listedRequest{}} }
+func NewSuspectList() *SuspectList {
+	return &SuspectList{bySelector: map[uint64][]listedRequest{}, own: newRequestCrashes()}
+}
+
+// RecordCrash records that a target has crashed while it ran a request of this instance.
+func (l *SuspectList) RecordCrash(f api.Fingerprint, target string, now time.Duration) {
+	l.own.recordCrash(f, target, now)
+	r := l.own.records[f]
+	if !r.isListed() {
+		return
+	}
+	listed := listedRequest{f, r.blocked, max(now, r.blockedUntil)}
+	list := l.bySelector[f.Selector]
+	if i := slices.IndexFunc(list, func(other listedRequest) bool { return other.fingerprint == f }); i >= 0 {
+		list[i].blocked, list[i].blockedUntil = list[i].blocked || listed.blocked, max(list[i].blockedUntil, listed.blockedUntil)
+		return
+	}
+	l.bySelector[f.Selector] = append(list, listed)
+}
+
+// RecordAnswered records that a target has answered a request of this instance.
+func (l *SuspectList) RecordAnswered(f api.Fingerprint) { l.own.recordAnswered(f) }
 
 // Set replaces the list.
 func (l *SuspectList) Set(requests []SuspectRequest, now time.Duration) {
--- a/plugin/owner/broadcast.go
+++ b/plugin/owner/broadcast.go
@@ -2,7 +2,7 @@
 
 // broadcast tracks which version of a list each entry instance was sent.
 type broadcast struct {
-	sent    map[string]uint64 // version by entry instance; 0 = none, or the empty list
+	sent    map[string]uint64 // version by entry instance; 0 = the empty list, of which it need not be told
 	due     bool              // one of them may lack the version
 	version uint64
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -84,6 +84,9 @@
 	blockedParts   broadcast
 	suspects       broadcast
 	suspectsSentAt time.Duration
+	// suspectsDue are the entry instances that must be sent the list even if it is empty: they place
+	// nothing before, if they have just started.
+	suspectsDue map[string]bool
 	// limitsDue are the entry instances that must be sent all rate limits of targets, limitsSentAt is
 	// when changes were last sent.
 	limitsDue    map[string]bool
@@ -240,7 +243,7 @@
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed = s.Term, false
-		o.entries, o.limitsDue = map[string]bool{}, map[string]bool{}
+		o.entries, o.limitsDue, o.suspectsDue = map[string]bool{}, map[string]bool{}, map[string]bool{}
 		o.blockedParts, o.suspects = newBroadcast(), newBroadcast()
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
@@ -321,7 +324,7 @@
 			o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
 			o.state.MergeSuspects(placewire.SuspectsToPlacement(u.Suspects), now)
 		}
-		o.entries[from], o.limitsDue[from] = true, true
+		o.entries[from], o.limitsDue[from], o.suspectsDue[from] = true, true, true
 		o.blockedParts.add(from)
 		o.suspects.add(from)
 	}
@@ -444,8 +447,10 @@
 	if now-o.suspectsSentAt < suspectsInterval && o.suspectsSentAt > 0 {
 		return
 	}
-	entries := o.suspects.next(o.state.SuspectVersion())
-	if len(entries) == 0 {
+	for _, entry := range o.suspects.next(o.state.SuspectVersion()) {
+		o.suspectsDue[entry] = true
+	}
+	if len(o.suspectsDue) == 0 {
 		return
 	}
 	raw, err := json.Marshal(placewire.NewSuspects(o.state.SuspectRequests(now)))
@@ -454,9 +459,10 @@
 		return
 	}
 	o.suspectsSentAt = now
-	for _, entry := range entries {
+	for entry := range o.suspectsDue {
 		to(entry).Suspects = raw
 	}
+	clear(o.suspectsDue)
 }
 
 // addLimits adds the rate limits of targets to the messages: all to the entry instances that have sent a
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -305,6 +305,7 @@
 	if a.answered {
 		return
 	}
+	p.suspects.RecordCrash(f, a.target.ID, p.clock.Now())
 	p.pending.Crashes = append(p.pending.Crashes, placewire.RequestCrash{Fingerprint: placewire.NewFingerprint(f), Target: a.target.ID})
 	p.signalSend()
 }
@@ -315,6 +316,7 @@
 		return
 	}
 	p := a.placer
+	p.suspects.RecordAnswered(a.suspect)
 	p.pending.AnsweredSuspects = append(p.pending.AnsweredSuspects, placewire.NewFingerprint(a.suspect))
 	a.suspect = api.Fingerprint{}
 	p.signalSend()
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -73,6 +73,9 @@
 
 // Place implements api.Placer.
 func (p *Placer) Place(ctx context.Context, w *api.PlacementRequest) (api.Placement, error) {
+	if err := p.awaitLists(ctx); err != nil {
+		return nil, err
+	}
 	s := p.findSuspicion(w)
 	if s.remaining > 0 {
 		return nil, p.crashRefusal(s.remaining)
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -45,6 +45,9 @@
 	blocked       *placement.BlockList // prompt parts that the owner has blocked
 	notices       *placement.Notices   // what targets have said of themselves
 	suspects      *placement.SuspectList
+	listsKnown    chan struct{} // closed when the first lists of an owner have arrived
+	listsOnce     sync.Once
+	startedAt     time.Duration
 	owner         ownerState
 	lastNumber    uint64                    // number of the newest model request
 	waiting       map[uint64]*waiter        // model requests without the owner's response, by number
@@ -86,6 +89,7 @@
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
 	p.blocked, p.notices, p.suspects = placement.NewBlockList(), placement.NewNotices(), placement.NewSuspectList()
+	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
 	p.waiting, p.running, p.sendSignal = map[uint64]*waiter{}, map[uint64]*assignment{}, make(chan struct{}, 1)
 	p.watchSignal, p.readClocks = make(chan struct{}, 1), kernel.ReadClocks
 	p.ownerGrants = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
--- a/plugin/placer/suspects.go
+++ b/plugin/placer/suspects.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -53,5 +54,33 @@
 		return errors.WithMessage(err, placewire.MethodDown)
 	}
 	p.suspects.Set(placewire.SuspectsToPlacement(requests), now)
+	p.listsOnce.Do(func() { close(p.listsKnown) })
+	return nil
+}
+
+// startTimeout is how long after the start of the process requests wait for the first lists of the
+// owner: without them this instance would send what all others refuse.
+const startTimeout = time.Second
+
+// awaitLists waits for the first lists of the owner, at most until startTimeout. The error is that of
+// the context.
+func (p *Placer) awaitLists(ctx context.Context) error {
+	select {
+	case <-p.listsKnown:
+		return nil
+	default:
+	}
+	remaining := p.startedAt + startTimeout - p.clock.Now()
+	if remaining <= 0 {
+		return nil
+	}
+	t := time.NewTimer(remaining)
+	defer t.Stop()
+	select {
+	case <-p.listsKnown:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return nil
 }
--- a/plugin/placer/suspects_test.go
+++ b/plugin/placer/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,3 +122,46 @@
 	r.Equal(len(r.p.pending.Crashes), 1)
 	r.Equal(r.p.pending.Crashes[0], placewire.RequestCrash{Fingerprint: placewire.NewFingerprint(f), Target: testTarget.ID})
 }
+
+// Guards against an instance that has just started and sends what all others refuse, because it places
+// requests before the owner has told it, and against requests that wait without an end.
+func TestFirstRequestsWaitForLists(t *testing.T) {
+	r := newHarness(t)
+	r.p.startedAt = r.p.clock.Now()
+	w := plainRequest()
+	w.Identity = identityOf("deadly")
+	done := r.placeAsync(w)
+	select {
+	case <-done:
+		r.Fail()
+	case <-time.After(50 * time.Millisecond):
+	}
+	r.tellSuspects(placement.SuspectRequest{Fingerprint: w.Identity.Fingerprint(), Blocked: true, Remaining: time.Minute})
+	r.True((<-done).err != nil)
+
+	r = newHarness(t)
+	r.p.startedAt = r.p.clock.Now() - startTimeout + 20*time.Millisecond
+	r.NoErr((<-r.placeAsync(plainRequest())).err) // no owner has told anything in time
+}
+
+// Guards against a request that crashes target after target at an instance while no owner responds.
+func TestCrashesCountWithoutOwner(t *testing.T) {
+	r := newHarness(t)
+	r.p.leaderChanged("", 2)
+	w := plainRequest()
+	w.Identity = identityOf("deadly")
+	sent := 0
+	for range 20 {
+		r.Advance(time.Second, time.Second)
+		a, err := r.p.Place(context.Background(), w)
+		if err != nil {
+			continue
+		}
+		sent++
+		a.End(api.AttemptIncomplete)
+		a.(*assignment).target.ID = fmt.Sprint("t", sent)
+		a.ReportCrash(w.Identity.Fingerprint())
+	}
+	r.Equal(sent, 3)
+	r.Equal(len(r.fullReport(3).Suspects), 1)
+}
