owner: a suspension within a round of decisions is noticed before they are sent

The clock is checked again before the decisions are sent. 1,500 runs of the test with the race detector pass.

--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -165,6 +165,7 @@
 		if f != nil {
 			f()
 			o.processQueued()
+			o.checkSuspension(ctx) // it may have been suspended in this round
 		}
 		if o.term != 0 {
 			o.sendDecisions()
