soak: checks what reaches targets that leave or want a pause

The stand-in records every request that reaches it and what it has answered; a run of the soak now fails if an entry instance sends a target a request of a caller that was sent later than the drain time after the target has told that instance that it leaves, or more than two requests from half a second after it has asked for a pause until the end of that. A restart or suspension of the instance since then excuses it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,9 +27,58 @@
 		violations = append(violations, checkRuns(req, list)...)
 	}
 	violations = append(violations, checkDeadly(requests, runs)...)
+	violations = append(violations, h.checkNotices(byID)...)
 	return append(violations, h.checkRetryBudget(requests, runs)...)
 }
 
+const (
+	// noticeSlack is how long after a bound on requests to a leaving target a caller's request may still
+	// have been on its way.
+	noticeSlack = 300 * time.Millisecond
+	// pauseGrace is the time after which a pause binds an entry instance; maxInPause requests may reach
+	// the target within it all the same.
+	pauseGrace = 500 * time.Millisecond
+	maxInPause = 2
+)
+
+// checkNotices checks that entry instances send nothing to targets that have told them to be leaving or
+// to want a pause. A restart or suspension of the instance since then excuses it.
+func (h *harness) checkNotices(byID map[string]*request) (violations []string) {
+	type pair struct{ entry, target string }
+	arrivals := map[pair][]standin.Arrival{}
+	for _, a := range h.runLog.Arrivals() {
+		if req := byID[a.Request]; req != nil {
+			p := pair{req.entry.name, a.Target}
+			arrivals[p] = append(arrivals[p], a)
+		}
+	}
+	for p, list := range arrivals {
+		for i, told := range list {
+			if !told.Leaving && told.Pause == 0 {
+				continue
+			}
+			inPause := 0
+			for _, a := range list[i+1:] {
+				if h.wasDisturbed(p.entry, told.At, a.At) {
+					break
+				}
+				sentAfter := byID[a.Request].sentAt.Sub(told.At)
+				if told.Leaving && sentAfter > leaveMs*time.Millisecond+noticeSlack {
+					violations = append(violations, fmt.Sprintf("%s: %s reached %s, %v after that has told %s that it leaves", a.Request, p.entry, p.target, sentAfter, p.entry))
+					break
+				}
+				if after := a.At.Sub(told.At); told.Pause > 0 && after > pauseGrace && after < told.Pause {
+					inPause++
+				}
+			}
+			if inPause > maxInPause {
+				violations = append(violations, fmt.Sprintf("%s: %d requests of %s within the pause that it asked for with %s", p.target, inPause, p.entry, told.Request))
+			}
+		}
+	}
+	return violations
+}
+
 // Bounds on a request that crashes its targets: so long after its third crash, it reaches targets in at
 // most maxLateDeadly repeats.
 const (
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -132,6 +132,7 @@
 	if !h.isRunning(inst) || inst.suspended {
 		return
 	}
+	h.recordDisturbance(inst)
 	h.signal(inst, s)
 	if p, err := h.procs.Get(inst.name); err == nil {
 		select {
@@ -146,6 +147,7 @@
 }
 
 func (h *harness) restart(inst *instance) {
+	h.recordDisturbance(inst)
 	if err := h.start(inst); err != nil {
 		h.opt.Log("restart %s: %v", inst.name, err)
 	}
@@ -157,9 +159,11 @@
 		return
 	}
 	inst.suspended = true
+	h.recordDisturbance(inst)
 	h.signal(inst, syscall.SIGSTOP)
 	randomPause(ctx, rng, 4)
 	h.signal(inst, syscall.SIGCONT)
+	h.recordDisturbance(inst)
 	inst.suspended = false
 }
 
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -99,14 +100,16 @@
 	targetCount     int
 	acceptedVersion int // newest configuration version that was accepted
 	load            *loadGenerator
-	restarts        sync.WaitGroup // of crashed targets
+	disturbedMu     sync.Mutex
+	disturbed       map[string][]time.Time // restarts and suspensions, by instance
+	restarts        sync.WaitGroup         // of crashed targets
 }
 
 // newHarness starts the list of targets and the targets, and lays out the instances
 // without starting them.
 func newHarness(o Options) (*harness, error) {
 	h := &harness{
-		opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), runLog: standin.NewRunLog(), targetRelays: map[string]*relay.Relay{},
+		opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), runLog: standin.NewRunLog(), targetRelays: map[string]*relay.Relay{}, disturbed: map[string][]time.Time{},
 		operator: standin.Operator{Client: &http.Client{Timeout: 1500 * time.Millisecond}},
 	}
 	var err error
@@ -253,6 +256,20 @@
 	})
 }
 
+// recordDisturbance records that an instance is restarted or suspended, or goes on after that.
+func (h *harness) recordDisturbance(inst *instance) {
+	h.disturbedMu.Lock()
+	defer h.disturbedMu.Unlock()
+	h.disturbed[inst.name] = append(h.disturbed[inst.name], time.Now())
+}
+
+// wasDisturbed reports whether an instance was restarted or suspended in a span of time.
+func (h *harness) wasDisturbed(name string, from, to time.Time) bool {
+	h.disturbedMu.Lock()
+	defer h.disturbedMu.Unlock()
+	return slices.ContainsFunc(h.disturbed[name], func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // signal sends a signal to an instance. A failure is only logged.
 func (h *harness) signal(inst *instance, s syscall.Signal) {
 	p, err := h.procs.Get(inst.name)
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -12,27 +12,31 @@
 
 // Guards against targets that get more requests from all entry instances together than they take.
 func TestTargetsGetNoMoreThanTheirLimit(t *testing.T) {
-	playFault(t, "targets-limit", 1, 7*time.Second)
+	playFaults(t, 1, 7*time.Second, "targets-limit")
+}
+
+// Guards against requests that reach targets which have said that they leave or want a pause.
+func TestLeavingAndPausingTargetsAreSentNothing(t *testing.T) {
+	playFaults(t, 1, 10*time.Second, "replace-target", "targets-refuse")
 }
 
 // Guards against a request that crashes target after target, because each repeat counts as another
 // request. The seeds play it on the plain and on the model service.
 func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
-		playFault(t, "deadly-request", seed, 8*time.Second)
+		playFaults(t, seed, 8*time.Second, "deadly-request")
 	}
 }
 
-// playFault injects one kind of fault into a fleet under load and fails the test if a guarantee is
-// violated.
-func playFault(t *testing.T, fault string, seed uint64, duration time.Duration) {
+// playFaults injects faults into a fleet under load and fails the test if a guarantee is violated.
+func playFaults(t *testing.T, seed uint64, duration time.Duration, faults ...string) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts a whole fleet")
 	}
 	o := soak.Options{
 		Seed: seed, Dir: t.TempDir(), Binary: filepath.Join(binDir, "nutmegd"), Controls: 3, Entries: 4, Engines: 6, Plain: 3, Losses: 1,
-		RequestsPerS: 120, TokensPerS: 400_000, Duration: duration, Network: 41, Faults: []string{fault},
+		RequestsPerS: 120, TokensPerS: 400_000, Duration: duration, Network: 41, Faults: faults,
 		Log: func(string, ...any) {},
 	}
 	if err := o.Validate(); err != nil {
