owner: messages that do not fit into the inbox are replaced by full reports

Change: the owner asks an instance of which it has dropped a message for a full report, once its inbox is half empty. TestDroppedMessageIsReplacedByReport failed before (the only slot stays taken).

--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -193,8 +193,10 @@
 type OwnerMessage struct {
 	Term uint64 `json:"t"`
 	// NotOwner reports that the sender is not the owner in this term.
-	NotOwner  bool       `json:"x,omitempty"`
-	Decisions []Decision `json:"g,omitempty"`
+	NotOwner bool `json:"x,omitempty"`
+	// ReportFully asks for a full report, because messages of the entry instance were dropped.
+	ReportFully bool       `json:"f,omitempty"`
+	Decisions   []Decision `json:"g,omitempty"`
 	// Blocked replaces the list of blocked prompt parts at the entry instance; nil = unchanged.
 	Blocked *BlockedParts `json:"b,omitempty"`
 	// Limits lists rate limits of targets as a JSON array of Notice: those that have changed, or all
--- /dev/null
+++ b/plugin/owner/dropped_test.go
@@ -0,0 +1,31 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/placewire"
+)
+
+// Guards against requests that count as running on their targets for good, because the message with
+// their ends did not fit into the owner's inbox.
+func TestDroppedMessageIsReplacedByReport(t *testing.T) {
+	r := newHarness(t)
+	r.send(placewire.EntryMessage{FullReport: true, Running: []placewire.Running{{Request: placewire.Request{Number: 1, Service: "m"}, Target: "t1"}}})
+	r.waitForCheck()
+	blocked := make(chan struct{})
+	r.o.inbox.Push(func() { <-blocked })
+	for r.o.inbox.Push(func() {}) {
+	}
+	raw, err := json.Marshal(placewire.EntryMessage{Term: 7, Ends: []placewire.End{{Number: 1, Outcome: api.AttemptServed}}})
+	r.NoErr(err)
+	_, err = r.o.handleEntryMessage(context.Background(), "e", raw)
+	r.NoErr(err)
+	close(blocked)
+	r.nextWith(func(m placewire.OwnerMessage) bool { return m.ReportFully })
+	r.send(placewire.EntryMessage{FullReport: true, Requests: []placewire.Request{{Number: 2, Service: "m", TimesMs: [3]int64{1000, 4000, 1000}}}})
+	m := r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 })
+	r.Equal(m.Decisions[0].Target, "t1") // its only slot is free
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -92,6 +93,10 @@
 	limitsDue    map[string]bool
 	limitsSentAt time.Duration
 
+	droppedMu sync.Mutex
+	// dropped has the term of the newest message that did not fit into the inbox, by entry instance.
+	dropped map[string]uint64
+
 	grants, refusals, blocks, blockedRequests *metrics.Counter
 	decideSeconds                             *metrics.Histogram
 }
@@ -118,7 +123,7 @@
 		return err
 	}
 	o.kernel, o.clock, o.log = c, c.Clock, c.Log.With("plugin", "owner")
-	o.readClocks = kernel.ReadClocks
+	o.readClocks, o.dropped = kernel.ReadClocks, map[string]uint64{}
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
@@ -169,6 +174,7 @@
 		}
 		if o.term != 0 {
 			o.sendDecisions()
+			o.askForReports()
 		}
 	}
 }
@@ -307,10 +313,33 @@
 	}
 	if !o.inbox.Push(func() { o.applyUpdate(from, &u) }) {
 		o.log.Warn("message dropped: the inbox is full", "step", "owner", "peer", from)
+		o.droppedMu.Lock()
+		defer o.droppedMu.Unlock()
+		o.dropped[from] = u.Term
 	}
 	return nil, nil
 }
 
+// askForReports asks the entry instances of which messages were dropped for full reports. Without them,
+// requests whose ends were dropped would count as running for good. It waits until the inbox has room
+// for the reports.
+func (o *Owner) askForReports() {
+	if o.inbox.Len() > inboxSize/2 {
+		return
+	}
+	o.droppedMu.Lock()
+	dropped := o.dropped
+	if len(dropped) > 0 {
+		o.dropped = map[string]uint64{}
+	}
+	o.droppedMu.Unlock()
+	for entry, term := range dropped {
+		if term == o.term {
+			o.send(entry, placewire.OwnerMessage{Term: term, ReportFully: true})
+		}
+	}
+}
+
 // applyUpdate applies a message from an entry instance: running requests, starts, ends,
 // refusals and new requests, in this order.
 func (o *Owner) applyUpdate(from string, u *placewire.EntryMessage) {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -467,6 +467,9 @@
 		return nil, nil
 	}
 	p.owner.silence.reset(now)
+	if d.ReportFully {
+		p.queueFullReport()
+	}
 	if d.Blocked != nil {
 		p.blocked.Set(d.Blocked.ToPlacement(), now)
 	}
