owner: a long queue is worked off in short rounds

Cause: one round ran everything in the inbox, up to 8,192 messages, before it looked at the clock and sent decisions. A busy process took itself for a suspended one, and instances that had waited for 250 ms took it for silent. Class of fault: delay of one's own work that is read as an event outside.

Change: at most 64 messages a round. TestBusyOwnerGoesOnGranting failed before (NotOwner after 1.2 s of work, the first decision after 600 messages).

--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -33,6 +33,8 @@
 
 const (
 	inboxSize = 8192 // queued functions
+	// maxRound is the number of queued functions that are run before decisions are sent.
+	maxRound = 64
 	// tickInterval is how often the owner tries again to place queued requests while no
 	// message arrives.
 	tickInterval = 10 * time.Millisecond
@@ -227,10 +229,11 @@
 	}
 }
 
-// processQueued runs the functions that are in the inbox now, so that one round of
-// decisions covers them all.
+// processQueued runs functions that are in the inbox now, so that one round of decisions
+// covers them. At most maxRound of them are run: in a longer round decisions would be late, and
+// a busy process would take itself for a suspended one.
 func (o *Owner) processQueued() {
-	for range o.inbox.Len() {
+	for range min(o.inbox.Len(), maxRound) {
 		select {
 		case f := <-o.inbox.C():
 			f()
--- a/plugin/owner/suspension_test.go
+++ b/plugin/owner/suspension_test.go
@@ -194,3 +194,32 @@
 	}
 	t.Fatal("the ownership stays unconfirmed")
 }
+
+// Guards against an owner that is busy with a full inbox, takes the time that it needs for a suspension,
+// and leaves its requests to entry instances, which cannot share the targets as well; and against
+// decisions that wait until the inbox is empty.
+func TestBusyOwnerGoesOnGranting(t *testing.T) {
+	r := newHarness(t)
+	start := make(chan struct{})
+	r.o.inbox.Push(func() { <-start })
+	r.send(placewire.EntryMessage{Requests: newRequests(1)})
+	const functions = 600 // of 2 ms
+	before := 0           // functions before the decision is sent
+	for range functions {
+		r.o.inbox.Push(func() {
+			r.Advance(2*time.Millisecond, 2*time.Millisecond)
+			if r.o.grants.Get() == 0 {
+				before++
+			}
+		})
+	}
+	close(start)
+	m := r.nextMessage()
+	r.True(!m.NotOwner)
+	r.Equal(m.Decisions[0].Target, "t1")
+	r.o.inbox.Push(func() {
+		r.True(!r.o.unconfirmed)
+		r.True(before <= 100)
+	})
+	r.waitForCheck()
+}
