placement: without an owner, all entry instances together keep to the slots of the targets

While no owner responds an instance might run its part of 0.7 of a target's slots, but at least one request on each target: 295 instances have 295 requests on 64 slots.

Change: where an instance's part is below one slot, it uses only that part of the targets, chosen by a hash of both names, and always one target and a second one in another data centre. A workspace may use as many slots of an instance as it leaves free, so a flood takes half. TestLocalChoicesKeepToSlots failed before (300 requests on 64 slots); TestFloodWithoutOwnerLeavesRoom and TestLocalChoiceKeepsRoomForOtherWorkspaces are new.

--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -66,6 +66,9 @@
 	AffinityPart PartID
 	// MaxRunning bounds the requests of this instance on one target; 0 = no bound.
 	MaxRunning int
+	// WorkspaceRunning is the number of local requests of the workspace, which may use as many slots as
+	// it leaves free. It is used only with MaxRunning.
+	WorkspaceRunning int
 	// Random is uniform in [0, 1). It breaks ties between targets with equal cost.
 	Random float64
 }
@@ -74,15 +77,27 @@
 // leaving or cold, have MaxRunning requests, have a rate limit or are in a data centre out of service
 // are not used. Targets that are suspect after a failure or already tried are used only if there is no other.
 func (l *Local) Choose(q Query) (api.Target, bool) {
-	best, minCost := -1, math.Inf(1)
+	t, ok, _ := l.ChooseShared(q)
+	return t, ok
+}
+
+// ChooseShared is Choose, and reports whether no target may be used because the workspace has as many
+// requests running as it leaves slots free.
+func (l *Local) ChooseShared(q Query) (t api.Target, ok, overShare bool) {
+	best, minCost, free := -1, math.Inf(1), 0
 	preferred := q.affinityIndex()
 	offset := int(q.Random * float64(len(q.Targets)))
 	for i := range q.Targets {
 		j := (i + offset) % len(q.Targets)
 		t := &q.Targets[j]
-		if !q.usable(t) || q.limited(t) || q.MaxRunning > 0 && l.loadOf(t).running >= q.MaxRunning {
+		if !q.usable(t) || q.limited(t) {
 			continue
 		}
+		room := l.room(t, q)
+		if room <= 0 {
+			continue
+		}
+		free += room
 		c := l.cost(t, q)
 		if j == preferred {
 			c -= affinityLoadBonus
@@ -91,10 +106,55 @@
 			best, minCost = j, c
 		}
 	}
-	if best < 0 {
-		return api.Target{}, false
+	switch {
+	case best < 0:
+		return api.Target{}, false, false
+	case q.MaxRunning > 0 && q.WorkspaceRunning > 0 && q.WorkspaceRunning >= free:
+		return api.Target{}, false, true
+	}
+	return q.Targets[best], true, false
+}
+
+// room returns how many further requests this instance may run on a target, math.MaxInt32 without a
+// bound.
+func (l *Local) room(t *api.Target, q Query) int {
+	if q.MaxRunning <= 0 {
+		return math.MaxInt32
+	}
+	return q.MaxRunning - l.loadOf(t).running
+}
+
+// LocalTargets returns the targets of a service that an instance uses while no owner responds. Its part
+// of a target's slots is share, in requests: below 1, it uses only that part of the targets, so that all
+// instances together keep to the slots. It always has one target, and a second one in another data
+// centre if there is one.
+func LocalTargets(targets []api.Target, service string, share float64, instance string) []api.Target {
+	if share >= 1 {
+		return targets
+	}
+	instanceHash := hashName(instance)
+	fraction := func(t *api.Target) float64 {
+		return float64(mix(instanceHash, hashName(t.ID))) / math.MaxUint64
+	}
+	first, second := -1, -1
+	for i := range targets {
+		if targets[i].Service == service && !targets[i].Leaving && (first < 0 || fraction(&targets[i]) < fraction(&targets[first])) {
+			first = i
+		}
+	}
+	for i := range targets {
+		if targets[i].Service == service && !targets[i].Leaving && targets[i].DataCentre != targets[first].DataCentre &&
+			(second < 0 || fraction(&targets[i]) < fraction(&targets[second])) {
+			second = i
+		}
+	}
+	var out []api.Target
+	for i := range targets {
+		if t := &targets[i]; t.Service == service && (i == first || i == second || fraction(t) < share) {
+			out = append(out, *t)
+		}
 	}
-	return q.Targets[best], true
+	return out
 }
 
 // ChooseLimited returns the usable targets with a rate limit that have the lowest cost, at most 8, best
@@ -112,7 +172,7 @@
 	for i := range q.Targets {
 		j := (i + offset) % len(q.Targets)
 		t := &q.Targets[j]
-		if !q.limited(t) || !q.usable(t) || q.MaxRunning > 0 && l.loadOf(t).running >= q.MaxRunning {
+		if !q.limited(t) || !q.usable(t) || l.room(t, q) <= 0 {
 			continue
 		}
 		c := choice{j, l.cost(t, q)}
--- a/internal/placement/unit_test.go
+++ b/internal/placement/unit_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -265,3 +266,66 @@
 	s.owner.End(Key{"n", 1}, api.AttemptServed, 300*time.Millisecond)
 	is.Equal(s.owner.Decisions()[0].QueueDelay, 300*time.Millisecond)
 }
+
+// Guards against entry instances that lose the owner at the same moment and together send targets far
+// more requests than they have slots, because each of many instances may run one on each target, and
+// against one that may run none at all.
+func TestLocalChoicesKeepToSlots(t *testing.T) {
+	is := is.New(t)
+	const slots = 64
+	for _, c := range []struct{ instances, targets int }{{8, 18}, {300, 265}, {300, 20}, {1100, 1200}} {
+		var targets []api.Target
+		for i := range c.targets {
+			targets = append(targets, api.Target{ID: fmt.Sprintf("i-%05d", i), Service: "m", DataCentre: fmt.Sprint("z", i%4), Slots: slots})
+		}
+		running := map[string]int{}
+		for i := range c.instances {
+			l := NewLocal("z")
+			share := 0.7 * slots / float64(c.instances)
+			q := Query{Service: "m", Targets: LocalTargets(targets, "m", share, fmt.Sprintf("entry-%d", i)), MaxRunning: max(1, int(share+0.5))}
+			placed := 0
+			for range 60 {
+				got, ok := l.Choose(q)
+				if !ok {
+					break
+				}
+				l.Start(got)
+				running[got.ID]++
+				placed++
+			}
+			is.True(placed > 0)
+		}
+		total, most := 0, 0
+		for _, n := range running {
+			total, most = total+n, max(most, n)
+		}
+		if most > 2*slots || total > slots*c.targets {
+			t.Errorf("%d instances, %d targets with %d slots: %d requests on one, %d in all", c.instances, c.targets, slots, most, total)
+		}
+	}
+}
+
+// Guards against a workspace that floods an instance without an owner and leaves the others nothing.
+func TestLocalChoiceKeepsRoomForOtherWorkspaces(t *testing.T) {
+	is := is.New(t)
+	l := NewLocal("z")
+	q := Query{Service: "m", MaxRunning: 4}
+	for i := range 5 {
+		q.Targets = append(q.Targets, api.Target{ID: fmt.Sprint("t", i), Service: "m", DataCentre: "z"})
+	}
+	place := func(most int) (placed int) {
+		for placed = range most {
+			q.WorkspaceRunning = placed
+			got, ok, overShare := l.ChooseShared(q)
+			if !ok {
+				is.True(overShare)
+				return placed
+			}
+			l.Start(got)
+		}
+		return most
+	}
+	is.Equal(place(20), 10) // half of the 20 slots
+	is.Equal(place(20), 5)  // half of the rest
+	is.Equal(place(1), 1)
+}
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -36,7 +36,9 @@
 		Tried: w.TriedTargets, Now: now, Random: rand.Float64(), Notices: p.notices,
 	}
 	if w.Engine != nil {
-		q.AffinityPart, q.MaxRunning = affinityPart(w.Prompt), p.maxRunning(w.Engine.Slots)
+		share := p.slotShare(w.Engine.Slots)
+		q.AffinityPart, q.MaxRunning = affinityPart(w.Prompt), max(1, int(share+0.5))
+		q.Targets = p.localTargets(w.Service, q.Targets, share)
 	}
 	return q
 }
@@ -108,8 +110,16 @@
 	q := p.query(w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t, ok := p.local.Choose(q); ok {
+	q.WorkspaceRunning = p.localByWorkspace[w.Workspace]
+	t, ok, overShare := p.local.ChooseShared(q)
+	switch {
+	case ok:
 		return p.startLocal(w, t), nil
+	case overShare:
+		return nil, &api.Refusal{
+			Code: placement.CodeShareExceeded, Status: 503, Run: api.NotRun, Step: "place", Message: "the workspace uses its share of this instance while no owner responds",
+			RetryAfter: ownerRetryDelay + time.Duration(rand.Float64()*float64(ownerRetryDelay)), LogAttrs: []any{"by", "entry"},
+		}
 	}
 	soonest := time.Duration(0)
 	for _, t := range p.local.ChooseLimited(q) {
@@ -142,13 +152,39 @@
 // startLocal starts a request on a target that this instance has chosen. The lock must be held.
 func (p *Placer) startLocal(w *api.PlacementRequest, t api.Target) *assignment {
 	p.local.Start(t)
+	if w.Engine != nil {
+		p.localByWorkspace[w.Workspace]++
+	}
 	return &assignment{placer: p, work: w, target: t, startedAt: p.clock.Now(), chosenBy: "entry", chosenAt: p.readClocks()}
 }
 
-// maxRunning returns how many requests this instance may run on a target with the given
-// number of slots: its part of localSlotFraction, at least 1.
-func (p *Placer) maxRunning(slots int) int {
-	return max(1, int(localSlotFraction*float64(slots)/float64(p.entryCount())+0.5))
+// endLocal ends the count of a model request that this instance has placed. The lock must be held.
+func (p *Placer) endLocal(workspace string) {
+	if p.localByWorkspace[workspace]--; p.localByWorkspace[workspace] <= 0 {
+		delete(p.localByWorkspace, workspace)
+	}
+}
+
+// localTargets is placement.LocalTargets for this instance. The result is kept until the list or the
+// share changes.
+func (p *Placer) localTargets(service string, targets []api.Target, share float64) []api.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.subsets[service]
+	if !ok || s.share != share || len(s.list) != len(targets) || len(targets) > 0 && &s.list[0] != &targets[0] {
+		s = subset{list: targets, share: share, targets: placement.LocalTargets(targets, service, share, p.instance)}
+		p.subsets[service] = s
+	}
+	return s.targets
+}
+
+// slotShare returns this instance's part of a target with the given number of slots, in requests; an
+// engine without a known number counts as one slot for each instance.
+func (p *Placer) slotShare(slots int) float64 {
+	if slots <= 0 {
+		return 1
+	}
+	return localSlotFraction * float64(slots) / float64(p.entryCount())
 }
 
 // entryCount returns the number of entry instances, or an assumed one.
@@ -333,6 +369,9 @@
 		a.reportAnswered()
 	}
 	if a.number != 0 {
+		if a.chosenBy == "entry" {
+			p.endLocal(a.work.Workspace)
+		}
 		delete(p.running, a.number)
 		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: a.number, Outcome: o})
 		p.signalSend()
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -36,6 +36,7 @@
 	clock      kernel.Clock
 	log        *slog.Logger
 	dataCentre string
+	instance   string
 
 	readClocks func() kernel.ClockReading
 
@@ -54,15 +55,25 @@
 	suspension    kernel.SuspensionDetector // checked while requests wait
 	suspensionEnd time.Duration             // when this process last resumed after a suspension
 	running       map[uint64]*assignment    // model requests on targets, by number
-	pending       placewire.EntryMessage    // message to the owner that is not sent yet
-	sendSignal    chan struct{}             // pending has content
-	watchSignal   chan struct{}             // the first request waits
+	// localByWorkspace is the number of running model requests that this instance has placed.
+	localByWorkspace map[string]int
+	subsets          map[string]subset      // by service
+	pending          placewire.EntryMessage // message to the owner that is not sent yet
+	sendSignal       chan struct{}          // pending has content
+	watchSignal      chan struct{}          // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
 	leavingNotices, pauseNotices, limitNotices, unmeteredSends            *metrics.Counter
 	waitSeconds                                                           *metrics.Histogram
 }
 
+// subset is the part of a list of targets that this instance uses while no owner responds.
+type subset struct {
+	list    []api.Target // of which it is a part
+	share   float64
+	targets []api.Target
+}
+
 // ownerState is this instance's state of the current owner.
 type ownerState struct {
 	name             string
@@ -89,6 +100,7 @@
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
 	p.blocked, p.notices, p.suspects = placement.NewBlockList(), placement.NewNotices(), placement.NewSuspectList()
+	p.instance, p.localByWorkspace, p.subsets = c.Settings.Instance, map[string]int{}, map[string]subset{}
 	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
 	p.waiting, p.running, p.sendSignal = map[uint64]*waiter{}, map[uint64]*assignment{}, make(chan struct{}, 1)
 	p.watchSignal, p.readClocks = make(chan struct{}, 1), kernel.ReadClocks
