placer: the owner's last shares hold while it is silent

Change: an instance that gets no answer keeps the shares that it has, 10 s at most. TestThrottleHoldsWhileOwnerIsSilent failed before (the flood passes after 1 s).

--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -8,6 +8,8 @@
 const (
 	// forwardShareTTL is how long an entry instance applies the latest share from the owner.
 	forwardShareTTL = time.Second
+	// maxShareAge is how long a share is applied at most while the owner is silent.
+	maxShareAge = 10 * time.Second
 	// throttleRetryAfter is the Retry-After of throttled callers if nearly all requests are
 	// forwarded. It grows inversely with the forwarded share, because a retry is then less
 	// likely to pass. The maximum is about as long as callers wait.
@@ -24,8 +26,8 @@
 }
 
 type forwardLimit struct {
-	share     float64
-	expiresAt time.Duration
+	share            float64
+	setAt, expiresAt time.Duration
 }
 
 // NewThrottle returns a Throttle that throttles no workspace.
@@ -38,7 +40,20 @@
 		delete(th.byWorkspace, workspace)
 		return
 	}
-	th.byWorkspace[workspace] = forwardLimit{share: share, expiresAt: now + forwardShareTTL}
+	th.byWorkspace[workspace] = forwardLimit{share: share, setAt: now, expiresAt: now + forwardShareTTL}
+}
+
+// Hold keeps the shares that have not expired for a further 1 s (forwardShareTTL), at most until 10 s
+// (maxShareAge) after they were set. It is called while the owner is silent: what it last refused would
+// otherwise be placed without it.
+func (th *Throttle) Hold(now time.Duration) {
+	for workspace, limit := range th.byWorkspace {
+		if limit.expiresAt <= now {
+			continue
+		}
+		limit.expiresAt = max(limit.expiresAt, min(now+forwardShareTTL, limit.setAt+maxShareAge))
+		th.byWorkspace[workspace] = limit
+	}
 }
 
 // Refuses reports whether a request is throttled, that is, refused by the entry instance. It
--- a/plugin/placer/local_test.go
+++ b/plugin/placer/local_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/placement"
+	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/routing"
 )
 
@@ -44,3 +46,23 @@
 		r.Equal(len(r.p.localByWorkspace), 0)
 	}
 }
+
+// Guards against a flood that the owner refused and that passes in full while the owner is late, and
+// against shares that are applied for good when it is gone.
+func TestThrottleHoldsWhileOwnerIsSilent(t *testing.T) {
+	r := newHarness(t)
+	w := promptRequest("own")
+	w.Workspace = "flood"
+	r.p.throttle.SetShare("flood", 0, r.p.clock.Now())
+	for range 16 { // 8 s without an answer
+		r.Advance(500*time.Millisecond, 500*time.Millisecond)
+		r.respond(placewire.OwnerMessage{Term: 1, NotOwner: true})
+		r.True(r.p.Precheck(w) != nil)
+	}
+	r.Advance(3*time.Second, 3*time.Second)
+	r.respond(placewire.OwnerMessage{Term: 1, NotOwner: true})
+	r.True(r.p.Precheck(w) == nil)
+	r.p.throttle.SetShare("flood", 0, r.p.clock.Now())
+	r.Advance(1100*time.Millisecond, 1100*time.Millisecond) // the owner responds and says nothing of it
+	r.True(r.p.Precheck(w) == nil)
+}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -278,6 +278,7 @@
 	logqueue.Notice(p.log, "owner does not answer", "step", "owner", "peer", p.owner.name, "term", p.owner.term,
 		"silent_ms", silent.Milliseconds(), "waiting", len(p.waiting))
 	p.owner.unavailableUntil = now + ownerRetryDelay
+	p.throttle.Hold(now)
 	p.releaseWaiting()
 	return false
 }
@@ -366,6 +367,7 @@
 	defer p.mu.Unlock()
 	p.owner = ownerState{name: name, term: term}
 	p.owner.silence.reset(p.clock.Now())
+	p.throttle.Hold(p.clock.Now())
 	p.queueFullReport()
 }
 
@@ -463,6 +465,7 @@
 	now := p.clock.Now()
 	if d.NotOwner {
 		p.owner.unavailableUntil = now + ownerRetryDelay
+		p.throttle.Hold(now)
 		p.releaseWaiting()
 		return nil, nil
 	}
