--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"nutmegrouter/internal/api"
 )
 
 const (
@@ -357,6 +359,55 @@
 	c.failed, c.answered, c.countedAt = c.failed*factor, c.answered*factor, now
 }
 
+// noteFailure derives from an outcome whether the target may have crashed, or has answered. Without
+// an event for any request since this one was sent, a target that missed the deadline is taken for
+// one that crashed silently.
+func (o *Owner) noteFailure(w *work, outcome api.AttemptOutcome, now time.Duration) {
+	t := w.target
+	silent := outcome == api.AttemptTimedOut && t.lastFirstEventAt < w.sentAt
+	switch {
+	case outcome == api.AttemptServed:
+		o.noteAnswered(w, now)
+	case !w.answered && (outcome == api.AttemptIncomplete || silent) && len(t.failures) < maxFailures:
+		t.failures = append(t.failures, failure{now, w.request.Prompt})
+		o.unsettled[t] = struct{}{}
+	}
+	o.settleFailures(t, now)
+}
+
+// noteAnswered records that a target has answered a request. It has not crashed since it received
+// that request, because a crash ends all of them.
+func (o *Owner) noteAnswered(w *work, now time.Duration) {
+	if !w.answered {
+		w.answered = true
+		o.crashes.recordAnswered(w.request.Prompt, now)
+	}
+	t := w.target
+	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool { return w.sentAt < f.at })
+}
+
+// settleFailures counts the failures of a target as a crash once all of its requests that were sent
+// before have ended, or after maxSettleTime.
+func (o *Owner) settleFailures(t *target, now time.Duration) {
+	if len(t.failures) == 0 {
+		delete(o.unsettled, t)
+		return
+	}
+	oldest := now
+	for _, w := range t.running {
+		oldest = min(oldest, w.sentAt)
+	}
+	var prompts [][]Part
+	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool {
+		if oldest < f.at && now-f.at < maxSettleTime {
+			return false
+		}
+		prompts = append(prompts, f.prompt)
+		return true
+	})
+	o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(t.info.ID, now, prompts...)...)
+}
+
 // BlockList holds the prompt parts that the owner has blocked, for an entry instance, which
 // refuses their requests also while no owner responds. It is not safe for concurrent use.
 type BlockList struct {
