--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -65,7 +65,12 @@
 
 // send sends one request and reads the whole answer.
 func (c *client) send(e *node, method, path string, body []byte, deadline time.Duration, extra ...string) result {
-	res := result{attempt: newAttempt()}
+	return c.sendID(e, newAttempt(), method, path, body, deadline, extra...)
+}
+
+// sendID is send with a given id of the attempt.
+func (c *client) sendID(e *node, id, method, path string, body []byte, deadline time.Duration, extra ...string) result {
+	res := result{attempt: id}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.address(frontPort)+path, bytes.NewReader(body))
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -22,6 +22,8 @@
 	// serve, if set, answers a request that the server runs, and reports whether the connection stays open.
 	serve func(s *server, c net.Conn, r *http.Request, body []byte) (keep bool)
 
+	raw func(s *server, c net.Conn) // replaces handle
+
 	mu        sync.Mutex
 	state     string // ready or draining; "" = not in the list
 	drainFrom time.Time
@@ -112,6 +114,10 @@
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
+		if s.raw != nil {
+			go s.raw(s, c)
+			continue
+		}
 		go s.handle(c)
 	}
 }
