--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -31,6 +31,7 @@
 // Bounds of the deployment: those of site tapfinder-amman.
 const (
 	drainTime      = 3 * time.Second
+	configApply    = 2 * time.Second
 	evacuationTime = 5 * time.Second
 	outerTime      = 5 * time.Second
 	recoveryTime   = 12 * time.Second
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -68,9 +68,8 @@
 		entries = append(entries, raw)
 		s.listed(state)
 	}
-	for i, f := range p.foreign {
-		at := min(1+i, len(entries))
-		entries = append(entries[:at], append([][]byte{[]byte(f)}, entries[at:]...)...)
+	for _, f := range p.foreign {
+		entries = append(entries, []byte(f))
 	}
 	p.shown = append([]byte(`{"instances":[`), append(bytes.Join(entries, []byte(",")), []byte(`],"next":null}`)...)...)
 }
