--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -11,7 +11,7 @@
 func init() { scenarios["cold"] = coldWithoutOwner }
 
 // coldWithoutOwner: all processes of the core are killed and are back within a second, under a burst of
-// traffic. Meanwhile the replicas of a zone turn cold.
+// traffic. Meanwhile the replicas of two zones turn cold.
 func coldWithoutOwner(rec *record, trouble bool) error {
 	const (
 		coldBound = 10*1.5 + 5 // cold_per_s x cold_overage + cold_slack
@@ -128,7 +128,7 @@
 		}
 	}
 	for _, s := range engines {
-		if s.zone == "amman-c" {
+		if s.zone == "amman-b" || s.zone == "amman-c" {
 			s.turnCold(coldTime)
 		}
 	}
