--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/rig"
 mkdir -p bin
-exec go build -o bin/ .
+exec go build -buildvcs=false -o bin/ .
--- a/review/rig/zone.go
+++ b/review/rig/zone.go
@@ -27,7 +27,7 @@
 	var acked time.Time
 	var repeated *server
 	for _, z := range d.zones {
-		s, err := newServer(d, "i-"+z, "xano55b", z, 6, 30*time.Millisecond)
+		s, err := newServer(d, "i-"+z, "xano55b", z, 6, 150*time.Millisecond)
 		if err != nil {
 			return err
 		}
@@ -57,7 +57,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
-	wg := newClient(rec).load(d, 26, http.MethodPost, "/lohu930/2f", time.Second, stop, nil)
+	wg := newClient(rec).load(d, 60, http.MethodPost, "/lohu930/2f", time.Second, stop, nil)
 	time.Sleep(3 * time.Second)
 	if trouble {
 		raw, err := json.Marshal(map[string]any{
