--- a/review/rig/directory.go
+++ b/review/rig/directory.go
@@ -11,7 +11,7 @@
 
 // foreignEntry is an entry of another writer. Its id holds bytes that cannot be read; its braces and
 // quotes are complete, so that the entries beside it can be told from it.
-const foreignEntry = "{\"id\":\"\x03\x1f\xfe\",\"service\":\"ubel04c\",\"address\":\"10.0.0.9:80\",\"state\":\"up\"}"
+const foreignEntry = "{\"id\":\"\x03\x1f\xfe\",\"service\":\"ubel04c\",\"address\":\"127.0.0.9:80\",\"state\":\"up\"}"
 
 // unreadableEntry: all processes of the system are killed and come back within a second, while the
 // platform's list holds an entry of another writer that cannot be read.
