--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -45,6 +45,8 @@
 	Route     *routing.Route
 	Service   string
 	Engine    *routing.Engine // nil for plain services
+	// ColdPerSecond is routing.Service.ColdPerSecond.
+	ColdPerSecond float64
 	// PromptTokens, ExpectedOutputTokens and Prompt describe a model request; zero
 	// otherwise. ExpectedOutputTokens is not the upper bound.
 	PromptTokens, ExpectedOutputTokens int
@@ -132,12 +134,14 @@
 
 // ForwardRequest is a caller's request that has passed the admission checks.
 type ForwardRequest struct {
-	ID        string
-	Route     *routing.Route
-	Service   string
-	Engine    *routing.Engine // nil for plain services
-	Workspace string
-	Fields    CallerFields
+	ID      string
+	Route   *routing.Route
+	Service string
+	Engine  *routing.Engine // nil for plain services
+	// ColdPerSecond is routing.Service.ColdPerSecond.
+	ColdPerSecond float64
+	Workspace     string
+	Fields        CallerFields
 	// Header is the caller's request header. It is not modified.
 	Header *fasthttp.RequestHeader
 	Body   []byte
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -159,7 +159,7 @@
 func (o *Owner) isIdle(t *target, now time.Duration) bool {
 	slots := t.slots()
 	return t.health.suspectUntil <= now && t.pausedUntil <= now && len(t.prefillQueue) == 0 && len(t.pending) == 0 &&
-		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.startLimit(t, now), 0, now) == 0
+		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.maxStarts(t, now), 0, now) == 0
 }
 
 // minScore returns a lower bound of the score of a request on a target.
@@ -187,7 +187,7 @@
 	if !t.hasCapacity(w, uncached) || t.freeSlots() <= pendingBefore.requests {
 		c.wait = max(c.wait, t.capacityWait(pendingBefore.requests, o.meanRunTime(t.info.Service)))
 	}
-	c.wait = max(c.wait, t.startWait(o.startLimit(t, now), pendingBefore.requests, now), t.pausedUntil-now)
+	c.wait = max(c.wait, t.startWait(o.maxStarts(t, now), pendingBefore.requests, now), t.pausedUntil-now)
 	prefill := t.prefillTime(float64(c.uncached))
 	c.firstEventAfter = max(backlog, c.wait) + prefill + baseLatency
 	c.score = c.firstEventAfter + time.Duration(prefillWeight*float64(prefill)) +
@@ -205,21 +205,6 @@
 	return c
 }
 
-// startLimit returns the limit on starts per second on a target; 0 = no limit. A warm target
-// may turn cold at any time, and the target list shows it with a delay. The limit for cold
-// targets therefore always applies: with the allowed overage for warm targets, without it
-// for cold ones.
-func (o *Owner) startLimit(t *target, now time.Duration) float64 {
-	s := o.view.Services[t.info.Service]
-	if s == nil || s.ColdPerSecond <= 0 {
-		return 0
-	}
-	if t.info.ColdUntil > now {
-		return s.ColdPerSecond * coldStartFactor
-	}
-	return (s.ColdPerSecond*o.cfg.ColdOverage + o.cfg.ColdSlack) * warmStartFactor
-}
-
 // affinityTarget returns the target that is preferred for the shared parts of a prompt while
 // no target has cached them, or nil.
 func (o *Owner) affinityTarget(w *work) *target {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -136,7 +136,7 @@
 }
 
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
-	c.target.start(w, now)
+	c.target.start(w, start{at: now, by: o.followers[w.key.Entry], granted: true})
 	w.metered = c.target.countAgainstLimit(now)
 	o.crashes.recordSent(w.request.Prompt)
 	if !w.request.Resumes {
@@ -167,7 +167,7 @@
 	o.rerankMissed(t, now)
 	for len(t.pending) > 0 {
 		w := slices.MinFunc(t.pending, compareUrgency)
-		if !t.canStart(w, o.startLimit(t, now), now) {
+		if !t.canStart(w, o.maxStarts(t, now), now) {
 			return
 		}
 		o.dropPending(w)
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -66,6 +66,8 @@
 	AffinityPart PartID
 	// MaxRunning bounds the requests of this instance on one target; 0 = no bound.
 	MaxRunning int
+	// Starts bounds the starts per second of this instance on a target; nil = no bound.
+	Starts *StartShare
 	// WorkspaceRunning is the number of local requests of the workspace, which may use as many slots as
 	// it leaves free. It is used only with MaxRunning.
 	WorkspaceRunning int
@@ -74,8 +76,8 @@
 }
 
 // Choose returns the target with the lowest cost, or false if none is usable. Targets that are
-// leaving or cold, have MaxRunning requests, have a rate limit or are in a data centre out of service
-// are not used. Targets that are suspect after a failure or already tried are used only if there is no other.
+// leaving or cold, have MaxRunning requests, have a rate limit, have no room in Starts or are in a data
+// centre out of service are not used. Targets that are suspect after a failure or already tried are used only if there is no other.
 func (l *Local) Choose(q Query) (api.Target, bool) {
 	t, ok, _ := l.ChooseShared(q)
 	return t, ok
@@ -93,11 +95,14 @@
 		if !q.usable(t) || q.limited(t) {
 			continue
 		}
-		room := l.room(t, q)
-		if room <= 0 {
+		slots := l.freeSlots(t, q)
+		if slots <= 0 {
+			continue
+		}
+		free += slots
+		if q.Starts != nil && q.Starts.Room(t.ID, q.Now) <= 0 {
 			continue
 		}
-		free += room
 		c := l.cost(t, q)
 		if j == preferred {
 			c -= affinityLoadBonus
@@ -107,23 +112,37 @@
 		}
 	}
 	switch {
-	case best < 0:
+	case free == 0:
 		return api.Target{}, false, false
 	case q.MaxRunning > 0 && q.WorkspaceRunning > 0 && q.WorkspaceRunning >= free:
 		return api.Target{}, false, true
 	}
+	if best < 0 {
+		return api.Target{}, false, false
+	}
 	return q.Targets[best], true, false
 }
 
-// room returns how many further requests this instance may run on a target, math.MaxInt32 without a
+// freeSlots returns how many further requests this instance may run on a target, math.MaxInt32 without a
 // bound.
-func (l *Local) room(t *api.Target, q Query) int {
+func (l *Local) freeSlots(t *api.Target, q Query) int {
 	if q.MaxRunning <= 0 {
 		return math.MaxInt32
 	}
 	return q.MaxRunning - l.loadOf(t).running
 }
 
+// mayStart reports whether this instance has room for a further request on a target.
+func (l *Local) mayStart(t *api.Target, q Query) bool {
+	return l.freeSlots(t, q) > 0 && (q.Starts == nil || q.Starts.Room(t.ID, q.Now) > 0)
+}
+
+// AnyUsable reports whether a target of the service may be used as far as it is concerned, whatever room
+// this instance has on it.
+func (q *Query) AnyUsable() bool {
+	return slices.ContainsFunc(q.Targets, func(t api.Target) bool { return q.usable(&t) })
+}
+
 // LocalTargets returns the targets of a service that an instance uses while no owner responds. Its part
 // of a target's slots is share, in requests: below 1, it uses only that part of the targets, so that all
 // instances together keep to the slots. It always has one target, and a second one in another data
@@ -172,7 +191,7 @@
 	for i := range q.Targets {
 		j := (i + offset) % len(q.Targets)
 		t := &q.Targets[j]
-		if !q.limited(t) || !q.usable(t) || l.room(t, q) <= 0 {
+		if !q.limited(t) || !q.usable(t) || !l.mayStart(t, q) {
 			continue
 		}
 		c := choice{j, l.cost(t, q)}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -80,6 +80,7 @@
 	CodeShareExceeded  = "share_exceeded"  // misses its objective, and the workspace exceeds its share
 	CodeShareYields    = "share_yields"    // granted too much more than a workspace with unmet demand
 	CodeLimitReached   = "limit_reached"   // all targets are at the rate limit that they have named
+	CodeStartsReached  = "starts_reached"  // without an owner, the entry instance has used its part of the starts per second
 	CodeRequestCrashes = "request_crashes" // targets crash when they run it
 	CodePartCrashes    = "part_crashes"    // targets crash when they begin to answer a part of its prompt
 )
@@ -127,15 +128,19 @@
 	unsettled      map[*target]struct{} // targets with failures
 	listed         map[string]int64     // Target.StartedUnixMs of all targets, plain ones too, by ID
 	limits         map[string]*targetLimit
-	changedLimits  map[string]struct{} // IDs of targets whose rate limit has changed
-	lastTick       time.Duration       // last review of the queued requests
+	changedLimits  map[string]struct{}  // IDs of targets whose rate limit has changed
+	lastTick       time.Duration        // last review of the queued requests
+	followers      map[string]*follower // entry instances that report their starts, by name
+	reserved       map[string]int       // sum of the parts of followers, by target ID
+	takeover       *takeover            // nil = no entry instance has an unknown part
 }
 
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
 		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, requests: map[Key]*work{},
-		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), requestCrashes: newRequestCrashes(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{}}
+		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), requestCrashes: newRequestCrashes(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{},
+		followers: map[string]*follower{}, reserved: map[string]int{}}
 }
 
 // SetView replaces the fleet view. Running requests on removed targets are tracked until they
@@ -323,7 +328,7 @@
 	w := newWork(k, req, now)
 	w.answered = answered
 	o.requests[k] = w
-	t.start(w, now-max(0, sentAgo))
+	t.start(w, start{at: now - max(0, sentAgo), by: o.followers[k.Entry]})
 	if sentAgo < startWindow {
 		w.metered = t.countAgainstLimit(now)
 	}
@@ -441,6 +446,7 @@
 		return
 	}
 	o.lastTick = now
+	o.expireFollowers(now)
 	o.advanceShares(now)
 	for _, t := range o.sortedTargets {
 		if len(t.pending) > 0 {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -105,7 +105,7 @@
 	prefillRate      float64 // prompt tokens per millisecond
 	lastFirstEventAt time.Duration
 	lastStartAt      time.Duration
-	recentStarts     []time.Duration // start times within startWindow, oldest first
+	recentStarts     []start // within startWindow or held, oldest first
 	health           health
 	saysLeaving      bool                   // it has said that it leaves, whatever the list says
 	pausedUntil      time.Duration          // it has asked for no requests until then
@@ -225,10 +225,10 @@
 
 // canStart reports whether the target can accept a request now: by its backlog, slots, memory
 // and start limit.
-func (t *target) canStart(w *work, startLimit float64, now time.Duration) bool {
+func (t *target) canStart(w *work, maxStarts int, now time.Duration) bool {
 	return t.backlog(now) <= maxTargetBacklog && t.pausedUntil <= now &&
 		t.hasCapacity(w, t.cache.uncachedTokens(w.request.Prompt)) &&
-		t.startWait(startLimit, 0, now) == 0
+		t.startWait(maxStarts, 0, now) == 0
 }
 
 // hasCapacity reports whether the target has a slot and memory for a request with a number of
@@ -266,38 +266,10 @@
 	return run * time.Duration(ends) / time.Duration(max(1, len(t.running)))
 }
 
-// startWait returns the time until one more start, after pendingBefore others, stays within a
-// limit on starts per second, perSecond <= 0 = no limit, and within the target's rate limit.
-func (t *target) startWait(perSecond float64, pendingBefore int, now time.Duration) time.Duration {
-	return max(t.limitWait(pendingBefore, now), t.startWindowWait(perSecond, pendingBefore, now))
-}
-
-// startWindowWait is startWait without the target's rate limit.
-func (t *target) startWindowWait(perSecond float64, pendingBefore int, now time.Duration) time.Duration {
-	for len(t.recentStarts) > 0 && now-t.recentStarts[0] >= startWindow {
-		t.recentStarts = t.recentStarts[1:]
-	}
-	maxStarts := max(1, int(perSecond))
-	if perSecond <= 0 {
-		return 0
-	}
-	// This start has to wait until the start that is maxStarts before it leaves the window. That
-	// one is a recorded start, or one of the pending requests.
-	i := len(t.recentStarts) + pendingBefore - maxStarts
-	fullWindows := time.Duration(0)
-	if n := len(t.recentStarts); n > 0 && i >= n {
-		windows := (i-n)/maxStarts + 1
-		i, fullWindows = i-windows*maxStarts, time.Duration(windows)
-	}
-	if i < 0 || len(t.recentStarts) == 0 {
-		return fullWindows * startWindow
-	}
-	return t.recentStarts[i] + startWindow*(fullWindows+1) - now
-}
-
 // start adds a request that is sent to the target now or, if another owner or the entry
 // instance placed it, was sent earlier.
-func (t *target) start(w *work, sentAt time.Duration) {
+func (t *target) start(w *work, s start) {
+	sentAt := s.at
 	w.target, w.sentAt = t, sentAt
 	t.lastStartAt = max(t.lastStartAt, sentAt)
 	w.uncached = t.cache.uncachedTokens(w.request.Prompt)
@@ -306,10 +278,7 @@
 	t.prefillQueue = append(t.prefillQueue, w)
 	t.outputTokens += w.request.OutputTokens
 	t.cache.pin(w.request.Prompt, t.outputTokens)
-	// A new owner receives reports of earlier starts. Recorded as starts of now, they would
-	// block the target for a second.
-	i, _ := slices.BinarySearch(t.recentStarts, sentAt)
-	t.recentStarts = slices.Insert(t.recentStarts, i, sentAt)
+	t.recordStart(s)
 }
 
 // recordFirstEvent records the first event of a request and updates the prefill rate.
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -103,6 +103,18 @@
 type EntryMessage struct {
 	Term       uint64 `json:"t"`
 	DataCentre string `json:"z"`
+	// Sent is when the message was sent, on the clock of the entry instance, Heard the newest Sent of the
+	// owner's messages that it has received, and HeardAgo the time since then, all in nanoseconds; 0 =
+	// none. Follows reports that the entry instance starts nothing by itself while the owner responds.
+	Sent     int64 `json:"i,omitempty"`
+	Heard    int64 `json:"h,omitempty"`
+	HeardAgo int64 `json:"g,omitempty"`
+	Follows  bool  `json:"f,omitempty"`
+	// Share reports the starts of the entry instance; nil = unchanged.
+	Share *StartShare `json:"j,omitempty"`
+	// Entries is, in a full report, the number of entry instances that this one knows of; 0 = it has had
+	// no owner.
+	Entries int `json:"c,omitempty"`
 	// FullReport reports that the message describes the full state of this entry instance:
 	// the owner discards its earlier state of it.
 	FullReport bool      `json:"w,omitempty"`
@@ -131,6 +143,34 @@
 	Shed map[string]int `json:"y,omitempty"`
 }
 
+// StartShare is a placement.StartReport. Ages are in milliseconds.
+type StartShare struct {
+	Parts map[string]int     `json:"p,omitempty"`
+	AgoMs map[string][]int64 `json:"s,omitempty"`
+}
+
+// NewStartShare returns the message for a report.
+func NewStartShare(r placement.StartReport) *StartShare {
+	out := &StartShare{Parts: r.Parts, AgoMs: make(map[string][]int64, len(r.Ago))}
+	for target, ages := range r.Ago {
+		for _, ago := range ages {
+			out.AgoMs[target] = append(out.AgoMs[target], ago.Milliseconds())
+		}
+	}
+	return out
+}
+
+// ToPlacement converts the message to the type of package placement.
+func (s *StartShare) ToPlacement() placement.StartReport {
+	out := placement.StartReport{Parts: s.Parts, Ago: make(map[string][]time.Duration, len(s.AgoMs))}
+	for target, ages := range s.AgoMs {
+		for _, ms := range ages {
+			out.Ago[target] = append(out.Ago[target], time.Duration(ms)*time.Millisecond)
+		}
+	}
+	return out
+}
+
 // Refused is a request that an entry instance refused: its tokens as returned by Tokens, the
 // ID of its last prompt part, and the milliseconds to its objective.
 type Refused [3]int64
@@ -192,6 +232,10 @@
 // without NotOwner is a heartbeat.
 type OwnerMessage struct {
 	Term uint64 `json:"t"`
+	// Sent is when the message was sent, on the owner's clock, and Echo the newest Sent of the entry
+	// instance's messages that the owner has applied, both in nanoseconds; 0 = none.
+	Sent int64 `json:"i,omitempty"`
+	Echo int64 `json:"h,omitempty"`
 	// NotOwner reports that the sender is not the owner in this term.
 	NotOwner bool `json:"x,omitempty"`
 	// ReportFully asks for a full report, because messages of the entry instance were dropped.
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -102,7 +102,7 @@
 	}
 	r.Service = r.Route.Choose(rand.Float64())
 	if s := t.Services[r.Service]; s != nil {
-		r.Engine = s.Engine
+		r.Engine, r.ColdPerSecond = s.Engine, s.ColdPerSecond
 	}
 	r.PriorWait = g.waitEstimator.earlierWait(r.Route.Name, fields.Timeout)
 	r.Deadline = arrived + r.Route.Timeout
--- /dev/null
+++ b/plugin/owner/followers.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"time"
+
+	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/placement"
+	"nutmegrouter/internal/placewire"
+)
+
+// takeoverSettleTime is how long after its start a control instance waits for links to entry instances
+// before it takes those that it knows for all, and how long after the loss of a link the starts of a process
+// that has ended may still count.
+const takeoverSettleTime = time.Second
+
+// peer is what this instance knows of an entry instance, whether it is the owner or not.
+type peer struct {
+	incarnation string
+	linked      bool
+	changedAt   time.Duration // of linked
+	echo        int64         // newest placewire.EntryMessage.Sent that was applied
+	sentAt      time.Duration // of the last message to it that acknowledges one
+}
+
+// recordLink applies a change of a link. The starts of an earlier process of the entry instance end with
+// it.
+func (o *Owner) recordLink(c api.LinkChange) {
+	if c.HasControlReplica {
+		return
+	}
+	p, known := o.peers[c.Peer]
+	if c.Up && known && p.incarnation != c.Incarnation {
+		p.echo = 0
+		if o.term != 0 {
+			o.state.ForgetStarts(c.Peer, o.clock.Now())
+		}
+	}
+	if !c.Up && !known {
+		return // it is a control instance
+	}
+	p.linked, p.changedAt = c.Up, o.clock.Now()
+	if !c.Up {
+		o.lastLossAt = p.changedAt
+	}
+	if c.Up {
+		p.incarnation = c.Incarnation
+	}
+	o.peers[c.Peer] = p
+}
+
+// knownEntries returns the entry instances that may have a part of the start limits: those that are
+// linked, and those whose links were lost a short time ago.
+func (o *Owner) knownEntries(now time.Duration) []string {
+	var out []string
+	for name, p := range o.peers {
+		if !p.linked && now-p.changedAt > placement.OwnerlessTime {
+			delete(o.peers, name)
+			continue
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// recordHeard records that a message of an entry instance has arrived, and reports whether no later one
+// has overtaken it. A full report may be the first message of another process.
+func (o *Owner) recordHeard(from string, u *placewire.EntryMessage, now time.Duration) (newest bool) {
+	if u.Sent == 0 {
+		return false // it is of a version that reports no starts
+	}
+	p := o.peers[from]
+	newest = u.Sent >= p.echo
+	if u.FullReport && !newest {
+		o.state.ForgetStarts(from, now) // the clock of another process has begun anew
+		newest = true
+	}
+	o.state.RecordHeard(from, u.Follows, time.Duration(u.Heard), time.Duration(u.HeardAgo), now)
+	if !newest {
+		return false
+	}
+	p.echo = u.Sent
+	o.peers[from] = p
+	return true
+}
+
+// stamp adds to a message when it is sent and which message of the entry instance it acknowledges.
+func (o *Owner) stamp(entry string, d *placewire.OwnerMessage, now time.Duration) {
+	p := o.peers[entry]
+	p.sentAt = now
+	o.peers[entry] = p
+	d.Sent, d.Echo = int64(now), p.echo
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -84,6 +84,9 @@
 	unconfirmed bool
 
 	entries        map[string]bool // entry instances that have sent a full report
+	peers          map[string]peer // linked entry instances, and those whose link was lost, by name
+	startedAt      time.Duration
+	lastLossAt     time.Duration // of a link to an entry instance
 	blockedParts   broadcast
 	suspects       broadcast
 	suspectsSentAt time.Duration
@@ -126,6 +129,7 @@
 	}
 	o.kernel, o.clock, o.log = c, c.Clock, c.Log.With("plugin", "owner")
 	o.readClocks, o.dropped = kernel.ReadClocks, map[string]uint64{}
+	o.peers, o.startedAt = map[string]peer{}, o.clock.Now()
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
@@ -258,7 +262,10 @@
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
-		logqueue.Notice(o.log, "ownership begins", "step", "owner", "term", o.term)
+		now := o.clock.Now()
+		known := o.knownEntries(now)
+		o.state.BeginTakeover(known, max(o.startedAt, o.lastLossAt)+takeoverSettleTime, now)
+		logqueue.Notice(o.log, "ownership begins", "step", "owner", "term", o.term, "entries", len(known))
 		o.viewChanged()
 	}
 }
@@ -294,6 +301,9 @@
 // linkChanged discards the requests of an entry instance that stays disconnected for
 // disconnectTimeout: its connections to the targets are presumed closed.
 func (o *Owner) linkChanged(c api.LinkChange) {
+	if !o.inbox.Push(func() { o.recordLink(c) }) {
+		o.log.Warn("link change dropped: the inbox is full", "step", "owner", "peer", c.Peer, "up", c.Up)
+	}
 	if c.Up || c.HasControlReplica {
 		return
 	}
@@ -351,8 +361,10 @@
 		return
 	}
 	now := o.clock.Now()
+	newest := o.recordHeard(from, u, now)
 	if u.FullReport {
 		o.state.RemoveEntry(from)
+		o.state.RecordFullReport(from, u.Entries)
 		if !o.entries[from] { // otherwise its lists may be older than this owner's
 			o.state.MergeBlocked(u.Blocked.ToPlacement(), now)
 			o.state.MergeSuspects(placewire.SuspectsToPlacement(u.Suspects), now)
@@ -378,6 +390,9 @@
 		r := &u.Running[i]
 		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, r.Answered, time.Duration(r.AgoMs)*time.Millisecond, now)
 	}
+	if u.Share != nil && newest {
+		o.state.RecordStarts(from, u.Share.ToPlacement(), time.Duration(u.Heard), now)
+	}
 	for _, n := range u.Began {
 		o.state.RecordFirstEvent(placement.Key{Entry: from, Number: n}, now)
 	}
@@ -448,11 +463,19 @@
 		for _, entry := range o.state.WaitingEntries() {
 			to(entry)
 		}
+		for _, entry := range o.state.Followers() {
+			if now-o.peers[entry].sentAt >= heartbeatInterval {
+				to(entry)
+			}
+		}
 	}
 	if len(decisions) > 0 {
 		o.decideSeconds.Update(time.Since(begin).Seconds())
 	}
 	for entry, d := range messages {
+		if !d.NotOwner {
+			o.stamp(entry, d, now)
+		}
 		o.send(entry, *d)
 	}
 }
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -38,7 +38,11 @@
 	if w.Engine != nil {
 		share := p.slotShare(w.Engine.Slots)
 		q.AffinityPart, q.MaxRunning = affinityPart(w.Prompt), max(1, int(share+0.5))
-		q.Targets = p.localTargets(w.Service, q.Targets, share)
+		if w.ColdPerSecond > 0 {
+			q.Starts = p.starts // which also divides the targets among the instances
+		} else {
+			q.Targets = p.localTargets(w.Service, q.Targets, share)
+		}
 	}
 	return q
 }
@@ -139,6 +143,12 @@
 			Message: limitReachedMessage, RetryAfter: min(soonest, maxLimitRetryAfter), LogAttrs: []any{"by", "entry"},
 		}
 	}
+	if q.Starts != nil && q.AnyUsable() {
+		return nil, &api.Refusal{
+			Code: placement.CodeStartsReached, Status: 503, Run: api.NotRun, Step: "place", Message: "this instance has used its part of the starts while no owner responds",
+			RetryAfter: ownerRetryDelay + time.Duration(rand.Float64()*float64(ownerRetryDelay)), LogAttrs: []any{"by", "entry"},
+		}
+	}
 	retryAfter := noTargetRetryAfter
 	if pause := q.PauseEnd(); pause > 0 {
 		retryAfter = pause + time.Duration(rand.Float64()*float64(pause)/2) // callers do not return together
@@ -152,10 +162,12 @@
 // startLocal starts a request on a target that this instance has chosen. The lock must be held.
 func (p *Placer) startLocal(w *api.PlacementRequest, t api.Target) *assignment {
 	p.local.Start(t)
+	a := &assignment{placer: p, work: w, target: t, startedAt: p.clock.Now(), chosenBy: "entry", chosenAt: p.readClocks()}
 	if w.Engine != nil {
 		p.localByWorkspace[w.Workspace]++
+		p.recordStart(a)
 	}
-	return &assignment{placer: p, work: w, target: t, startedAt: p.clock.Now(), chosenBy: "entry", chosenAt: p.readClocks()}
+	return a
 }
 
 // endLocal ends the count of a model request that this instance has placed. The lock must be held.
@@ -212,6 +224,7 @@
 	startedAt       time.Duration       // when the target was chosen, on the kernel clock
 	sentAt          time.Duration       // first byte of the newest send, on the kernel clock
 	metered         bool                // one send is counted against the target's rate limit
+	countedAt       time.Duration       // when the next send is counted as a start; -1 = it is not counted yet
 	suspect         api.Fingerprint     // set if targets have crashed with the request and none has answered it
 	chosenBy        string              // instance that chose the target: owner or entry
 	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
@@ -237,6 +250,7 @@
 		return err
 	}
 	a.sentAt = a.placer.clock.Now()
+	a.countSend()
 	return nil
 }
 
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -95,10 +95,19 @@
 // placeEngine has the owner choose a target for a model request, or chooses one locally while no owner
 // responds.
 func (p *Placer) placeEngine(ctx context.Context, w *api.PlacementRequest, s suspicion) (*assignment, error) {
+	waited := false
 	for {
 		number, wt, ok := p.askOwner(w, nil, s)
 		if !ok {
-			return p.placeEngineLocal(w, s, "no owner")
+			a, err := p.placeEngineLocal(w, s, "no owner")
+			if waited || !isStartsReached(err) {
+				return a, err
+			}
+			waited = true
+			if err := p.awaitStarts(ctx); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		resp, err := p.awaitOwner(ctx, number, wt)
 		switch {
@@ -202,6 +211,7 @@
 		kernel.Signal(p.watchSignal)
 	}
 	p.checkSuspension(now)
+	p.offerShare(now)
 	p.waiting[p.lastNumber] = wt
 	p.pending.Requests = append(p.pending.Requests, wt.request(p.lastNumber, now))
 	p.signalSend()
@@ -299,6 +309,9 @@
 	if s.blocked {
 		return nil, p.crashRefusal(blockedRetryAfter)
 	}
+	p.mu.Lock()
+	p.keepStarts()
+	p.mu.Unlock()
 	a, err := p.placeLocal(w)
 	p.localPlacements.Inc()
 	if err != nil {
@@ -337,6 +350,7 @@
 	if w.Engine != nil {
 		a.number = g.Number
 		p.running[g.Number] = a
+		p.recordStart(a)
 	}
 	p.local.Start(a.target)
 	return a
@@ -365,7 +379,9 @@
 func (p *Placer) leaderChanged(name string, term uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keepStarts()
 	p.owner = ownerState{name: name, term: term}
+	p.contact.sampleSent = 0
 	p.owner.silence.reset(p.clock.Now())
 	p.throttle.Hold(p.clock.Now())
 	p.queueFullReport()
@@ -399,6 +415,8 @@
 		return nil, nil
 	}
 	p.owner.silence.reset(now)
+	overtaken := d.Sent != 0 && d.Sent < p.owner.sent
+	p.recordContact(d.Sent, time.Duration(d.Echo), now)
 	if d.ReportFully {
 		p.queueFullReport()
 	}
@@ -419,7 +437,7 @@
 		p.checkSuspension(now)
 	}
 	for _, g := range d.Decisions {
-		p.deliverDecision(g)
+		p.deliverDecision(g, overtaken)
 	}
 	return nil, nil
 }
@@ -437,8 +455,9 @@
 }
 
 // deliverDecision passes the owner's decision to the request that waits for it. A grant for
-// a request that no longer waits is released. The lock must be held.
-func (p *Placer) deliverDecision(g placewire.Decision) {
+// a request that no longer waits is released, and so is one of a message that a later one has overtaken:
+// the owner may have taken it for lost. The lock must be held.
+func (p *Placer) deliverDecision(g placewire.Decision, overtaken bool) {
 	wt := p.waiting[g.Number]
 	if wt == nil {
 		if g.Target != "" && p.running[g.Number] == nil {
@@ -448,9 +467,9 @@
 		return
 	}
 	delete(p.waiting, g.Number)
-	if wt.askedAt < p.suspensionEnd && g.Target != "" {
+	if (overtaken || wt.askedAt < p.suspensionEnd) && g.Target != "" {
 		// The grant may have been in the receive buffer for the whole suspension.
-		p.recordExpired("requested before a suspension", p.clock.Now()-wt.askedAt)
+		p.recordExpired("requested before a suspension or overtaken", p.clock.Now()-wt.askedAt)
 		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: g.Number, Outcome: api.AttemptUnsent})
 		p.signalSend()
 		wt.response <- ownerResponse{askAgain: true}
--- a/plugin/placer/report.go
+++ b/plugin/placer/report.go
@@ -17,6 +17,10 @@
 	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
 		Crashes: p.pending.Crashes, AnsweredSuspects: p.pending.AnsweredSuspects,
 		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now)), Suspects: placewire.NewSuspects(p.suspects.Requests(now))}
+	if p.contact.heard {
+		p.pending.Entries = p.topology.EntryCount()
+	}
+	p.contact.shareDue = true
 	for _, n := range p.notices.List(now) {
 		p.pending.Notices = append(p.pending.Notices, placewire.NewNotice(n))
 	}
@@ -58,10 +62,12 @@
 	p.mu.Lock()
 	u := p.pending
 	p.pending = placewire.EntryMessage{}
-	owner := p.owner
-	if owner.name == "" {
+	if p.owner.name == "" {
 		p.pending.AddCrashes(u)
+	} else {
+		p.addStarts(&u)
 	}
+	owner := p.owner
 	p.mu.Unlock()
 	if owner.name == "" {
 		return true
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -57,7 +57,9 @@
 	running       map[uint64]*assignment    // model requests on targets, by number
 	// localByWorkspace is the number of running model requests that this instance has placed.
 	localByWorkspace map[string]int
-	subsets          map[string]subset      // by service
+	subsets          map[string]subset // by service
+	contact          ownerContact
+	starts           *placement.StartShare
 	pending          placewire.EntryMessage // message to the owner that is not sent yet
 	sendSignal       chan struct{}          // pending has content
 	watchSignal      chan struct{}          // the first request waits
@@ -79,6 +81,8 @@
 	name             string
 	term             uint64
 	unavailableUntil time.Duration // no requests are sent to it before
+	sent             int64         // newest placewire.OwnerMessage.Sent
+	shareSentAt      time.Duration // when it was last sent this instance's starts; 0 = not yet
 
 	silence silenceTimer
 }
@@ -99,6 +103,7 @@
 	}
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
+	p.starts = placement.NewStartShare()
 	p.blocked, p.notices, p.suspects = placement.NewBlockList(), placement.NewNotices(), placement.NewSuspectList()
 	p.instance, p.localByWorkspace, p.subsets = c.Settings.Instance, map[string]int{}, map[string]subset{}
 	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
@@ -137,6 +142,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.local.Retain(p.directory.Targets())
+	p.starts.Retain(p.directory.Targets())
 	p.notices.Retain(p.directory.Targets())
 }
 
