--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -175,6 +175,11 @@
 	// set.
 	Version  uint64 `json:"version,omitempty"`
 	Document []byte `json:"document,omitempty"`
+	// BaseOrders is, for a change of a data centre with OnNewestRevision, the number that
+	// Control.ReadOrders returned after the change was ordered. If a later order on the
+	// data centre has been accepted since and says the opposite, the change conflicts with
+	// it; nil = Control.Submit reads it.
+	BaseOrders *uint64 `json:"base_orders,omitempty"`
 }
 
 // SubmitResult is the stored result of a submission.
@@ -257,6 +262,9 @@
 	// ReadRevision returns the newest accepted view revision. The read is
 	// linearizable: a quorum confirms the leader after the call began.
 	ReadRevision(ctx context.Context) (uint64, error)
+	// ReadOrders returns the number of orders on data centres that were accepted with
+	// OnNewestRevision, by a linearizable read.
+	ReadOrders(ctx context.Context) (uint64, error)
 	// ReadView returns the newest accepted view by a linearizable read.
 	ReadView(ctx context.Context) (*View, error)
 	// Status returns the state of the local replica. On an instance without one
--- a/internal/fleetstate/snapshot.go
+++ b/internal/fleetstate/snapshot.go
@@ -24,6 +24,8 @@
 	Version  uint64                `json:"version,omitempty"`
 	Document []byte                `json:"document,omitempty"`
 	Out      map[string]string     `json:"out,omitempty"`
+	Orders   uint64                `json:"orders,omitempty"`
+	Ordered  map[string]order      `json:"ordered,omitempty"`
 	Moves    map[string]MoveResult `json:"moves,omitempty"`
 	Changes  []storedChange        `json:"changes,omitempty"`
 	History  []api.HistoryEntry    `json:"history,omitempty"`
@@ -42,7 +44,7 @@
 	data := snapshotData{
 		Format: snapshotFormat, NowMs: s.nowMs, Revision: s.revision, Config: s.config,
 		Version: s.version, Document: s.document,
-		Out: s.outOfService, Moves: s.moves, History: s.history,
+		Out: s.outOfService, Orders: s.orders, Ordered: s.lastOrders, Moves: s.moves, History: s.history,
 	}
 	for _, id := range s.changeOrder {
 		data.Changes = append(data.Changes, storedChange{id, s.changes[id]})
@@ -72,6 +74,8 @@
 	s.nowMs, s.revision, s.config, s.history = data.NowMs, data.Revision, data.Config, data.History
 	s.version, s.document = data.Version, data.Document
 	maps.Copy(s.outOfService, data.Out)
+	s.orders = data.Orders
+	maps.Copy(s.lastOrders, data.Ordered)
 	maps.Copy(s.moves, data.Moves)
 	for _, c := range data.Changes {
 		s.changes[c.ID] = c.Result
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -20,6 +20,8 @@
 	version      uint64 // of the newest document submitted without a base
 	document     []byte
 	outOfService map[string]string     // data centre -> change id or move identity that took it out
+	orders       uint64                // orders on data centres without a base revision
+	lastOrders   map[string]order      // the newest of them by data centre
 	moves        map[string]MoveResult // results of the last decided steps by move identity
 	changes      map[string]api.SubmitResult
 	changeOrder  []string // change ids, oldest first
@@ -33,6 +35,7 @@
 func New() *State {
 	return &State{
 		outOfService: map[string]string{},
+		lastOrders:   map[string]order{},
 		moves:        map[string]MoveResult{},
 		changes:      map[string]api.SubmitResult{},
 		claims:       newClaims(),
@@ -73,6 +76,10 @@
 // Revision returns the number of the newest revision, or 0 if there is none.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Orders returns the number of orders on data centres that were accepted without a base
+// revision.
+func (s *State) Orders() uint64 { return s.orders }
+
 // ChangeResult returns the stored result of a change id, or false if there is none.
 func (s *State) ChangeResult(id string) (api.SubmitResult, bool) {
 	r, ok := s.changes[id]
--- a/internal/fleetstate/state_test.go
+++ b/internal/fleetstate/state_test.go
@@ -90,6 +90,32 @@
 	is.Equal(s.Revision(), uint64(600))
 }
 
+// Guards against an order on a data centre whose message was delayed and that undoes a later one, also one
+// that had no effect, and also after a restart from a snapshot; and against one that conflicts with an
+// order on another data centre, or although it says the same.
+func TestDelayedOrderConflicts(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	n := 0
+	order := func(dc string, out bool, base uint64) api.SubmitResult {
+		n++
+		return submit(t, s, api.Submission{ChangeID: fmt.Sprint("o", n), OnNewestRevision: true, DataCentre: dc, Out: out, BaseOrders: &base})
+	}
+	is.Equal(order("a", true, s.Orders()).ConflictingChange, "")
+	delayed := s.Orders()
+	is.Equal(order("b", true, delayed).ConflictingChange, "") // another data centre
+	is.Equal(order("a", true, s.Orders()).ConflictingChange, "")
+	s = snapshotAndRestore(t, s)
+	r := order("a", false, delayed)
+	is.Equal(r.ConflictingChange, "o3") // without effect, but later
+	is.True(s.View().DataCentresOut["a"])
+	is.Equal(order("a", true, delayed).ConflictingChange, "") // says the same
+	is.Equal(order("a", false, s.Orders()).ConflictingChange, "")
+	is.True(!s.View().DataCentresOut["a"])
+	is.Equal(submit(t, s, api.Submission{ChangeID: "old", OnNewestRevision: true, DataCentre: "a", Out: true}).Error, "") // of an earlier version
+	is.True(s.View().DataCentresOut["a"])
+}
+
 func snapshotAndRestore(t *testing.T, s *State) *State {
 	t.Helper()
 	b, err := s.Snapshot()
@@ -309,7 +335,7 @@
 	key := api.ClaimKey{Key: rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")}
 	holder := rapid.SampledFrom([]string{"h", "i"}).Draw(t, "holder")
 	move := fleetconfig.Move{Name: "m", DataCentre: "a", OutAt: outAt, BackAt: backAt}
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		c.Submit = &Submit{Submission: api.Submission{ChangeID: c.ID, BaseRevision: revision - rapid.Uint64Range(0, min(1, revision)).Draw(t, "old"), Config: testConfig(move)}}
 	case 1:
@@ -320,6 +346,9 @@
 		c.Claim = &Claim{key, holder}
 	case 4:
 		c.Settle = &Settle{key, holder, nil}
+	case 5:
+		base := rapid.Uint64Range(0, 5).Draw(t, "orders")
+		c.Submit = &Submit{Submission: api.Submission{ChangeID: c.ID, OnNewestRevision: true, DataCentre: "a", Out: rapid.Bool().Draw(t, "out"), BaseOrders: &base}}
 	default:
 		c.Epoch = &OrderEpoch{Pool: holder}
 	}
--- a/internal/fleetstate/submit.go
+++ b/internal/fleetstate/submit.go
@@ -54,10 +54,26 @@
 	return api.SubmitResult{Revision: s.revision}
 }
 
-// applyToNewest applies a change without a base. A document replaces the current one if
-// its version is higher. A change without effect makes no revision.
+// order is an accepted order on a data centre, with its number.
+type order struct {
+	Number   uint64 `json:"number"`
+	ChangeID string `json:"change_id"`
+}
+
+// applyToNewest applies a change without a base revision. A document replaces the current
+// one if its version is higher. An order on a data centre conflicts with a later one that
+// says the opposite: its message was delayed. A change without effect makes no revision,
+// but an order counts, so that those ordered before it conflict.
 func (s *State) applyToNewest(c *Submit) api.SubmitResult {
 	_, out := s.outOfService[c.DataCentre]
+	if c.DataCentre != "" {
+		last := s.lastOrders[c.DataCentre]
+		if c.BaseOrders != nil && last.Number > *c.BaseOrders && out != c.Out {
+			return api.SubmitResult{ConflictingChange: last.ChangeID, Revision: s.revision}
+		}
+		s.orders++
+		s.lastOrders[c.DataCentre] = order{s.orders, c.ChangeID}
+	}
 	newer := c.Document != nil && c.Version > s.version
 	changesOut := c.DataCentre != "" && out != c.Out
 	if !newer && !changesOut {
--- a/plugin/control/client.go
+++ b/plugin/control/client.go
@@ -66,6 +66,13 @@
 	if s.ChangeID == "" {
 		return api.SubmitResult{Error: "change id is missing"}, nil
 	}
+	if s.OnNewestRevision && s.DataCentre != "" && s.BaseOrders == nil {
+		orders, err := c.ReadOrders(ctx)
+		if err != nil {
+			return api.SubmitResult{}, err
+		}
+		s.BaseOrders = &orders
+	}
 	r, err := c.command(ctx, methodSubmit, fleetstate.Command{ID: s.ChangeID, Submit: &fleetstate.Submit{Submission: s}})
 	if err == nil && r.Submit == nil {
 		err = errors.New("control: submit: answer holds no result")
@@ -118,6 +125,13 @@
 	return r.Revision, err
 }
 
+// ReadOrders implements api.Control. It retries until ctx ends.
+func (c *Control) ReadOrders(ctx context.Context) (uint64, error) {
+	var r reply
+	err := c.callLeader(ctx, methodRead, struct{}{}, &r)
+	return r.Orders, err
+}
+
 // ReadView implements api.Control. It returns the newest view by a linearizable read,
 // like ReadRevision.
 func (c *Control) ReadView(ctx context.Context) (*api.View, error) {
--- a/plugin/control/cluster_test.go
+++ b/plugin/control/cluster_test.go
@@ -32,6 +32,7 @@
 	brokenLinks map[[2]string]bool // directed links (sender, receiver) that are down
 	instances   map[string]*instance
 	wallTime    time.Time
+	delayed     *delayedCalls // nil = none
 	// lossesTolerated is the setting of this name in a fleet that discovers its
 	// instances; 0 = the instances are listed in the settings.
 	lossesTolerated int
@@ -308,6 +309,19 @@
 	if err != nil {
 		return err
 	}
+	if d := i.cluster.delayedCalls(i.name, method); d != nil {
+		d.sent.Done()
+		go func() {
+			<-d.release
+			if p := i.peer(to); p != nil {
+				_, err := p.handlers[method](context.Background(), i.name, raw)
+				i.cluster.is.NoErr(err)
+			}
+			d.delivered.Done()
+		}()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)() // the link breaks when its peer is killed
@@ -324,6 +338,38 @@
 	return json.Unmarshal(raw, result)
 }
 
+// delayedCalls holds up the next calls of a method from an instance. They are delivered on release,
+// although their senders have given up meanwhile.
+type delayedCalls struct {
+	from, method    string
+	calls           int
+	release         chan struct{}
+	sent, delivered sync.WaitGroup
+}
+
+// delay holds up a number of calls.
+func (c *cluster) delay(from, method string, calls int) *delayedCalls {
+	d := &delayedCalls{from: from, method: method, calls: calls, release: make(chan struct{})}
+	d.sent.Add(calls)
+	d.delivered.Add(calls)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delayed = d
+	return d
+}
+
+// delayedCalls returns what holds up a call, nil if nothing does.
+func (c *cluster) delayedCalls(from, method string) *delayedCalls {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.delayed
+	if d == nil || d.calls == 0 || d.from != from || d.method != method {
+		return nil
+	}
+	d.calls--
+	return d
+}
+
 // fleet and lease are fakes of the plug-ins with these names.
 type fleet struct{ *instance }
 
--- a/plugin/control/discovered_test.go
+++ b/plugin/control/discovered_test.go
@@ -324,3 +324,72 @@
 	out("3", false)
 	c.pumpUntil("back", func() bool { return !c.view(c.leader()).DataCentresOut["a"] })
 }
+
+// Guards against an order to bring a data centre back that is held up on its way to the leader, and
+// undoes a later evacuation when it arrives: nothing else has changed, the leader has, or all replicas
+// have restarted meanwhile.
+func TestDelayedOrderDoesNotUndoLaterOne(t *testing.T) {
+	for name, meanwhile := range map[string]func(c *cluster){
+		"nothing": func(*cluster) {},
+		"another leader": func(c *cluster) {
+			old := c.leader()
+			c.stop(old)
+			c.waitLeader()
+			c.start(old)
+		},
+		"restart": func(c *cluster) {
+			for _, n := range c.names {
+				c.stop(n)
+			}
+			for _, n := range c.names {
+				c.start(n)
+			}
+			c.waitLeader()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newDiscoveredCluster(t, 3, 1)
+			c.waitVoters(c.names...)
+			leader := c.leader()
+			var far string
+			for _, n := range c.names {
+				if n != leader {
+					far = n
+				}
+			}
+			order := func(at, id, dataCentre string, out bool) {
+				r := c.submit(at, api.Submission{ChangeID: id, OnNewestRevision: true, DataCentre: dataCentre, Out: out})
+				c.is.Equal(r, api.SubmitResult{Revision: r.Revision})
+			}
+			order(leader, "out", "a", true)
+			d := c.delay(far, methodSubmit, 1)
+			c.pumpDuring(func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_, err := c.running(far).control.Submit(ctx, api.Submission{ChangeID: "delayed", OnNewestRevision: true, DataCentre: "a"})
+					c.is.True(err != nil)
+				}()
+				d.sent.Wait()
+				cancel()
+				<-done
+			})
+			order(leader, "back", "a", false)
+			order(leader, "out again", "a", true)
+			meanwhile(c)
+			c.pumpUntil("a leader with its log", func() bool {
+				l := c.leader()
+				return l != "" && c.running(l).control.replica.state.View().DataCentresOut["a"]
+			})
+			close(d.release)
+			c.pumpDuring(d.delivered.Wait)
+			order(c.leader(), "barrier", "b", true)
+			c.is.True(c.view(c.leader()).DataCentresOut["a"])
+			_, known := c.running(c.leader()).control.replica.state.ChangeResult("delayed")
+			if name == "nothing" {
+				c.is.True(known) // it arrived, and was refused
+			}
+		})
+	}
+}
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -53,6 +53,7 @@
 // readState is the state that linearizable reads return.
 type readState struct {
 	revision uint64
+	orders   uint64 // as State.Orders
 	view     *api.View
 	history  []api.HistoryEntry
 }
@@ -220,7 +221,7 @@
 	for _, read := range rd.Reads {
 		if done, ok := r.pendingReads[read.Context]; ok {
 			delete(r.pendingReads, read.Context)
-			done(callResult{state: readState{r.state.Revision(), r.state.View(), r.state.History(maxHistoryEntries)}})
+			done(callResult{state: readState{r.state.Revision(), r.state.Orders(), r.state.View(), r.state.History(maxHistoryEntries)}})
 		}
 	}
 	return nil
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -49,8 +49,9 @@
 	Leader string            `json:"leader,omitempty"`
 	Error  string            `json:"error,omitempty"`
 	Result fleetstate.Result `json:"result"`
-	// Revision, View and History are set in replies to reads.
+	// Revision, Orders, View and History are set in replies to reads.
 	Revision uint64             `json:"revision,omitempty"`
+	Orders   uint64             `json:"orders,omitempty"`
 	View     *api.View          `json:"view,omitempty"`
 	History  []api.HistoryEntry `json:"history,omitempty"`
 }
@@ -118,7 +119,7 @@
 	}
 	switch {
 	case res.err == nil:
-		return reply{Result: res.result, Revision: res.state.revision, View: res.state.view, History: res.state.history}
+		return reply{Result: res.result, Revision: res.state.revision, Orders: res.state.orders, View: res.state.view, History: res.state.history}
 	case errors.Is(res.err, errRetry), ctx.Err() != nil:
 		return reply{Retry: true, Leader: c.Status().Leader}
 	}
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -36,8 +36,7 @@
 	writeTimeout = 10 * time.Second
 	maxBodyBytes = 64 << 20 // bytes
 	// changeTimeout bounds a change of the configuration, callTimeout any other call.
-	// An operator waits about a second and then sends the call to another instance; a
-	// call that took longer could undo a later one.
+	// An operator waits about a second and then sends the call to another instance.
 	changeTimeout = 3 * time.Second
 	callTimeout   = time.Second
 )
@@ -108,7 +107,9 @@
 		s.refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	s.submit(ctx, changeTimeout, api.Submission{Version: table.Version, Document: api.PackDocument(body)})
+	callCtx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	s.submit(ctx, callCtx, api.Submission{Version: table.Version, Document: api.PackDocument(body)})
 }
 
 // setDataCentreOut takes a data centre out of service or brings it back.
@@ -117,24 +118,33 @@
 		s.refuse(ctx, fasthttp.StatusNotFound, "no such data centre")
 		return
 	}
-	s.submit(ctx, callTimeout, api.Submission{DataCentre: order.DataCentre, Out: order.Kind == api.OrderTakeOut})
+	callCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	// A message with the order may be delayed on its way to the leader until a later order has been
+	// accepted. It conflicts with that one, because it carries the number of orders accepted by now.
+	orders, err := s.control.ReadOrders(callCtx)
+	if err != nil {
+		s.unavailable(ctx, err)
+		return
+	}
+	s.submit(ctx, callCtx, api.Submission{DataCentre: order.DataCentre, Out: order.Kind == api.OrderTakeOut, BaseOrders: &orders})
 }
 
 // submit submits a change to the control log and responds with the result. The change of
 // a disconnected caller is not submitted: the caller may have sent it, and a later one,
 // to another instance meanwhile.
-func (s *Server) submit(ctx *fasthttp.RequestCtx, timeout time.Duration, submission api.Submission) {
+func (s *Server) submit(ctx *fasthttp.RequestCtx, callCtx context.Context, submission api.Submission) {
 	if !targetconn.IsOpen(ctx.Conn()) {
 		s.unavailable(ctx, errors.New("the caller has disconnected"))
 		return
 	}
 	submission.ChangeID, submission.OnNewestRevision = kernel.NewID(), true
-	callCtx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
 	result, err := s.control.Submit(callCtx, submission)
 	switch {
 	case err != nil:
 		s.unavailable(ctx, err)
+	case result.ConflictingChange != "":
+		s.unavailable(ctx, errors.Errorf("overtaken by change %s", result.ConflictingChange))
 	case result.Error != "":
 		s.refuse(ctx, fasthttp.StatusBadRequest, result.Error)
 	default:
