owner: a takeover ends sooner, and an owner's lease on its entry instances is 0.2 s

A control instance that had just started used for a second no more than was ceded to it; after all processes were killed nothing was ceded, the queue of 0.8 s made workspaces look overloaded and entry instances throttled them for seconds. A lease of 0.15 s held starts beyond their second where acknowledgements come late.

Change: 0.4 s for links after the start of a control instance, 1 s after the loss of a link to an entry instance; a lease of 0.2 s; a request without room waits once for the lease instead of 0.15 s; the end of a takeover is logged (starts taken over) with what was missing.

--- a/internal/placement/followers.go
+++ b/internal/placement/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -121,6 +122,15 @@
 	return o.takeover != nil
 }
 
+// MissingReports returns the entry instances that are known and have not reported, and how many more are
+// told of.
+func (o *Owner) MissingReports() (missing []string, more int) {
+	if t := o.takeover; t != nil {
+		missing, more = slices.Sorted(maps.Keys(t.missing)), max(0, t.count-len(t.reported)-len(t.missing))
+	}
+	return missing, more
+}
+
 // RecordFullReport counts an entry instance that has reported, with the number of entry instances of
 // which it knows; 0 = none.
 func (o *Owner) RecordFullReport(entry string, count int) {
@@ -145,7 +155,7 @@
 		f.addAck(ack{heard, now - max(0, ago)}, now)
 	}
 	if follows && heard > 0 {
-		f.followsUntil = max(f.followsUntil, heard+followLease)
+		f.followsUntil = max(f.followsUntil, heard+FollowLease)
 	}
 }
 
--- a/internal/placement/startshare.go
+++ b/internal/placement/startshare.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// followLease is how long after an owner has sent a message that an entry instance acknowledges it
-	// may count on that instance to start nothing by itself. It is shorter than the silence after which
-	// an instance places requests itself.
-	followLease = 150 * time.Millisecond
+	// FollowLease is how long after an owner has sent a message that an entry instance acknowledges it
+	// may count on that instance to start nothing by itself. An instance keeps that much less than a
+	// second of its starts when it loses the owner.
+	FollowLease = 200 * time.Millisecond
 	// OwnerlessTime is how long an entry instance may use its part of the start limits after its last
 	// contact with an owner.
 	OwnerlessTime = 5 * time.Second
@@ -75,7 +75,7 @@
 		n := 0
 		for _, o := range starts {
 			// The owner may have granted an earlier start to another instance again.
-			if o.chosenAt+startWindow > lastHeard+followLease {
+			if o.chosenAt+startWindow > lastHeard+FollowLease {
 				n++
 			}
 		}
--- a/plugin/owner/followers.go
+++ b/plugin/owner/followers.go
@@ -4,14 +4,19 @@
 	"time"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/logqueue"
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 )
 
-// takeoverSettleTime is how long after its start a control instance waits for links to entry instances
-// before it takes those that it knows for all, and how long after the loss of a link the starts of a process
-// that has ended may still count.
-const takeoverSettleTime = time.Second
+const (
+	// linkSettleTime is how long after its start a control instance waits for links to entry instances
+	// before it takes those that it knows for all.
+	linkSettleTime = 400 * time.Millisecond
+	// endedProcessTime is how long after the loss of a link the starts of a process that has ended may
+	// still count.
+	endedProcessTime = time.Second
+)
 
 // peer is what this instance knows of an entry instance, whether it is the owner or not.
 type peer struct {
@@ -40,7 +45,7 @@
 	}
 	p.linked, p.changedAt = c.Up, o.clock.Now()
 	if !c.Up {
-		o.lastLossAt = p.changedAt
+		o.settledAt = max(o.settledAt, p.changedAt+endedProcessTime)
 	}
 	if c.Up {
 		p.incarnation = c.Incarnation
@@ -90,3 +95,14 @@
 	o.peers[entry] = p
 	d.Sent, d.Echo = int64(now), p.echo
 }
+
+// logTakeover logs the end of the takeover.
+func (o *Owner) logTakeover(now time.Duration) {
+	if !o.takingOver {
+		return
+	}
+	missing, more := o.state.MissingReports()
+	if o.takingOver = o.state.TakingOver(now); !o.takingOver {
+		logqueue.Notice(o.log, "starts taken over", "step", "owner", "term", o.term, "after_ms", (now - o.ownedSince).Milliseconds(), "missing", missing, "missing_unknown", more)
+	}
+}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -85,8 +85,9 @@
 
 	entries        map[string]bool // entry instances that have sent a full report
 	peers          map[string]peer // linked entry instances, and those whose link was lost, by name
-	startedAt      time.Duration
-	lastLossAt     time.Duration // of a link to an entry instance
+	settledAt      time.Duration // a takeover does not end before
+	takingOver     bool          // as placement.Owner.TakingOver when it was last asked
+	ownedSince     time.Duration
 	blockedParts   broadcast
 	suspects       broadcast
 	suspectsSentAt time.Duration
@@ -129,7 +130,7 @@
 	}
 	o.kernel, o.clock, o.log = c, c.Clock, c.Log.With("plugin", "owner")
 	o.readClocks, o.dropped = kernel.ReadClocks, map[string]uint64{}
-	o.peers, o.startedAt = map[string]peer{}, o.clock.Now()
+	o.peers, o.settledAt = map[string]peer{}, o.clock.Now()+linkSettleTime
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
@@ -264,7 +265,8 @@
 		})
 		now := o.clock.Now()
 		known := o.knownEntries(now)
-		o.state.BeginTakeover(known, max(o.startedAt, o.lastLossAt)+takeoverSettleTime, now)
+		o.takingOver, o.ownedSince = true, now
+		o.state.BeginTakeover(known, o.settledAt, now)
 		logqueue.Notice(o.log, "ownership begins", "step", "owner", "term", o.term, "entries", len(known))
 		o.viewChanged()
 	}
@@ -427,6 +429,7 @@
 func (o *Owner) sendDecisions() {
 	begin := time.Now()
 	now := o.clock.Now()
+	o.logTakeover(now)
 	o.state.Tick(now)
 	decisions := o.state.Decisions()
 	messages := map[string]*placewire.OwnerMessage{}
--- a/plugin/placer/starts.go
+++ b/plugin/placer/starts.go
@@ -121,13 +121,10 @@
 	a.countedAt = -1
 }
 
-// startsWait is how long a request waits once for room within this instance's part of the start limits, or
-// for another owner. A part begins that long after the owner is lost at the latest.
-const startsWait = 150 * time.Millisecond
-
-// awaitStarts waits for startsWait. The error is that of the context.
+// awaitStarts waits once for room within this instance's part of the start limits, which begins after the
+// owner's lease, or for another owner. The error is that of the context.
 func (p *Placer) awaitStarts(ctx context.Context) error {
-	t := time.NewTimer(startsWait)
+	t := time.NewTimer(placement.FollowLease)
 	defer t.Stop()
 	select {
 	case <-t.C:
