--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -85,8 +85,8 @@
 
 	entries        map[string]bool // entry instances that have sent a full report
 	peers          map[string]peer // linked entry instances, and those whose link was lost, by name
-	settledAt      time.Duration // a takeover does not end before
-	takingOver     bool          // as placement.Owner.TakingOver when it was last asked
+	settledAt      time.Duration   // a takeover does not end before
+	takingOver     bool            // as placement.Owner.TakingOver when it was last asked
 	ownedSince     time.Duration
 	blockedParts   broadcast
 	suspects       broadcast
