owner: a full report that a later message has overtaken is not applied

Cause: messages of an entry instance may arrive by a link and through a relay, so a full report may arrive after a later message. It replaced the newer state, and since it was taken for that of another process, which gives back the starts that the owner counts for the entry instance.

Change: full reports name their process. One of the same process that is older than what was applied is answered by a request for a new one; one of another process begins anew. Requests for reports are stamped like all messages.

Test: TestOvertakenReportIsIgnored; without the change it gets no request for a report and no free slot.

--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -112,6 +112,8 @@
 	Follows  bool  `json:"f,omitempty"`
 	// Share reports the starts of the entry instance; nil = unchanged.
 	Share *StartShare `json:"j,omitempty"`
+	// Process identifies, in a full report, the process of the entry instance.
+	Process string `json:"o,omitempty"`
 	// Entries is, in a full report, the number of entry instances that this one knows of; 0 = it has had
 	// no owner.
 	Entries int `json:"c,omitempty"`
--- a/plugin/owner/dropped_test.go
+++ b/plugin/owner/dropped_test.go
@@ -29,3 +29,21 @@
 	m := r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 })
 	r.Equal(m.Decisions[0].Target, "t1") // its only slot is free
 }
+
+// Guards against a full report that a later message has overtaken by another way and that replaces the
+// newer state, and against one of a new process that is taken for such a report.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	r := newHarness(t)
+	running := []placewire.Running{{Request: placewire.Request{Number: 1, Service: "m"}, Target: "t1"}}
+	grantedTo := func(n uint64) string {
+		r.send(placewire.EntryMessage{Requests: []placewire.Request{{Number: n, Service: "m", TimesMs: [3]int64{1000, 4000, 1000}}}})
+		m := r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 })
+		return m.Decisions[0].Target
+	}
+	r.send(placewire.EntryMessage{FullReport: true, Process: "a", Sent: 100})
+	r.send(placewire.EntryMessage{FullReport: true, Process: "a", Sent: 50, Running: running})
+	r.nextWith(func(m placewire.OwnerMessage) bool { return m.ReportFully })
+	r.Equal(grantedTo(2), "t1") // its only slot is free
+	r.send(placewire.EntryMessage{FullReport: true, Process: "b", Sent: 10})
+	r.Equal(grantedTo(3), "t1") // request 2 has ended with its process
+}
--- a/plugin/owner/followers.go
+++ b/plugin/owner/followers.go
@@ -20,7 +20,8 @@
 
 // peer is what this instance knows of an entry instance, whether it is the owner or not.
 type peer struct {
-	incarnation string
+	incarnation string // of the process, as its link tells
+	process     string // of the process, as its full report tells
 	linked      bool
 	changedAt   time.Duration // of linked
 	echo        int64         // newest placewire.EntryMessage.Sent that was applied
@@ -67,18 +68,20 @@
 	return out
 }
 
-// recordHeard records that a message of an entry instance has arrived, and reports whether no later one
-// has overtaken it. A full report may be the first message of another process.
+// recordHeard records that a message of an entry instance has arrived, and reports whether no later one of
+// the same process has overtaken it. A full report may be the first message of another process.
 func (o *Owner) recordHeard(from string, u *placewire.EntryMessage, now time.Duration) (newest bool) {
 	if u.Sent == 0 {
 		return false // it is of a version that reports no starts
 	}
 	p := o.peers[from]
-	newest = u.Sent >= p.echo
-	if u.FullReport && !newest {
-		o.state.ForgetStarts(from, now) // the clock of another process has begun anew
-		newest = true
+	if u.FullReport && u.Process != p.process {
+		if p.process != "" {
+			o.state.ForgetStarts(from, now)
+		}
+		p.process, p.echo = u.Process, 0
 	}
+	newest = u.Sent >= p.echo
 	o.state.RecordHeard(from, u.Follows, time.Duration(u.Heard), time.Duration(u.HeardAgo), now)
 	if !newest {
 		return false
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -350,11 +350,18 @@
 	o.droppedMu.Unlock()
 	for entry, term := range dropped {
 		if term == o.term {
-			o.send(entry, placewire.OwnerMessage{Term: term, ReportFully: true})
+			o.askForReport(entry, o.clock.Now())
 		}
 	}
 }
 
+// askForReport asks an entry instance for a full report.
+func (o *Owner) askForReport(entry string, now time.Duration) {
+	m := placewire.OwnerMessage{Term: o.term, ReportFully: true}
+	o.stamp(entry, &m, now)
+	o.send(entry, m)
+}
+
 // applyUpdate applies a message from an entry instance: running requests, starts, ends,
 // refusals and new requests, in this order.
 func (o *Owner) applyUpdate(from string, u *placewire.EntryMessage) {
@@ -364,6 +371,11 @@
 	}
 	now := o.clock.Now()
 	newest := o.recordHeard(from, u, now)
+	if u.FullReport && u.Sent != 0 && !newest {
+		// It describes an earlier state, and requests that only it names would wait for good.
+		o.askForReport(from, now)
+		return
+	}
 	if u.FullReport {
 		o.state.RemoveEntry(from)
 		o.state.RecordFullReport(from, u.Entries)
--- a/plugin/placer/report.go
+++ b/plugin/placer/report.go
@@ -14,7 +14,7 @@
 func (p *Placer) queueFullReport() {
 	now := p.clock.Now()
 	p.notices.ResetReports()
-	p.pending = placewire.EntryMessage{FullReport: true, Refused: p.pending.Refused, Shed: p.pending.Shed,
+	p.pending = placewire.EntryMessage{FullReport: true, Process: p.process, Refused: p.pending.Refused, Shed: p.pending.Shed,
 		Crashes: p.pending.Crashes, AnsweredSuspects: p.pending.AnsweredSuspects,
 		Blocked: placewire.NewBlockedParts(p.blocked.Parts(now)), Suspects: placewire.NewSuspects(p.suspects.Requests(now))}
 	if p.contact.heard {
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -37,6 +37,7 @@
 	log        *slog.Logger
 	dataCentre string
 	instance   string
+	process    string // identifies this process
 
 	readClocks func() kernel.ClockReading
 
@@ -103,7 +104,7 @@
 	}
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
-	p.starts = placement.NewStartShare()
+	p.starts, p.process = placement.NewStartShare(), kernel.NewID()
 	p.blocked, p.notices, p.suspects = placement.NewBlockList(), placement.NewNotices(), placement.NewSuspectList()
 	p.instance, p.localByWorkspace, p.subsets = c.Settings.Instance, map[string]int{}, map[string]subset{}
 	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
