--- a/internal/routing/build.go
+++ b/internal/routing/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strings"
 )
@@ -76,8 +77,8 @@
 		}
 		total += s.Weight
 	}
-	if total <= 0 {
-		addProblem(field+".weight", "the weights must add up to more than 0")
+	if total <= 0 || math.IsInf(total, 1) {
+		addProblem(field+".weight", "the weights must add up to more than 0 and to a finite number")
 	}
 }
 
