--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -28,6 +28,7 @@
 	mu              sync.Mutex
 	targets         int
 	pageSize        int           // targets per page; 0 = 1
+	foreign         string        // entry of another writer: first on the first page, last on the second, alone on the third
 	minCallInterval time.Duration // calls that follow sooner get status 429
 	lastCallAt      time.Time
 	calls           int
@@ -44,18 +45,40 @@
 		return
 	}
 	l.lastCallAt = time.Now()
-	n := 0
-	fmt.Sscanf(string(ctx.QueryArgs().Peek("page_token")), "p%d", &n)
-	end := min(n+max(1, l.pageSize), l.targets)
+	pages := l.pages()
+	page := 0
+	fmt.Sscanf(string(ctx.QueryArgs().Peek("page_token")), "p%d", &page)
 	next := "null"
-	if end < l.targets {
-		next = fmt.Sprintf(`"p%d"`, end)
+	if page+1 < len(pages) {
+		next = fmt.Sprintf(`"p%d"`, page+1)
 	}
-	var entries []string
-	for ; n < end; n++ {
-		entries = append(entries, fmt.Sprintf(`{"id":"t%d","service":"s","address":"10.0.%d.%d:80","zone":"z","slots":4,"state":"ready"}`, n, n/250, n%250+1))
+	fmt.Fprintf(ctx, `{"instances":[%s],"next":%s}`, strings.Join(pages[page], ","), next)
+}
+
+// pages returns the entries of all pages.
+func (l *fakePlatform) pages() (pages [][]string) {
+	for n := 0; n < l.targets || n == 0; n += max(1, l.pageSize) {
+		var entries []string
+		for i := n; i < min(n+max(1, l.pageSize), l.targets); i++ {
+			entries = append(entries, fmt.Sprintf(`{"id":"t%d","service":"s","address":"10.0.%d.%d:80","zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0}`, i, i/250, i%250+1))
+		}
+		if l.foreign != "" {
+			switch len(pages) {
+			case 0:
+				entries = append([]string{l.foreign}, entries...)
+			case 1:
+				entries = append(entries, l.foreign)
+				pages = append(pages, entries)
+				entries = []string{l.foreign}
+				if n+l.pageSize < l.targets {
+					pages = append(pages, entries)
+					continue
+				}
+			}
+		}
+		pages = append(pages, entries)
 	}
-	fmt.Fprintf(ctx, `{"instances":[%s],"next":%s}`, strings.Join(entries, ","), next)
+	return pages
 }
 
 func (l *fakePlatform) start(t *testing.T) string {
@@ -81,6 +104,9 @@
 	onStatus      func(api.ControlStatus)
 }
 
+func (f *fakeCluster) View() *api.View            { return &api.View{} }
+func (f *fakeCluster) Install(*api.View)          {}
+func (f *fakeCluster) OnChange(func(*api.View))   {}
 func (f *fakeCluster) Peers() []string            { return f.peers }
 func (f *fakeCluster) Handle(string, api.Handler) {}
 func (f *fakeCluster) Status() api.ControlStatus {
@@ -126,6 +152,7 @@
 	is.NoErr(kernel.Provide[api.Topology](k, f))
 	is.NoErr(kernel.Provide[api.LinkManager](k, f))
 	is.NoErr(kernel.Provide[api.Control](k, f))
+	is.NoErr(kernel.Provide[api.Fleet](k, f))
 	d := &Directory{}
 	is.NoErr(d.Provision(k))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -160,6 +187,38 @@
 	}
 }
 
+// Guards against an entry of another writer, whatever its bytes, that hides, changes or replaces targets on
+// its page or on others, for instances that have the list already and for those that have just started.
+func TestForeignEntriesOnPages(t *testing.T) {
+	for name, foreign := range map[string]string{
+		"unreadable": "{\"id\":\"\x03\x1f\xfe\",\"service\":\"s\"}", "cut off": `{"id":"x","service":`, "open list": `[1`, "end of a list": `1],"next":null}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			list := &fakePlatform{targets: 6, pageSize: 2}
+			address := list.start(t)
+			clean, _ := newDirectory(t, address, 0)
+			for begin := time.Now(); len(clean.Targets()) < 6; time.Sleep(time.Millisecond) {
+				is.True(time.Since(begin) < 5*time.Second)
+			}
+			want := clean.Targets()
+			list.mu.Lock()
+			list.foreign = foreign
+			is.Equal(len(list.pages()), 4)
+			list.mu.Unlock()
+			unreadable := clean.unreadableEntries.Get()
+			started, _ := newDirectory(t, address, 0)
+			for begin := time.Now(); !started.Loaded() || clean.unreadableEntries.Get() < unreadable+3; time.Sleep(time.Millisecond) {
+				is.True(time.Since(begin) < 5*time.Second)
+			}
+			is.Equal(started.Targets(), want)
+			is.Equal(clean.Targets(), want)
+			is.Equal(started.readFailures.Get()+clean.readFailures.Get(), uint64(0))
+			is.True(started.unreadableEntries.Get() >= 3)
+		})
+	}
+}
+
 // Guards against a failed read of a page that removes targets from the list.
 func TestFailedReadKeepsList(t *testing.T) {
 	is := is.New(t)
