--- a/internal/targetlist/list.go
+++ b/internal/targetlist/list.go
@@ -8,6 +8,7 @@
 package targetlist
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -124,14 +125,16 @@
 }
 
 // Replace replaces the list by a complete response of the platform, read in the given
-// epoch, and returns the changes as an update for other instances. Of two entries
-// with the same ID the newer incarnation counts. If nothing changed, the update is
-// empty, and a new epoch alone advances the position.
-func (l *List) Replace(epoch uint64, entries []api.DirectoryEntry, now time.Duration) Update {
+// epoch, and returns the changes as an update for other instances. Which of several
+// entries with one ID counts follows from what they say, not from their order: see
+// precedes. known reports whether the configuration has a service; nil if there is no
+// configuration yet. If nothing changed, the update is empty, and a new epoch alone
+// advances the position.
+func (l *List) Replace(epoch uint64, entries []api.DirectoryEntry, known func(service string) bool, now time.Duration) Update {
 	next := make(map[string]api.Target, len(entries))
 	for _, e := range entries {
 		t := fromEntry(e, now)
-		if old, ok := next[t.ID]; ok && old.StartedUnixMs > t.StartedUnixMs {
+		if other, ok := next[t.ID]; ok && !l.precedes(&t, &other, known) {
 			continue
 		}
 		next[t.ID] = t
@@ -159,6 +162,35 @@
 	return u
 }
 
+// precedes reports whether entry a counts, not b, if the platform's list has both under one ID. The
+// list has several writers, and while pages are read a target may move from one to the next. An entry
+// of a service that the configuration has precedes; then the one that started later; then the one at
+// the place at which the target is held already, because a target does not move; then the one under
+// which less is sent: leaving, cold for longer, with fewer slots. The last rule is any fixed order.
+func (l *List) precedes(a, b *api.Target, known func(service string) bool) bool {
+	if known != nil && known(a.Service) != known(b.Service) {
+		return known(a.Service)
+	}
+	if a.StartedUnixMs != b.StartedUnixMs {
+		return a.StartedUnixMs > b.StartedUnixMs
+	}
+	if held, ok := l.targets[a.ID]; ok && held.StartedUnixMs == a.StartedUnixMs && isSamePlace(&held, a) != isSamePlace(&held, b) {
+		return isSamePlace(&held, a)
+	}
+	if a.Leaving != b.Leaving {
+		return a.Leaving
+	}
+	return cmp.Or(
+		cmp.Compare(b.ColdUntil, a.ColdUntil), cmp.Compare(a.Slots, b.Slots),
+		cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Address, b.Address),
+	) < 0
+}
+
+// isSamePlace reports whether two entries name the same service, address and data centre.
+func isSamePlace(a, b *api.Target) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre
+}
+
 // fromEntry returns the target of an entry received at the time now.
 func fromEntry(e api.DirectoryEntry, now time.Duration) api.Target {
 	t := api.Target{
--- a/internal/targetlist/list_test.go
+++ b/internal/targetlist/list_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	var reader, follower List
 	read := func(now time.Duration, entries ...api.DirectoryEntry) Update {
-		u := reader.Replace(1, entries, now)
+		u := reader.Replace(1, entries, nil, now)
 		follower.Apply(u, now)
 		is.Equal(follower.Targets(), reader.Targets())
 		return u
@@ -49,12 +49,78 @@
 	is := is.New(t)
 	for _, entries := range [][]api.DirectoryEntry{{entry("a", 1), entry("a", 2)}, {entry("a", 2), entry("a", 1)}} {
 		var l List
-		l.Replace(1, entries, 0)
+		l.Replace(1, entries, nil, 0)
 		is.Equal(len(l.Targets()), 1)
 		is.Equal(l.Targets()[0].StartedUnixMs, int64(2))
 	}
 }
 
+// Guards against an entry of another writer that takes the place of a target's own because it stands
+// before or after it in the list.
+func TestOwnEntryCountsInAnyOrder(t *testing.T) {
+	own := entry("a", 1)
+	known := func(service string) bool { return service == "s" }
+	for name, c := range map[string]struct {
+		held    []api.DirectoryEntry // read before
+		foreign func(e *api.DirectoryEntry)
+	}{
+		"of an unknown service":                    {nil, func(e *api.DirectoryEntry) { e.Service, e.StartedUnixMs = "x", 9 }},
+		"without a start":                          {nil, func(e *api.DirectoryEntry) { e.DataCentre, e.StartedUnixMs = "other", 0 }},
+		"in another data centre":                   {[]api.DirectoryEntry{own}, func(e *api.DirectoryEntry) { e.DataCentre = "other" }},
+		"in another data centre that sorts before": {[]api.DirectoryEntry{own}, func(e *api.DirectoryEntry) { e.DataCentre = "a" }},
+		"leaving at another address":               {[]api.DirectoryEntry{own}, func(e *api.DirectoryEntry) { e.Address, e.Leaving = "10.0.0.2:80", true }},
+		"with more slots":                          {nil, func(e *api.DirectoryEntry) { e.Slots = 99 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			foreign := own
+			c.foreign(&foreign)
+			for _, entries := range [][]api.DirectoryEntry{{own, foreign}, {foreign, own}, {foreign, own, foreign}} {
+				var l List
+				l.Replace(1, c.held, known, 0)
+				l.Replace(1, entries, known, 0)
+				is.Equal(l.Targets(), []api.Target{fromEntry(own, 0)})
+			}
+		})
+	}
+}
+
+// Guards against a list that depends on the order of its entries, and against a target that is seen as
+// ready although an entry read on a later page says that it leaves.
+func TestOrderOfEntriesDoesNotCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) api.DirectoryEntry {
+			e := entry(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(0, 1).Draw(t, "born"))
+			e.Service = rapid.SampledFrom([]string{"s", "x"}).Draw(t, "service")
+			e.DataCentre = rapid.SampledFrom([]string{"y", "z"}).Draw(t, "dc")
+			e.Slots, e.Leaving = rapid.IntRange(1, 2).Draw(t, "slots"), rapid.Bool().Draw(t, "leaving")
+			e.ColdRemaining = time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * 5 * time.Second
+			return e
+		})
+		var known func(string) bool
+		if rapid.Bool().Draw(t, "configured") {
+			known = func(service string) bool { return service == "s" }
+		}
+		var a, b List
+		before := rapid.SliceOfN(draw, 0, 4).Draw(t, "before")
+		entries := rapid.SliceOfN(draw, 0, 6).Draw(t, "entries")
+		for _, l := range []*List{&a, &b} {
+			l.Replace(1, before, known, 0)
+		}
+		a.Replace(1, entries, known, 0)
+		b.Replace(1, rapid.Permutation(entries).Draw(t, "shuffled"), known, 0)
+		if !slices.Equal(a.Targets(), b.Targets()) {
+			t.Fatalf("%v, and in another order %v", a.Targets(), b.Targets())
+		}
+	})
+	is := is.New(t)
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	var l List
+	l.Replace(1, []api.DirectoryEntry{leaving, entry("a", 1)}, nil, 0)
+	is.True(l.Targets()[0].Leaving)
+}
+
 // Guards against lost, duplicated and reordered updates, and updates of a former
 // leader, that leave an instance with an older or wrong list.
 func TestRandomUpdateDelivery(t *testing.T) {
@@ -77,7 +143,7 @@
 					entries = append(entries, e)
 				}
 			}
-			sent = append(sent, l.Replace(epoch, entries, now))
+			sent = append(sent, l.Replace(epoch, entries, nil, now))
 			for range rapid.IntRange(0, 3).Draw(t, "delivered") {
 				u := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
 				before := follower.Position()
@@ -111,7 +177,7 @@
 				entries = append(entries, api.DirectoryEntry{ID: fmt.Sprint("t", i), Service: "s", Leaving: rapid.Bool().Draw(t, "leaving"),
 					StartedUnixMs: rapid.Int64Range(0, 1).Draw(t, "born")})
 			}
-			u := reader.Replace(1+uint64(now/(4*time.Second)), entries, now)
+			u := reader.Replace(1+uint64(now/(4*time.Second)), entries, nil, now)
 			if rapid.IntRange(0, 3).Draw(t, "missed") > 0 {
 				missedUpdates++
 				continue
--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -192,6 +192,7 @@
 func TestForeignEntriesOnPages(t *testing.T) {
 	for name, foreign := range map[string]string{
 		"unreadable": "{\"id\":\"\x03\x1f\xfe\",\"service\":\"s\"}", "cut off": `{"id":"x","service":`, "open list": `[1`, "end of a list": `1],"next":null}`,
+		"copy without a zone": `{"id":"t1","service":"s","address":"10.0.0.9:80","version":"v1","slots":4,"state":"draining","cold_remaining_ms":0}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/plugin/directory/read.go
+++ b/plugin/directory/read.go
@@ -61,11 +61,12 @@
 		logqueue.Notice(d.log, "list of targets not read", "step", "directory", "age_ms", d.age().Milliseconds(), "error", err)
 		return
 	}
+	known := d.knownServices()
 	now := d.kernel.Clock.Now()
 	d.refreshedAt.Store(int64(now))
 	d.mu.Lock()
 	previous := d.list.Position()
-	u := d.list.Replace(term, entries, now)
+	u := d.list.Replace(term, entries, known, now)
 	changed := u.At != previous
 	var listeners []func()
 	if changed || !d.Loaded() {
@@ -87,6 +88,24 @@
 	}
 }
 
+// knownServices returns a function that reports whether the newest configuration has a service; nil if
+// there is none yet.
+func (d *Directory) knownServices() func(service string) bool {
+	if v := d.fleet.View(); d.table == nil || d.table.Version != v.Version {
+		t, err := v.ParseTable(d.dialect)
+		if err != nil {
+			d.log.Error("configuration not readable", "step", "view", "version", v.Version, "error", err)
+		} else if t != nil {
+			d.table = t
+		}
+	}
+	if d.table == nil {
+		return nil
+	}
+	services := d.table.Services
+	return func(name string) bool { return services[name] != nil }
+}
+
 // readPages reads all pages of the list. It returns an error if any page cannot be read:
 // the targets of a missing page would look removed.
 func (d *Directory) readPages(ctx context.Context) ([]api.DirectoryEntry, error) {
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -14,6 +14,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/routing"
 	"nutmegrouter/internal/targetlist"
 )
 
@@ -32,6 +33,7 @@
 	mesh     api.Mesh
 	topology api.Topology
 	dialect  api.Dialect
+	fleet    api.Fleet
 	control  api.Control // nil on entry instances
 	log      *slog.Logger
 	client   *fasthttp.HostClient
@@ -43,6 +45,8 @@
 	listeners      []func()
 	readDue        chan struct{} // triggers a read of the platform's list at once
 	lastCallAt     time.Duration // time of the last call to the platform; used by the reading duty only
+	// table is that of the newest configuration that could be read; used by the reading duty only.
+	table *routing.Table
 
 	fetching atomic.Bool // set while a fetch runs; at most one runs at a time
 
@@ -59,8 +63,8 @@
 }
 
 // Provision implements kernel.Plugin. It registers the message handlers and provides
-// api.Directory. It fails if the mesh, the topology, the dialect or the link manager is
-// missing.
+// api.Directory. It fails if the mesh, the topology, the dialect, the fleet or the link
+// manager is missing.
 func (d *Directory) Provision(c *kernel.Context) (err error) {
 	if d.mesh, err = kernel.Lookup[api.Mesh](c); err != nil {
 		return err
@@ -71,6 +75,9 @@
 	if d.dialect, err = kernel.Lookup[api.Dialect](c); err != nil {
 		return err
 	}
+	if d.fleet, err = kernel.Lookup[api.Fleet](c); err != nil {
+		return err
+	}
 	linkManager, err := kernel.Lookup[api.LinkManager](c)
 	if err != nil {
 		return err
