gateway: memory follows the bytes of a body that have arrived, and a slow sound body is served

Seen: 100 callers who announce bodies of 4 MB at one entry instance take 357 to 445 MB of its 284 MB, also if almost nothing arrives; a sound body that takes longer than the time for a header gets 408. Cause: fasthttp reads the whole body into a buffer of the announced size before it calls the handler, which reserved the memory afterwards. Nothing marked the end of a header (HeaderRead was called by nobody), so the time for it also held for the body. Ruled out: responses; the targets of the test answer two bytes. Change: the server calls the handler after the header (StreamRequestBody). The handler checks what needs no body, reserves memory as the bytes arrive, and refuses at once what does not fit. HeaderReceived sets the time for the body, that of route and caller, 20 s at most; the connection takes this call as the end of the header. The rest of a refused request's body is read for 50 ms and up to 64 KB, else the connection closes after the refusal was read. Refusals that ask for a close keep it.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -42,6 +42,7 @@
 	mu            sync.Mutex
 	state         connState
 	stateSince    time.Time // start of the idle period, or when the request's first byte was read
+	bodyDeadline  time.Time // by when the rest of the request must have arrived; valid from stateHeaderRead on
 	lingerOnClose bool      // see LingerOnClose
 	// closed is set before the socket is closed, so that a request that is read at that
 	// moment is not served.
@@ -103,7 +104,7 @@
 	if responseWritten {
 		c.state, c.stateSince = stateIdle, time.Now()
 	}
-	state, since := c.state, c.stateSince
+	state, since, bodyDeadline := c.state, c.stateSince, c.bodyDeadline
 	c.mu.Unlock()
 	if responseWritten {
 		c.tracker.markIdle(c)
@@ -118,7 +119,7 @@
 	case stateReadingHeader:
 		return c.Conn.SetReadDeadline(since.Add(l.HeaderTimeout()))
 	}
-	return c.Conn.SetReadDeadline(since.Add(l.RequestTimeout()))
+	return c.Conn.SetReadDeadline(bodyDeadline)
 }
 
 // requestBytesRead records that bytes of a request have been read. It reports false if the
@@ -141,8 +142,14 @@
 	return true
 }
 
-// HeaderRead records that the header of a request has been read.
-func (c *Conn) HeaderRead() { c.setState(stateHeaderRead) }
+// LimitBody shortens the time that is left for the rest of a request's body.
+func (c *Conn) LimitBody(left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deadline := time.Now().Add(left); deadline.Before(c.bodyDeadline) {
+		c.bodyDeadline = deadline
+	}
+}
 
 // HandlerReturned records that the handler of a request has returned.
 func (c *Conn) HandlerReturned() { c.setState(stateHandled) }
@@ -152,20 +159,34 @@
 func (c *Conn) HandlerStarted() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.headerRead()
+	return c.stateSince
+}
+
+// headerRead records that the header of a request has been read. c.mu must be held.
+func (c *Conn) headerRead() {
 	if c.state == stateHandled || c.state == stateIdle { // the request was pipelined
 		c.stateSince = time.Now()
 	}
 	c.state = stateHeaderRead
-	return c.stateSince
 }
 
-// SetReadDeadline implements net.Conn. It has no effect if the tracker has limits, which
-// replace the server's deadlines.
+// SetReadDeadline implements net.Conn. If the tracker has limits, they replace the server's
+// deadlines but for one: the server sets a deadline when it has read the header of a request
+// with a body, and the body must have arrived by then. The time that the header took counts
+// as time of the body.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	if c.tracker.limits != nil {
+	if c.tracker.limits == nil {
+		return c.Conn.SetReadDeadline(t)
+	}
+	if t.IsZero() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headerRead()
+	c.bodyDeadline = c.stateSince.Add(time.Until(t))
+	return nil
 }
 
 // SetDeadline implements net.Conn. It has no effect if the tracker has limits.
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -27,11 +27,11 @@
 }
 
 // Limits are the timeouts of a caller's requests. The functions are called before each read,
-// so that a changed configuration takes effect.
+// so that a changed configuration takes effect. The time for a body is the server's read timeout
+// for that request (fasthttp.RequestConfig), counted from the first byte of the request.
 type Limits struct {
-	IdleTimeout    func() time.Duration // idle time before a request
-	HeaderTimeout  func() time.Duration // from the first byte to the end of the header
-	RequestTimeout func() time.Duration // from the first byte to the end of the body
+	IdleTimeout   func() time.Duration // idle time before a request
+	HeaderTimeout func() time.Duration // from the first byte to the end of the header
 }
 
 // NewTracker returns a tracker that counts the bytes sent to callers in sentBytes, if that is
--- a/internal/overload/bytes.go
+++ b/internal/overload/bytes.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// ErrNoMemory reports that the memory limit for responses is reached.
+// ErrNoMemory reports that the limit of the memory for a buffer is reached.
 var ErrNoMemory = errors.New("the answers under way take all memory for answers")
 
 // MemoryLimit limits the memory that concurrent requests or responses use together. It is
@@ -42,16 +42,25 @@
 // Buffer is a byte buffer whose capacity is reserved from a MemoryLimit. Free must be called
 // when the content is no longer needed. It is not safe for concurrent use.
 type Buffer struct {
-	memory  *MemoryLimit
-	content []byte
+	memory   *MemoryLimit
+	content  []byte
+	expected int // size of the content in bytes if it is known, else 0
 }
 
 // minBufferSize is the smallest capacity of a buffer in bytes.
 const minBufferSize = 512
 
+// firstBufferSize is the first capacity in bytes of a buffer for content of a known size, unless that
+// is smaller.
+const firstBufferSize = 16 << 10
+
 // NewBuffer returns an empty buffer that reserves its memory from m.
 func NewBuffer(m *MemoryLimit) *Buffer { return &Buffer{memory: m} }
 
+// NewBufferFor returns an empty buffer as NewBuffer does, for content of a known size in bytes. Its
+// capacity grows with the content and exceeds that size only if the content does.
+func NewBufferFor(m *MemoryLimit, size int) *Buffer { return &Buffer{memory: m, expected: size} }
+
 // ReadFrom appends the data of r until EOF. It returns ErrNoMemory if the memory limit
 // is reached, or the error of r.
 func (b *Buffer) ReadFrom(r io.Reader) (n int64, err error) {
@@ -84,15 +93,23 @@
 	return len(p), nil
 }
 
-// grow doubles the capacity. It reports false if the memory limit is reached.
+// grow doubles the capacity. It reports false if the memory limit is reached. The memory of both
+// arrays is reserved while the content is copied.
 func (b *Buffer) grow() bool {
-	size := max(minBufferSize, 2*cap(b.content))
-	if !b.memory.Reserve(size - cap(b.content)) {
+	old := cap(b.content)
+	size := max(minBufferSize, 2*old)
+	if b.expected > 0 && old == 0 {
+		size = min(b.expected, firstBufferSize)
+	} else if b.expected > old {
+		size = min(size, b.expected)
+	}
+	if !b.memory.Reserve(size) {
 		return false
 	}
 	larger := make([]byte, len(b.content), size)
 	copy(larger, b.content)
 	b.content = larger
+	b.memory.Release(old)
 	return true
 }
 
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -13,6 +13,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/callerconn"
 	"nutmegrouter/internal/exchange"
+	"nutmegrouter/internal/overload"
 	"nutmegrouter/internal/routing"
 )
 
@@ -25,22 +26,14 @@
 	}
 	defer conn.HandlerReturned()
 	arrived := g.clock.Now() - time.Since(conn.HandlerStarted())
-	r, refusal := g.admit(ctx, arrived)
-	if refusal == nil && g.admissionClosed.Load() {
-		refusal = newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
-		refusal.RetryAfter = retryAfterOtherInstance
-	}
-	if refusal == nil {
-		refusal = g.forwarder.Precheck(r)
-	}
-	if refusal == nil {
-		// Resources are reserved last, because the refusals above cost little processor time.
-		if refusal = g.reserve(r); refusal != nil {
-			g.forwarder.ReportShed(r)
-		}
-	}
+	r, body, refusal := g.accept(ctx, arrived)
 	if refusal != nil {
+		wholeBody := g.discardBody(ctx, conn, refusal)
 		g.writeRefusal(ctx, refusal, r)
+		if !wholeBody {
+			ctx.SetConnectionClose()
+			conn.LingerOnClose()
+		}
 		g.closeIfDrainingOrCrowded(ctx)
 		if refusal.Code == codeBusy {
 			ctx.SetConnectionClose() // the load balancer chooses an instance for each new connection
@@ -62,12 +55,56 @@
 	release := func() {
 		stopWatch()
 		cancel()
-		g.memory.Release(len(r.Body) + requestOverheadBytes)
+		body.Free()
+		g.memory.Release(requestOverheadBytes)
 	}
 	g.forward(ctx, workCtx, r, release)
 	g.closeIfDrainingOrCrowded(ctx)
 }
 
+// accept admits a request, reserves its resources and reads its body. The returned request is
+// never nil, but incomplete if there is a refusal; then nothing is reserved.
+func (g *Gateway) accept(ctx *fasthttp.RequestCtx, arrived time.Duration) (*api.ForwardRequest, *overload.Buffer, *api.Refusal) {
+	r, refusal := g.admit(ctx, arrived)
+	if refusal == nil {
+		refusal = g.checkStopping()
+	}
+	if refusal == nil {
+		refusal = g.forwarder.Precheck(r)
+	}
+	if refusal != nil {
+		return r, nil, refusal
+	}
+	// Resources are reserved last, because the refusals above cost little processor time.
+	if refusal = g.reserve(r); refusal != nil {
+		g.forwarder.ReportShed(r)
+		return r, nil, refusal
+	}
+	body, refusal := g.readBody(ctx)
+	if refusal == nil {
+		refusal = g.checkStopping() // the body may have taken long
+	} else if refusal.Code == codeMemoryFull {
+		g.forwarder.ReportShed(r)
+	}
+	if refusal != nil {
+		body.Free()
+		g.memory.Release(requestOverheadBytes)
+		return r, nil, refusal
+	}
+	r.Body = body.Bytes()
+	return r, body, nil
+}
+
+// checkStopping returns a refusal if a planned stop refuses all further requests, or nil.
+func (g *Gateway) checkStopping() *api.Refusal {
+	if !g.admissionClosed.Load() {
+		return nil
+	}
+	refusal := newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
+	refusal.RetryAfter = retryAfterOtherInstance
+	return refusal
+}
+
 // admit validates a request and resolves its route, workspace, service and deadline.
 // arrived is when its first byte was read, on the kernel clock. The returned request is
 // never nil, but incomplete if there is a refusal.
@@ -95,10 +132,8 @@
 	if err != nil {
 		return r, newRefusal(fasthttp.StatusBadRequest, codeBadRequest, err.Error())
 	}
-	r.Body = ctx.Request.Body()
-	if limit := orDefault(t.Callers.BodyBytes, defaultBodyBytes); len(r.Body) > limit {
-		ctx.SetConnectionClose()
-		return r, newRefusal(fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds the limit")
+	if h.ContentLength() > g.bodyLimit() {
+		return r, bodyTooLargeRefusal()
 	}
 	r.Service = r.Route.Choose(rand.Float64())
 	if s := t.Services[r.Service]; s != nil {
--- a/plugin/gateway/load.go
+++ b/plugin/gateway/load.go
@@ -153,22 +153,20 @@
 		"connections", open, "busy_connections", busy, "goroutines", runtime.NumGoroutine(), "collections", gc.NumGC)
 }
 
-// reserve reserves processor time and memory for a request. It returns a refusal if
-// either is exhausted, or nil.
+// reserve reserves processor time, and memory for a request without its body. It returns a
+// refusal if either is exhausted, or nil. The memory is held until the response has ended.
 func (g *Gateway) reserve(r *api.ForwardRequest) *api.Refusal {
 	if refusal := g.load.allow(r.Workspace); refusal != nil {
 		return refusal
 	}
-	return g.reserveMemory(len(r.Body))
+	if !g.memory.Reserve(requestOverheadBytes) {
+		return memoryRefusal()
+	}
+	return nil
 }
 
-// reserveMemory reserves the memory of a request with a body of bodyBytes. It returns a
-// refusal if the limit is reached, or nil. The memory is held until the response has
-// ended, because another attempt sends the body again.
-func (g *Gateway) reserveMemory(bodyBytes int) *api.Refusal {
-	if g.memory.Reserve(bodyBytes + requestOverheadBytes) {
-		return nil
-	}
+// memoryRefusal returns the refusal of a request for which no memory is left.
+func memoryRefusal() *api.Refusal {
 	r := newRefusal(fasthttp.StatusServiceUnavailable, codeMemoryFull, "the requests under way take all memory for requests")
 	r.RetryAfter = retryAfterDefault
 	return r
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -78,7 +78,11 @@
 	if err != nil {
 		body = []byte(`{"code":"internal_error"}`) // not reached: strings can always be encoded
 	}
+	closing := ctx.Response.ConnectionClose()
 	ctx.Response.Reset()
+	if closing {
+		ctx.SetConnectionClose()
+	}
 	ctx.Response.Header.SetNoDefaultContentType(true)
 	ctx.SetStatusCode(r.Status)
 	ctx.Response.Header.SetContentType("application/json")
@@ -90,23 +94,25 @@
 // and discards the rest of the request: closing it with unread bytes would reset it, and
 // the caller would lose the refusal.
 func (g *Gateway) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
-	r := badRequest("the request is malformed")
+	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
+		c.LingerOnClose()
+	}
+	g.writeRefusal(ctx, readErrorRefusal(err), &api.ForwardRequest{ReceivedAt: g.clock.Now()})
+}
+
+// readErrorRefusal returns the refusal of a request that could not be read.
+func readErrorRefusal(err error) *api.Refusal {
 	switch callerconn.ClassifyReadError(err) {
 	case callerconn.BodyTooLarge:
-		r = newRefusal(fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds the limit")
+		return bodyTooLargeRefusal()
 	case callerconn.HeaderTooLarge:
-		r = newRefusal(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadTooLarge, "the head exceeds the limit")
+		return newRefusal(fasthttp.StatusRequestHeaderFieldsTooLarge, codeHeadTooLarge, "the head exceeds the limit")
 	case callerconn.TimedOut:
-		r = newRefusal(fasthttp.StatusRequestTimeout, codeRequestTimeout, "the request did not arrive in time")
-	}
-	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
-		c.LingerOnClose()
+		return newRefusal(fasthttp.StatusRequestTimeout, codeRequestTimeout, "the request did not arrive in time")
 	}
-	g.writeRefusal(ctx, r, &api.ForwardRequest{ReceivedAt: g.clock.Now()})
+	return badRequest("the request is malformed")
 }
 
-// limitBody sets the maximum size of a request's body before the body is read. admit
-// refuses a body one byte above the configured size, handleMalformed a longer one.
-func (g *Gateway) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: orDefault(g.callerLimits().BodyBytes, defaultBodyBytes) + 1}
+func bodyTooLargeRefusal() *api.Refusal {
+	return newRefusal(fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds the limit")
 }
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -38,15 +38,10 @@
 	defaultHeaderTimeout = 3 * time.Second
 	defaultHeaderBytes   = 16 << 10 // bytes
 	defaultBodyBytes     = 4 << 20  // bytes
-	// bodyReadTime is how long reading the body may take beyond the header's time limit.
-	bodyReadTime = 20 * time.Second
 	// headerBuffer is fasthttp's limit of a request header. It exceeds the configured
 	// limit, so that a header above that limit is still read and refused with a response.
 	headerBuffer = 20 << 10 // bytes
 	writeBuffer  = 4 << 10  // bytes
-	// maxBodyBytes is fasthttp's limit of a request body. It exceeds the configured limit,
-	// so that a body above that limit is refused with a response.
-	maxBodyBytes = 32 << 20
 	// callerSocketShare is the fraction of the sockets for connections of callers; the
 	// rest is for targets and other instances.
 	callerSocketShare = 0.7
@@ -106,7 +101,7 @@
 	memory := c.Settings.Routes.MemoryMB * (1 << 20)
 	g.memory = overload.NewMemoryLimit(int64(requestMemoryShare * memory))
 	g.load = newLoadGate()
-	g.conns = callerconn.NewTracker(g.stats.sentBytes, &callerconn.Limits{IdleTimeout: g.idleLimit, HeaderTimeout: g.headerReadLimit, RequestTimeout: g.requestReadLimit})
+	g.conns = callerconn.NewTracker(g.stats.sentBytes, &callerconn.Limits{IdleTimeout: g.idleLimit, HeaderTimeout: g.headerReadLimit})
 	g.conns.SetMaxOpen(int(min(callerSocketShare*float64(c.Settings.Routes.MaxSockets()), idleMemoryShare*memory/idleConnBytes)))
 	g.stats.registerGauges(c.Metrics, g.conns, g.memory, g.load)
 	g.startup.begin(g.clock.Now())
@@ -114,7 +109,7 @@
 	g.directory.OnChange(g.endStartup)
 	g.http = &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.handleMalformed, HeaderReceived: g.limitBody,
-		ReadBufferSize: headerBuffer, WriteBufferSize: writeBuffer, MaxRequestBodySize: maxBodyBytes,
+		ReadBufferSize: headerBuffer, WriteBufferSize: writeBuffer, StreamRequestBody: true,
 		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
 		SecureErrorLogMessage: true, Logger: logqueue.Discard{}, CloseOnShutdown: true,
@@ -161,9 +156,6 @@
 	return orDefault(g.callerLimits().HeaderTimeout, defaultHeaderTimeout) + margin
 }
 
-// requestReadLimit returns how long reading a whole request may take.
-func (g *Gateway) requestReadLimit() time.Duration { return g.headerReadLimit() + bodyReadTime }
-
 // orDefault returns a configured limit, or the fallback if it is not set.
 func orDefault[T int | time.Duration](v, fallback T) T {
 	if v > 0 {
--- a/scenario/operators_test.go
+++ b/scenario/operators_test.go
@@ -5,59 +5,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"nutmegrouter/internal/proc"
-	"nutmegrouter/internal/settings"
 	"nutmegrouter/platform/standin"
 )
 
-// freeAddress returns an address on the loopback interface that nothing listens on.
-func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
-// startControlInstance runs the only control instance of a fleet and returns its address for operators.
-func startControlInstance(t *testing.T) string {
-	is := is.New(t)
-	directory, err := standin.NewDirectory("127.0.0.1")
-	is.NoErr(err)
-	t.Cleanup(directory.Close)
-	dir := t.TempDir()
-	mesh, operators := freeAddress(t), freeAddress(t)
-	s := settings.Settings{
-		Profile: settings.ProfileRoutes, Instance: "c", DataCentre: "dc-1", Mesh: mesh, Admin: freeAddress(t), DataDir: filepath.Join(dir, "data"),
-		Routes: settings.Routes{
-			Bootstrap: true, DataCentres: []string{"dc-1"}, MemoryMB: 256, MaxFiles: 1024, Seeds: []string{operators}, Operators: operators,
-			Directory: settings.Directory{Address: directory.Address(), CallsPerSecond: 40, MaxLagMs: 500},
-			Bounds: settings.Bounds{ApplyMs: 4000, AcknowledgeMs: 4000, LeaveMs: 4000, OutMs: 4000, StopMs: 4000, CatchUpMs: 4000,
-				ForwardMs: 120, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMs: 10_000, ColdOverage: 1.5, ColdSlack: 3, ShareWindowMs: 4000},
-		},
-	}
-	raw, err := json.Marshal(s)
-	is.NoErr(err)
-	file := filepath.Join(dir, "c.json")
-	is.NoErr(os.MkdirAll(s.DataDir, 0o755))
-	is.NoErr(os.WriteFile(file, raw, 0o644))
-	var processes proc.Group
-	t.Cleanup(processes.KillAll)
-	is.NoErr(processes.Start("c", func() (*proc.Process, error) {
-		return proc.Start("c", filepath.Join(binDir, "nutmegd"), filepath.Join(dir, "c.log"), "-settings", file)
-	}))
-	return operators
-}
-
 // Guards against a configuration that is acknowledged although it cannot be read in full or is invalid,
 // and that is then handed out or in force. What was acknowledged must be returned as it was sent.
 func TestInvalidConfigurationsAreRefused(t *testing.T) {
@@ -65,7 +22,9 @@
 		t.Skip("starts a process")
 	}
 	is := is.New(t)
-	address := startControlInstance(t)
+	f := newRoutesFleet(t)
+	f.startControl()
+	address := f.operators
 	operator := standin.Operator{Client: &http.Client{Timeout: 3 * time.Second}}
 	replace := func(document string) (status int) {
 		for begin := time.Now(); time.Since(begin) < waitTimeout; time.Sleep(50 * time.Millisecond) {
