--- a/internal/api/dialect.go
+++ b/internal/api/dialect.go
@@ -15,6 +15,8 @@
 	// ParseRequest reads the headers of a caller's request. The error names an
 	// invalid header.
 	ParseRequest(h *fasthttp.RequestHeader) (CallerFields, error)
+	// CallerTimeout returns the field Timeout of ParseRequest alone; 0 if it is malformed.
+	CallerTimeout(h *fasthttp.RequestHeader) time.Duration
 	// SetTargetHeaders sets the headers of a request to a target and removes those
 	// that a caller must not set.
 	SetTargetHeaders(h *fasthttp.RequestHeader, f TargetFields)
--- a/plugin/gateway/body.go
+++ b/plugin/gateway/body.go
@@ -42,8 +42,8 @@
 			limit = min(limit, route.Timeout)
 		}
 	}
-	if fields, err := g.dialect.ParseRequest(h); err == nil && fields.Timeout > 0 {
-		limit = min(limit, fields.Timeout)
+	if timeout := g.dialect.CallerTimeout(h); timeout > 0 {
+		limit = min(limit, timeout)
 	}
 	return fasthttp.RequestConfig{ReadTimeout: limit}
 }
--- a/scenario/bodies_test.go
+++ b/scenario/bodies_test.go
@@ -118,8 +118,8 @@
 
 // head sends the header of a request with a body.
 func head(conn net.Conn, framing string) {
-	_, _ = fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n\r\n",
-		strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), bodyTimeout.Milliseconds(), framing)
+	_, _ = fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s\r\n\r\n",
+		standin.HeaderAttempt, strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), standin.HeaderDeadline, bodyTimeout.Milliseconds(), framing)
 }
 
 // callWithBody sends a request while it waits for the response, and returns its status, 0 without one.
