placement: a target's pause holds for as long as it says

Seen: a target that wants nothing for three hours gets requests after one minute (read; shown by TestLongPause, which failed). Change: 24 h, the bound with which the header is decoded. The Retry-After of callers is derived from one minute of it at most. Tests: TestPauseIsKeptAndBounded asks for a kept pause of three hours now; TestLongPause. Both failed before.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -129,10 +129,14 @@
 // most, so that they do not return together.
 const pauseSpread = 0.5
 
+// MaxPauseRetryAfter bounds the pause from which the Retry-After of callers is derived: a target that asks
+// for a long pause may start again sooner, or others may be added.
+const MaxPauseRetryAfter = time.Minute
+
 // spreadPause returns the Retry-After for a request that waits for the end of a pause.
 func spreadPause(pause time.Duration, k Key) time.Duration {
 	fraction := float64(mix(k.Number, hashName(k.Entry))) / math.MaxUint64
-	return time.Duration(float64(pause) * (1 + pauseSpread*fraction))
+	return time.Duration(float64(min(pause, MaxPauseRetryAfter)) * (1 + pauseSpread*fraction))
 }
 
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -7,8 +7,9 @@
 	"nutmegrouter/internal/api"
 )
 
-// maxPause bounds the pause that a target may ask for.
-const maxPause = time.Minute
+// maxPause bounds the pause that a target may ask for. It only guards sums of times: a target is sent
+// nothing for as long as it says, or until it starts again.
+const maxPause = 24 * time.Hour
 
 // TargetNotice is what a target has said of itself in a response.
 type TargetNotice struct {
--- a/internal/placement/notices_test.go
+++ b/internal/placement/notices_test.go
@@ -28,7 +28,8 @@
 	is.Equal(len(n.byTarget), 0)
 }
 
-// Guards against a pause that is shortened by a later answer, and one without an end.
+// Guards against a pause that is shortened by a later answer or ends before the time that the target has
+// asked for, and one without an end.
 func TestPauseIsKeptAndBounded(t *testing.T) {
 	is := is.New(t)
 	n, x := NewNotices(), api.Target{ID: "i"}
@@ -37,7 +38,9 @@
 	is.Equal(n.Pause(&x, second), 2*second)
 	is.Equal(n.Pause(&x, 3*second), time.Duration(0))
 	is.Equal(len(n.List(3*second)), 0)
-	n.Record(TargetNotice{Target: "i", Pause: 24 * time.Hour}, 0)
+	n.Record(TargetNotice{Target: "i", Pause: 3 * time.Hour}, 0)
+	is.Equal(n.Pause(&x, 0), 3*time.Hour)
+	n.Record(TargetNotice{Target: "i", Pause: 1000 * time.Hour}, 0)
 	is.Equal(n.Pause(&x, 0), maxPause)
 }
 
@@ -115,6 +118,28 @@
 	is.True(len(refused) > 40) // at once, each with another time
 }
 
+// Guards against callers that are told to stay away for hours because all targets ask for that, and against
+// targets that are sent requests before that time.
+func TestLongPause(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 2, 64, 400_000, 400_000)
+	s.tick()
+	for id := range s.engines {
+		s.owner.RecordNotice(TargetNotice{Target: id, Pause: 3 * time.Hour}, 0)
+	}
+	for n, now := range []time.Duration{0, 2 * time.Minute, 2 * time.Hour} {
+		k := Key{"n0", uint64(n + 1)}
+		s.calls[k] = &call{}
+		s.owner.Submit(k, Request{Service: "m", Workspace: "w", PromptTokens: 100, OutputTokens: 10, Prompt: prompt(1, PartID(100+n)),
+			Objective: second, Deadline: 10 * second, RouteObjective: second}, now)
+		s.owner.Tick(now)
+		decisions := s.owner.Decisions()
+		is.Equal(len(decisions), 1)
+		is.Equal(decisions[0].Target, "")
+		is.True(decisions[0].RetryAfter <= 90*second)
+	}
+}
+
 // Guards against notices that grow with the number of pauses in place of the number of targets.
 func TestNoticesStayBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -150,7 +150,7 @@
 		}
 	}
 	retryAfter := noTargetRetryAfter
-	if pause := q.PauseEnd(); pause > 0 {
+	if pause := min(q.PauseEnd(), placement.MaxPauseRetryAfter); pause > 0 {
 		retryAfter = pause + time.Duration(rand.Float64()*float64(pause)/2) // callers do not return together
 	}
 	return nil, &api.Refusal{
