directory: the control log is looked up before the first link may appear

Seen: a build that finds data races reported one on Directory.control, between the start and the first link. Cause: Start set the field, and a link may come up while the plug-ins start. Change: Provision looks it up; control instances provide it before (kernel.OrderControl < OrderDirectory). Test: each directory of the tests gets a link during Start; the race detector reports a race without the change, none with it.

--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -155,6 +155,12 @@
 	is.NoErr(kernel.Provide[api.Fleet](k, f))
 	d := &Directory{}
 	is.NoErr(d.Provision(k))
+	linked := make(chan struct{}) // a link may appear while the plug-ins start
+	go func() {
+		defer close(linked)
+		d.linkChanged(api.LinkChange{Peer: "e1", Up: true})
+	}()
+	defer func() { <-linked }()
 	ctx, cancel := context.WithCancel(context.Background())
 	duties := kernel.NewDuties(ctx)
 	is.NoErr(d.Start(duties))
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -82,6 +82,8 @@
 	if err != nil {
 		return err
 	}
+	// It is looked up before the first link may appear; entry instances have none.
+	d.control, _ = kernel.Lookup[api.Control](c)
 	d.kernel, d.log, d.readDue = c, c.Log.With("plugin", "directory"), make(chan struct{}, 1)
 	d.client = &fasthttp.HostClient{
 		Addr: c.Settings.Routes.Directory.Address, MaxIdemponentCallAttempts: 1,
@@ -103,12 +105,10 @@
 // Start implements kernel.Starter. On control instances it starts the duty that reads the
 // platform's list while this instance is the leader.
 func (d *Directory) Start(duties *kernel.Duties) error {
-	control, err := kernel.Lookup[api.Control](d.kernel)
-	if err != nil {
+	if d.control == nil {
 		return nil // an entry instance only receives updates
 	}
-	d.control = control
-	control.OnStatus(func(s api.ControlStatus) {
+	d.control.OnStatus(func(s api.ControlStatus) {
 		if s.Role == "leader" {
 			kernel.Signal(d.readDue)
 		}
