control: a leader keeps a request to join that it cannot propose yet

Seen: TestDiskLostTwice failed in 19 of 600 runs, no learner after the join. Cause: a leader refuses membership changes before an entry of its term is committed (right), while another is pending, and an older learner of the instance is removed first; each time the request was dropped. Decision: the product waits, not the caller.

--- a/plugin/control/members.go
+++ b/plugin/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -133,26 +134,53 @@
 	return nil
 }
 
-// join proposes to add a replica as a learner. An older learner of the same instance,
-// whose disk is lost, is removed first.
+// joinMemory is how long the leader keeps a request to join that it cannot propose yet, in ticks. The
+// replica asks again sooner if it still runs.
+const joinMemory = 2 * listedJoinInterval / tickInterval
+
+// waitingJoin is a request to join that is not proposed yet.
+type waitingJoin struct {
+	joinParams
+	askedAt uint64 // tick
+}
+
+// join proposes to add a replica as a learner. The leader may not be able to do so at once: the first
+// entry of its term may not be committed, another change may be pending, and an older learner of the
+// same instance has to be removed first. It then keeps the request. The caller asks again until the
+// replica is a member, but need not ask at the right moment.
 func (r *replica) join(p joinParams, done func(callResult)) {
-	m := r.node.Members()
 	if r.node.Role() != consensus.Leader || !r.c.mayHoldReplica(p.Instance) {
 		done(callResult{err: errRetry})
 		return
 	}
-	if m.Has(p.Identity) {
+	if r.node.Members().Has(p.Identity) {
 		done(callResult{})
 		return
 	}
-	change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{ID: p.Identity, Instance: p.Instance}}
-	if old := slices.IndexFunc(m.Learners, sameInstance(p.Instance)); old >= 0 {
-		change = consensus.Change{Kind: consensus.Remove, Member: m.Learners[old]}
-	}
-	r.proposeChange(change)
+	r.waitingJoins[p.Instance] = waitingJoin{p, r.ticks}
+	r.proposeJoins()
 	done(callResult{err: errRetry}) // the retry finds the replica among the members
 }
 
+// proposeJoins proposes the next step of the requests to join that wait, in the order of their instances.
+// An older learner of the same instance, whose disk is lost, is removed first.
+func (r *replica) proposeJoins() {
+	for _, instance := range slices.Sorted(maps.Keys(r.waitingJoins)) {
+		j, m := r.waitingJoins[instance], r.node.Members()
+		if m.Has(j.Identity) || r.ticks-j.askedAt > uint64(joinMemory) || r.node.Role() != consensus.Leader {
+			delete(r.waitingJoins, instance)
+			continue
+		}
+		change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{ID: j.Identity, Instance: instance}}
+		if old := slices.IndexFunc(m.Learners, sameInstance(instance)); old >= 0 {
+			change = consensus.Change{Kind: consensus.Remove, Member: m.Learners[old]}
+		}
+		if !r.proposeChange(change) {
+			return // one change at a time; the next tick tries again
+		}
+	}
+}
+
 // sameInstance returns a predicate for the members on an instance.
 func sameInstance(name string) func(consensus.Member) bool {
 	return func(m consensus.Member) bool { return m.Instance == name }
@@ -196,11 +224,13 @@
 	consensus.AddLearner: "add-learner", consensus.Promote: "promote", consensus.Remove: "remove",
 }
 
-// proposeChange proposes a membership change. A change that the node refuses is
-// dropped; maintenance and join requests propose it again.
-func (r *replica) proposeChange(ch consensus.Change) {
-	if r.node.ProposeChange(ch) == nil {
-		r.c.metrics.memberships.Inc()
-		r.recordEvent(changeSteps[ch.Kind], ch.Member.Instance)
+// proposeChange proposes a membership change and reports whether the node accepts it. One that it
+// refuses is dropped; maintenance and requests to join propose it again.
+func (r *replica) proposeChange(ch consensus.Change) bool {
+	if r.node.ProposeChange(ch) != nil {
+		return false
 	}
+	r.c.metrics.memberships.Inc()
+	r.recordEvent(changeSteps[ch.Kind], ch.Member.Instance)
+	return true
 }
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -85,6 +85,7 @@
 	pendingByIndex     map[uint64]*pending // proposals by log index
 	pendingByID        map[string]*pending // proposals by command id
 	pendingReads       map[uint64]func(callResult)
+	waitingJoins       map[string]waitingJoin // by instance
 	lastReadID         uint64
 	reportedRole       consensus.Role
 	reportedLeader     string
@@ -101,7 +102,7 @@
 func newReplica(c *Control, log *wal.Log, st *wal.State) (*replica, error) {
 	r := &replica{
 		c: c, instanceByID: map[string]string{}, pendingByIndex: map[uint64]*pending{},
-		pendingByID: map[string]*pending{}, pendingReads: map[uint64]func(callResult){}, retainBytes: retainedLogBytes,
+		pendingByID: map[string]*pending{}, pendingReads: map[uint64]func(callResult){}, waitingJoins: map[string]waitingJoin{}, retainBytes: retainedLogBytes,
 	}
 	return r, r.load(log, st)
 }
@@ -137,6 +138,7 @@
 		return
 	}
 	r.proposeMoves()
+	r.proposeJoins()
 	r.maintainMembers()
 }
 
