sse: an event in tiny parts ends before it takes seconds of processor time (TestEndlessResponses/endless_event)

Seen: KNOWN-RED, once, "504 != 200" after 4.05 s. Cause: a target that sends an endless event in chunks of 8 bytes is read until 4 MB have arrived, in half a million reads; the time of the request is used up before the size limit is reached. Ruled out: the second target, which answers at once. Change: an event may take 128 Ki reads at most. TestGeneratedSequence: the generator lost track of what two targets agree on.

--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -19,14 +19,17 @@
 	maxBufferBytes = MaxEventBytes + 1
 	// maxNoDataBytes limits consecutive comments and other blocks without data. A target
 	// that sends a comment of a few bytes each second reaches it only after an hour.
-	maxNoDataBytes    = 64 << 10 // bytes
-	initialBufferSize = 4 << 10  // bytes
+	maxNoDataBytes = 64 << 10 // bytes
+	// maxEventReads limits the reads of the source for one event. A source that returns a few bytes each
+	// time, such as a target that sends tiny chunks, takes much processor time for each byte.
+	maxEventReads     = 128 << 10
+	initialBufferSize = 4 << 10 // bytes
 )
 
 // Errors after which a stream cannot be read further. Their texts can reach callers in a
 // refusal.
 var (
-	// ErrTooLarge reports an event of more than MaxEventBytes.
+	// ErrTooLarge reports an event of more than MaxEventBytes, or of more than 128 Ki parts.
 	ErrTooLarge = errors.New("server-sent event exceeds the size limit")
 	// ErrNoData reports more than 64 KiB of consecutive comments or other blocks without data.
 	ErrNoData = errors.New("comments without end instead of events")
@@ -56,6 +59,7 @@
 	start     int // offset of the first byte that was not returned
 	lineStart int // offset of the first line that was not scanned completely
 	scanned   int // the bytes from lineStart to this offset contain no line feed
+	reads     int // of the source since the last event
 	err       error
 
 	memory        *overload.MemoryLimit // shared by all readers
@@ -86,7 +90,7 @@
 				r.err = ErrTooLarge
 				return Event{}, r.err
 			}
-			r.start = end
+			r.start, r.reads = end, 0
 			e := Parse(raw)
 			if r.noDataBytes += len(raw); e.HasData {
 				r.noDataBytes = 0
@@ -100,7 +104,7 @@
 		if r.err != nil {
 			return Event{}, r.err
 		}
-		if len(r.buf)-r.start > MaxEventBytes {
+		if r.reads++; len(r.buf)-r.start > MaxEventBytes || r.reads > maxEventReads {
 			r.err = ErrTooLarge
 			return Event{}, r.err
 		}
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -95,6 +96,38 @@
 	is.Equal(events, 50)
 }
 
+// countingReader counts the reads of a source.
+type countingReader struct {
+	io.Reader
+	reads int
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	c.reads++
+	return c.Reader.Read(p)
+}
+
+// Guards against an event in tiny parts that takes seconds of processor time before its size is found to be
+// too large, and against one of 100 KB in single bytes that is not accepted.
+func TestEventInTinyParts(t *testing.T) {
+	is := is.New(t)
+	memory := overload.NewMemoryLimit(3 * MaxEventBytes)
+	source := &countingReader{Reader: iotest.OneByteReader(&repeatingReader{text: "x"})}
+	r := NewReader(source, memory)
+	_, err := r.Next()
+	is.Equal(err, ErrTooLarge)
+	is.True(source.reads <= maxEventReads)
+	r.Release()
+	event := "data: " + strings.Repeat("x", 100_000) + "\n\n"
+	r = NewReader(iotest.OneByteReader(strings.NewReader(event+event)), memory)
+	for range 2 {
+		e, err := r.Next()
+		is.NoErr(err)
+		is.Equal(len(e.Raw), len(event))
+	}
+	r.Release()
+}
+
 // Guards against many readers that together exceed the shared memory limit.
 func TestReadersShareMemory(t *testing.T) {
 	is := is.New(t)
--- a/internal/sse/sequence_test.go
+++ b/internal/sse/sequence_test.go
@@ -87,7 +87,9 @@
 				if from == lostFrom {
 					from = len(ids) // two targets that lose the same events are believed
 				}
-				lostFrom, until = from, max(from, until)
+				if until = max(from, until); until > from {
+					lostFrom = from
+				}
 			}
 			before := len(delivered)
 			for _, id := range ids[from:until] {
@@ -104,6 +106,9 @@
 					t.Fatalf("delivered %v of %v", delivered, ids)
 				}
 			}
+			if len(delivered) > before {
+				lostFrom = -1
+			}
 			inOneRun = max(inOneRun, len(delivered)-before)
 			s.Resume()
 		}
