--- a/plugin/gateway/body_test.go
+++ b/plugin/gateway/body_test.go
@@ -170,7 +170,7 @@
 	r.waitUntil("memory is free", func() bool { return r.gateway.memory.Reserved() == 0 })
 	c := r.dial()
 	c.send(request("POST", "/order/1", "e", "", "Transfer-Encoding: chunked", "Trailer: "+standin.HeaderWorkspace+", "+standin.HeaderAttempt) + chunk("whole") +
-		"0\r\n"+standin.HeaderWorkspace+": forged\r\n"+standin.HeaderAttempt+": forged\r\n\r\n")
+		"0\r\n" + standin.HeaderWorkspace + ": forged\r\n" + standin.HeaderAttempt + ": forged\r\n\r\n")
 	if resp, _, err := c.readResponse(); err == nil && resp.StatusCode == http.StatusOK {
 		r.is.Equal(x.requests[0].Header.Get(standin.HeaderWorkspace), "w")
 		r.is.Equal(x.requests[0].Header.Get(standin.HeaderAttempt), "e")
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -52,7 +52,8 @@
 	// buffers, headers and goroutine stacks. It is 46 KB with 600 requests in progress.
 	requestOverheadBytes = 48 << 10
 	// idleMemoryShare is the fraction of the memory for connections without a request in
-	// progress. Each of them uses idleConnBytes while a request header is read.
+	// progress. Each of them uses idleConnBytes: the server keeps the buffer for the header of
+	// the next request while a connection is open.
 	idleMemoryShare = 0.3
 	idleConnBytes   = headerBuffer + 4<<10
 )
