gateway: under overload a refused request's body is read, as before, and its connection does not linger

Cause: since a request with a body of unknown length, or above 8 KB, that was refused for want of processor time or memory closed its connection unread, and the connection lingered with a buffer of 32 KB until the caller had closed it. Under a flood that is the work of thousands of callers on a saturated entry. Change: bodies up to 64 KB that have arrived within 50 ms are read, whatever the refusal; a lingering connection takes 4 KB.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -31,6 +31,9 @@
 	writeTimeout   = 30 * time.Second       // of a single write to a caller that does not read
 	maxLingerBytes = 64 << 20               // bytes read and discarded during lingerTimeout
 	maxSavedBytes  = 64 << 10               // bytes of pipelined requests kept while a request is served
+	// lingerBufferSize is the size in bytes of a read during lingerTimeout. An overloaded instance has
+	// many connections in that state.
+	lingerBufferSize = 4 << 10
 )
 
 // Conn is a caller's connection. It implements the net.Conn that the server reads from, and
@@ -279,7 +282,7 @@
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, lingerBufferSize)
 	for total := 0; total < maxLingerBytes; {
 		n, err := c.Conn.Read(buf)
 		total += n
--- a/plugin/gateway/body.go
+++ b/plugin/gateway/body.go
@@ -22,15 +22,13 @@
 	// or later body the connection is closed.
 	maxDiscardedBody = 64 << 10 // bytes
 	discardTime      = 50 * time.Millisecond
-	// readAhead is the size up to which the server reads a body ahead of the handler.
-	readAhead = 8 << 10 // bytes
 )
 
 // bodyLimit returns the configured size limit of a body in bytes.
 func (g *Gateway) bodyLimit() int { return orDefault(g.callerLimits().BodyBytes, defaultBodyBytes) }
 
 // limitBody sets how long the body of a request may take to arrive, before it is read. The server reads
-// at most readAhead of it ahead of the handler.
+// at most 8 KB of it ahead of the handler.
 func (g *Gateway) limitBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if n := h.ContentLength(); n == 0 || n < 0 && !isChunked(h) {
 		return fasthttp.RequestConfig{}
@@ -82,21 +80,14 @@
 
 // discardBody reads what is left of the body of a refused request, and reports whether it has read all.
 // If not, the connection must be closed after the refusal: the bytes that follow must not be taken for a
-// request. A body beyond readAhead that is refused for its size or for want of memory or processor time is not
-// read.
-func (g *Gateway) discardBody(ctx *fasthttp.RequestCtx, conn *callerconn.Conn, refusal *api.Refusal) bool {
+// request. Under overload it costs less to read what has arrived than to close the connection.
+func (g *Gateway) discardBody(ctx *fasthttp.RequestCtx, conn *callerconn.Conn) bool {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return true
 	}
-	if size := ctx.Request.Header.ContentLength(); size < 0 || size > readAhead {
-		switch refusal.Code {
-		case codeBodyTooLarge, codeMemoryFull, codeBusy, codeRequestTimeout, codeHeadTooLarge:
-			return false
-		}
-		if size > maxDiscardedBody {
-			return false
-		}
+	if ctx.Request.Header.ContentLength() > maxDiscardedBody {
+		return false
 	}
 	conn.LimitBody(discardTime)
 	n, err := io.CopyN(io.Discard, stream, maxDiscardedBody+1)
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -28,7 +28,7 @@
 	arrived := g.clock.Now() - time.Since(conn.HandlerStarted())
 	r, body, refusal := g.accept(ctx, arrived)
 	if refusal != nil {
-		wholeBody := g.discardBody(ctx, conn, refusal)
+		wholeBody := g.discardBody(ctx, conn)
 		g.writeRefusal(ctx, refusal, r)
 		if !wholeBody {
 			ctx.SetConnectionClose()
