--- a/internal/placement/followers.go
+++ b/internal/placement/followers.go
@@ -231,6 +231,24 @@
 	return out
 }
 
+// FollowerCount returns the number of entry instances that report their starts.
+func (o *Owner) FollowerCount() int { return len(o.followers) }
+
+// HeldStarts returns the number of starts that are older than startWindow and still count. It visits all
+// targets.
+func (o *Owner) HeldStarts(now time.Duration) int {
+	n := 0
+	for _, t := range o.sortedTargets {
+		for _, s := range t.recentStarts {
+			if now-s.at < startWindow {
+				break
+			}
+			n++
+		}
+	}
+	return n
+}
+
 // maxStarts returns the number of starts per second that this owner may make on a target. A warm target
 // may turn cold at any time, and the target list shows it with a delay. The limit for cold targets
 // therefore always applies: with the allowed overage for warm targets, without it for cold ones. Parts of
--- a/plugin/owner/blocked_test.go
+++ b/plugin/owner/blocked_test.go
@@ -17,7 +17,7 @@
 	r.send(placewire.EntryMessage{FullReport: true})
 	r.waitForCheck() // in a round of its own, after which entry instance e has the empty list
 	r.o.inbox.Push(func() {
-		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: blocked})
+		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: blocked}, 0)
 	})
 	for range 2 { // one for each entry instance
 		m := r.nextWith(withBlocked)
@@ -26,7 +26,7 @@
 	}
 	r.o.inbox.Push(func() { // a list that is older than this owner's
 		old := placewire.NewBlockedParts([]placement.BlockedPart{{Part: 8, Remaining: time.Minute}})
-		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: old})
+		r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true, Blocked: old}, 0)
 	})
 	m := r.nextWith(withBlocked)
 	r.Equal(len(*m.Blocked), 1)
--- a/plugin/owner/limits_test.go
+++ b/plugin/owner/limits_test.go
@@ -19,7 +19,7 @@
 		return out
 	}
 	r.send(placewire.EntryMessage{FullReport: true})
-	r.o.inbox.Push(func() { r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true}) })
+	r.o.inbox.Push(func() { r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true}, 0) })
 	notice := placewire.NewNotice(placement.TargetNotice{Target: "t1", Limit: placement.LimitNotice{Stated: true, Limited: true, PerSecond: 4}})
 	r.send(placewire.EntryMessage{Notices: []placewire.Notice{notice}})
 	for range 2 { // one for each entry instance
@@ -28,7 +28,7 @@
 		r.Equal(*m[0].Rate, 4.0)
 	}
 	r.send(placewire.EntryMessage{Notices: []placewire.Notice{notice}}) // it still holds
-	r.o.inbox.Push(func() { r.o.applyUpdate("g", &placewire.EntryMessage{Term: 7, FullReport: true}) })
+	r.o.inbox.Push(func() { r.o.applyUpdate("g", &placewire.EntryMessage{Term: 7, FullReport: true}, 0) })
 	r.Equal(limits()[0].Target, "t1")
 	r.waitForCheck()
 	r.mu.Lock()
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -103,6 +103,9 @@
 	// dropped has the term of the newest message that did not fit into the inbox, by entry instance.
 	dropped map[string]uint64
 
+	load      load
+	reception reception
+
 	grants, refusals, blocks, blockedRequests *metrics.Counter
 	decideSeconds                             *metrics.Histogram
 }
@@ -174,14 +177,21 @@
 		case <-tick:
 		}
 		o.checkSuspension(ctx)
+		begin := o.clock.Now()
 		if f != nil {
+			o.load.longestInbox = max(o.load.longestInbox, o.inbox.Len()+1)
 			f()
 			o.processQueued()
+			o.load.applyTime += o.clock.Now() - begin
 			o.checkSuspension(ctx) // it may have been suspended in this round
 		}
 		if o.term != 0 {
 			o.sendDecisions()
 			o.askForReports()
+			now := o.clock.Now()
+			o.load.rounds++
+			o.load.longestRound = max(o.load.longestRound, now-begin)
+			o.logLoad(now)
 		}
 	}
 }
@@ -322,11 +332,15 @@
 }
 
 func (o *Owner) handleEntryMessage(_ context.Context, from string, params json.RawMessage) (any, error) {
+	begin := o.clock.Now()
 	var u placewire.EntryMessage
 	if err := json.Unmarshal(params, &u); err != nil {
 		return nil, errors.WithMessage(err, placewire.MethodUp)
 	}
-	if !o.inbox.Push(func() { o.applyUpdate(from, &u) }) {
+	received := o.clock.Now()
+	o.reception.decodeTime.Add(int64(received - begin))
+	if !o.inbox.Push(func() { o.applyUpdate(from, &u, received) }) {
+		o.reception.dropped.Add(1)
 		o.log.Warn("message dropped: the inbox is full", "step", "owner", "peer", from)
 		o.droppedMu.Lock()
 		defer o.droppedMu.Unlock()
@@ -359,17 +373,19 @@
 func (o *Owner) askForReport(entry string, now time.Duration) {
 	m := placewire.OwnerMessage{Term: o.term, ReportFully: true}
 	o.stamp(entry, &m, now)
+	o.load.reportsAsked++
 	o.send(entry, m)
 }
 
-// applyUpdate applies a message from an entry instance: running requests, starts, ends,
-// refusals and new requests, in this order.
-func (o *Owner) applyUpdate(from string, u *placewire.EntryMessage) {
+// applyUpdate applies a message from an entry instance, received at a time: running requests, starts,
+// ends, refusals and new requests, in this order.
+func (o *Owner) applyUpdate(from string, u *placewire.EntryMessage, received time.Duration) {
 	if o.term == 0 || u.Term != o.term {
 		o.send(from, placewire.OwnerMessage{Term: u.Term, NotOwner: true})
 		return
 	}
 	now := o.clock.Now()
+	o.load.countMessage(u, now-received)
 	newest := o.recordHeard(from, u, now)
 	if u.FullReport && u.Sent != 0 && !newest {
 		// It describes an earlier state, and requests that only it names would wait for good.
@@ -439,7 +455,6 @@
 // are due, to the entry instances. An unconfirmed owner sends NotOwner in place of
 // decisions.
 func (o *Owner) sendDecisions() {
-	begin := time.Now()
 	now := o.clock.Now()
 	o.logTakeover(now)
 	o.state.Tick(now)
@@ -462,8 +477,10 @@
 	for _, d := range decisions {
 		if d.Target != "" {
 			o.grants.Inc()
+			o.load.granted++
 		} else {
 			o.refusals.Inc()
+			o.load.declined++
 		}
 		m := to(d.Key.Entry)
 		m.Decisions = append(m.Decisions, placewire.NewDecision(d))
@@ -484,8 +501,10 @@
 			}
 		}
 	}
+	decided := o.clock.Now()
+	o.load.decideTime += decided - now
 	if len(decisions) > 0 {
-		o.decideSeconds.Update(time.Since(begin).Seconds())
+		o.decideSeconds.Update((decided - now).Seconds())
 	}
 	for entry, d := range messages {
 		if !d.NotOwner {
@@ -493,6 +512,8 @@
 		}
 		o.send(entry, *d)
 	}
+	o.load.sent += len(messages)
+	o.load.sendTime += o.clock.Now() - decided
 }
 
 func (o *Owner) send(to string, d placewire.OwnerMessage) {
--- a/plugin/owner/suspects_test.go
+++ b/plugin/owner/suspects_test.go
@@ -26,7 +26,7 @@
 		return out
 	}
 	r.send(placewire.EntryMessage{FullReport: true})
-	r.o.inbox.Push(func() { r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true}) })
+	r.o.inbox.Push(func() { r.o.applyUpdate("f", &placewire.EntryMessage{Term: 7, FullReport: true}, 0) })
 	for range 2 { // an instance that has just started waits for the list
 		r.Equal(len(suspects()), 0)
 		r.Advance(commonCause, commonCause)
--- a/plugin/owner/suspension_test.go
+++ b/plugin/owner/suspension_test.go
@@ -108,7 +108,7 @@
 // send delivers a message from an entry instance.
 func (r *harness) send(u placewire.EntryMessage) {
 	u.Term = 7
-	r.o.inbox.Push(func() { r.o.applyUpdate("e", &u) })
+	r.o.inbox.Push(func() { r.o.applyUpdate("e", &u, r.o.clock.Now()) })
 }
 
 func newRequests(n uint64) []placewire.Request {
