--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -41,3 +41,45 @@
 		})
 	}
 }
+
+// Measures one decision of an owner whose starts are reported by many entry instances, some of which do
+// not acknowledge the owner's messages in time.
+func BenchmarkDecideWithFollowers(b *testing.B) {
+	const entries = 300
+	for _, targets := range []int{64, 256, 1024, 4096, 12000} {
+		for _, late := range []time.Duration{0, 500 * time.Millisecond} {
+			b.Run(fmt.Sprintf("%d targets, %s late", targets, late), func(b *testing.B) {
+				s := newBusyFleet(targets)
+				now := s.now
+				heard := func(i int) {
+					s.owner.RecordHeard(fmt.Sprint("n", i), true, now-late-5*time.Millisecond, 2*time.Millisecond, now)
+				}
+				decide := func(i int) {
+					req := Request{Service: "m", Workspace: "w1", PromptTokens: 12_000, OutputTokens: 378, Objective: 800 * time.Millisecond,
+						RouteObjective: 800 * time.Millisecond, Deadline: 12 * second, DataCentre: "z1",
+						Prompt: []Part{{ID: hashPart("compare", i%40), Tokens: 5382}, {ID: PartID(i + 1), Tokens: 6610}}}
+					k := Key{fmt.Sprint("n", i%entries), uint64(1_000_000 + i)}
+					s.owner.Submit(k, req, now)
+					s.owner.RecordFirstEvent(k, now)
+					s.owner.End(k, api.AttemptServed, now)
+					s.owner.Decisions()
+				}
+				for i := range entries {
+					heard(i)
+				}
+				perSecond := 10 * targets
+				for i := range 2 * perSecond {
+					now += second / time.Duration(perSecond)
+					heard(i % entries)
+					decide(i)
+				}
+				b.ResetTimer()
+				for i := range b.N {
+					now += second / time.Duration(perSecond)
+					heard(i % entries)
+					decide(i)
+				}
+			})
+		}
+	}
+}
--- a/plugin/owner/fleet_test.go
+++ b/plugin/owner/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/routing"
 	"nutmegrouter/internal/settings"
 	_ "nutmegrouter/plugin/owner"  // registers itself
@@ -42,18 +43,34 @@
 	links    map[[2]string]*link
 	arrivals map[string][]arrival
 	refused  map[string]int // by code
+	cost     *cost          // of the owner's work; nil = none
 	begin    time.Time
 	timeline []string
 }
 
+// cost is the processor time that control instances spend. A control instance has one processor.
+type cost struct{ received, sent, decided time.Duration } // for each message, and for each decision in it
+
+// use occupies the processor of an instance for a time.
+func (n *node) use(d time.Duration) {
+	n.processor <- struct{}{}
+	time.Sleep(d)
+	<-n.processor
+}
+
 // link is the connection between an entry and a control instance.
 type link struct {
 	up   bool
 	held []func() // messages sent while the link is cut
 	next map[string]time.Time
+	// reading is held while a control instance reads a message, so that they stay in order.
+	reading chan struct{}
 }
 
-type arrival struct{ at time.Time }
+type arrival struct {
+	at        time.Time
+	workspace string
+}
 
 // node is one process of an instance.
 type node struct {
@@ -73,6 +90,7 @@
 	duties      *kernel.Duties
 	clock       kernel.Clock
 	placer      api.Placer
+	processor   chan struct{} // capacity 1
 
 	mu        sync.Mutex
 	handlers  map[string]api.Handler
@@ -106,7 +124,7 @@
 
 // start starts a process and its links.
 func (f *fleet) start(n *node) *node {
-	n.f, n.handlers = f, map[string]api.Handler{}
+	n.f, n.handlers, n.processor = f, map[string]api.Handler{}, make(chan struct{}, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel, n.duties = cancel, kernel.NewDuties(ctx)
 	s := &settings.Settings{Instance: n.name, DataCentre: "z", Profile: settings.ProfileRoutes}
@@ -185,7 +203,7 @@
 func (f *fleet) link(a, b *node) *link {
 	l := f.links[pair(a, b)]
 	if l == nil {
-		l = &link{next: map[string]time.Time{}}
+		l = &link{next: map[string]time.Time{}, reading: make(chan struct{}, 1)}
 		f.links[pair(a, b)] = l
 	}
 	return l
@@ -358,6 +376,9 @@
 		return err
 	}
 	f := n.f
+	if m, ok := params.(placewire.OwnerMessage); ok && f.cost != nil {
+		n.use(f.cost.sent + time.Duration(len(m.Decisions))*f.cost.decided)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.link(n, p)
@@ -372,6 +393,11 @@
 			up := f.link(n, p).up
 			f.mu.Unlock()
 			if h := p.handlers[method]; up && h != nil {
+				if p.control && f.cost != nil {
+					l.reading <- struct{}{}
+					defer func() { <-l.reading }()
+					p.use(f.cost.received)
+				}
 				_, err := h(context.Background(), n.name, raw)
 				must(err)
 			}
@@ -434,8 +460,14 @@
 }
 func (c *control) ReadRevision(context.Context) (uint64, error) { return 1, nil }
 
-// request sends one request through an entry instance.
+// request sends one request of one of eight workspaces through an entry instance.
 func (f *fleet) request(e *node, number int) {
+	_ = f.requestOf(e, fmt.Sprint("w", number%8), number)
+}
+
+// requestOf sends one request of a workspace through an entry instance. The error is an *api.Refusal, or
+// that of the context.
+func (f *fleet) requestOf(e *node, workspace string, number int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	f.mu.Lock()
@@ -444,7 +476,7 @@
 	f.mu.Unlock()
 	now := e.clock.Now()
 	p, err := e.placer.Place(ctx, &api.PlacementRequest{
-		RequestID: fmt.Sprint(number), Workspace: fmt.Sprint("w", number%8), Service: "m", Engine: engine, ColdPerSecond: coldPerSecond, Route: &routing.Route{Objective: time.Second},
+		RequestID: fmt.Sprint(number), Workspace: workspace, Service: "m", Engine: engine, ColdPerSecond: coldPerSecond, Route: &routing.Route{Objective: time.Second},
 		PromptTokens: 10, ExpectedOutputTokens: 5, Prompt: []api.PromptPart{{ID: fmt.Sprint(number), Tokens: 10}}, Objective: now + time.Second, Deadline: now + 3*time.Second,
 	})
 	if err != nil {
@@ -455,21 +487,22 @@
 		f.mu.Lock()
 		f.refused[code]++
 		f.mu.Unlock()
-		return
+		return err
 	}
 	time.Sleep(connecting)
 	if e.duties.Context().Err() != nil { // the process has ended
-		return
+		return nil
 	}
 	if err := p.BeforeSend(); err != nil {
 		p.End(api.AttemptUnsent)
-		return
+		return err
 	}
 	f.mu.Lock()
-	f.arrivals[p.Target().ID] = append(f.arrivals[p.Target().ID], arrival{time.Now()})
+	f.arrivals[p.Target().ID] = append(f.arrivals[p.Target().ID], arrival{time.Now(), workspace})
 	f.mu.Unlock()
 	time.Sleep(running / 2)
 	p.ResponseStarted()
 	time.Sleep(running / 2)
 	p.End(api.AttemptServed)
+	return nil
 }
--- a/plugin/owner/startlimit_test.go
+++ b/plugin/owner/startlimit_test.go
@@ -56,6 +56,11 @@
 		wg.Go(func() { f.request(e, n) })
 	}
 	wg.Wait()
+	f.end()
+}
+
+// end ends all processes.
+func (f *fleet) end() {
 	for _, list := range [][]*node{f.entries, f.controls} {
 		for _, n := range list {
 			n.cancel()
