owner, placer: an owner beyond its processor stays fair and recovers

Cause: work that nobody waits for any more. Entry instances gave a request up 250 ms after the owner's last message; an owner whose inbox was longer than that decided on requests that had been given up, each of which cost it the request, its end, a grant in vain and, since its caller came back, the next request. Three things fed this: the order of arrival let a flood delay all others, one review of queued requests took as long as the queue was, and an owner that had not got to a request said nothing to its entry instance. Class: metastable overload; FIFO work that outlives those who wait for it, and slowness read as silence.

Change: - Requests wait for their first decision in placement.intake, ordered by the service of their workspaces (start-time fair queueing). Ends withdraw them there. Times count from the ask; what is late and can't be served in time is refused at once without a search, and shares follow what the owner can decide while it is late. - The owner says how late it applied the last message (LatenessMs). While it is late, an entry instance sends one message in that time, with all that has come up, and without requests whose callers have left. - Active entry instances get heartbeats whether the owner has got to their requests or not. - A review decides on 32 queued requests at most, 4 while others wait for their first decision; a round on 32 requests or 10 ms, but always on some.

TestWithdrawnRequestReleasesGrant now sends its request first: the end of a request that was never sent is not told any more.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -77,6 +77,7 @@
 // is not above the best score. At most maxScannedTargets of them are examined, so that the
 // number of predictions per decision stays bounded in large fleets.
 func (o *Owner) choose(w *work, now time.Duration) (best, rested candidate) {
+	o.searches++
 	idleTarget := false
 	minUncached, minUncachedWait := -1, time.Duration(0)
 	consider := func(t *target, uncached int) candidate {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -63,6 +63,31 @@
 	o.grant(w, c, now)
 }
 
+// maxLateness is the lateness from which an owner refuses requests without choosing a target for them.
+const maxLateness = 100 * time.Millisecond
+
+// refuseLate refuses a request that an owner which is late should not spend more time on: one that misses
+// its objective on all targets, because it has waited too long here, or one of a workspace that has got its
+// share of what this owner decides. What is left of its time goes to requests that can be served well.
+func (o *Owner) refuseLate(w *work, now time.Duration) bool {
+	if w.request.Resumes {
+		return false
+	}
+	workspace := w.request.Workspace
+	code := ""
+	switch {
+	case o.shares.overloaded(workspace) && o.shares.excess(workspace, w.cost) > 0:
+		code = CodeShareExceeded
+	case w.missesObjective(o.typicalPrefillTime(w.request)+baseLatency, now):
+		code = CodeTooLate
+	default:
+		return false
+	}
+	o.shares.recordLate(workspace, w.cost, now)
+	o.refuse(w, candidate{}, code, w.request.Lateness, now)
+	return true
+}
+
 // missesObjective reports whether a request misses its objective if its first event comes
 // firstEventAfter from now.
 func (w *work) missesObjective(firstEventAfter, now time.Duration) bool {
@@ -212,10 +237,13 @@
 	return cmp.Compare(a.objectiveAt, b.objectiveAt)
 }
 
-// reviewPending decides anew on queued requests that miss their objective on the target, so
-// that they move to a better one or are refused.
-func (o *Owner) reviewPending(t *target, now time.Duration) {
+// reviewPending decides anew on at most the given number of queued requests that miss their objective on
+// the target, so that they move to a better one or are refused. It returns their number.
+func (o *Owner) reviewPending(t *target, most int, now time.Duration) (reviewed int) {
 	for _, w := range slices.Clone(t.pending) {
+		if reviewed == most {
+			break
+		}
 		interval := reviewInterval
 		if w.predictedMiss {
 			interval = missedReviewInterval
@@ -229,7 +257,9 @@
 		}
 		o.dropPending(w)
 		o.decide(w, now)
+		reviewed++
 	}
+	return reviewed
 }
 
 // redecidePending decides anew on all requests queued for a target.
--- a/internal/placement/forwarding.go
+++ b/internal/placement/forwarding.go
@@ -57,10 +57,10 @@
 // its own grants, its fair share, and the grants of the best served overloaded workspace. It is
 // larger by the growth of forwardControl while the targets have room.
 func (s *shares) forwardShare(name string) float64 {
-	u := s.byName[name]
-	if u == nil || u.requestedSum <= s.fairShare {
+	u, share := s.byName[name], s.throttledShare()
+	if u == nil || u.requestedSum <= share {
 		return 1
 	}
-	expected := max(u.grantedSum, s.fairShare, s.maxGranted)
+	expected := max(u.grantedSum, share, s.maxGranted)
 	return min(1, max(minForwardShare, u.forwardControl.factor()*forwardSlack*expected/u.requestedSum))
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -28,6 +28,9 @@
 	// Objective is the time until the first event is due, Deadline the time until the response
 	// is of no use any more. Both are relative to the call of Owner.Submit.
 	Objective, Deadline time.Duration
+	// Lateness is how long ago the entry instance asked, if the owner has been busy with other work.
+	// Objective and Deadline allow for it.
+	Lateness time.Duration
 	// RouteObjective is the whole objective of the route, from the caller's request on.
 	RouteObjective time.Duration
 	Tried          []string // IDs of targets to which the request was already sent
@@ -115,7 +118,9 @@
 	sortedTargets  []*target            // by ID
 	usable         map[string][]*target // targets that accept new requests, by service, sorted by ID
 	cacheIndex     cacheIndex
-	scanFrom       int // index of the target at which the next scan of choose begins
+	searches       uint64 // calls of choose
+	scanFrom       int    // index of the target at which the next scan of choose begins
+	asked          *intake
 	requests       map[Key]*work
 	numPending     int
 	shares         *shares
@@ -130,6 +135,7 @@
 	limits         map[string]*targetLimit
 	changedLimits  map[string]struct{}  // IDs of targets whose rate limit has changed
 	lastTick       time.Duration        // last review of the queued requests
+	reviewFrom     int                  // index of the target whose queue the next review begins with
 	followers      map[string]*follower // entry instances that report their starts, by name
 	reserved       map[string]int       // sum of the parts of followers, by target ID
 	takeover       *takeover            // nil = no entry instance has an unknown part
@@ -138,7 +144,7 @@
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
-		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, requests: map[Key]*work{},
+		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, asked: newIntake(), requests: map[Key]*work{},
 		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), requestCrashes: newRequestCrashes(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{},
 		followers: map[string]*follower{}, reserved: map[string]int{}}
 }
@@ -199,26 +205,29 @@
 
 // Submit decides on a request or queues it; Decisions returns the result. A request
 // whose key is already known is ignored.
-func (o *Owner) Submit(k Key, req Request, now time.Duration) {
+func (o *Owner) Submit(k Key, req Request, now time.Duration) { o.submit(k, req, now) }
+
+// submit is Submit. It reports whether a target was chosen or looked for.
+func (o *Owner) submit(k Key, req Request, now time.Duration) (decided bool) {
 	if o.requests[k] != nil {
-		return
+		return false
 	}
 	if o.refuseRepeat(k, req, now) {
-		return
+		return false
 	}
 	if req.Plain {
 		o.decidePlain(k, req, now)
-		return
+		return false
 	}
 	o.advanceShares(now)
 	w := newWork(k, req, now)
 	if remaining, refused := o.refusesPrompt(req, now); refused {
 		o.decisions = append(o.decisions, Decision{
 			Key: k, Code: CodePartCrashes, RetryAfter: max(remaining, minRetryAfter), ForwardShare: o.shares.forwardShare(req.Workspace)})
-		return
+		return false
 	}
 	o.requests[k] = w
-	w.effectiveObjectiveAt = max(w.objectiveAt, now+time.Duration(longPromptFactor*float64(o.typicalPrefillTime(req)+baseLatency)))
+	w.effectiveObjectiveAt = max(w.objectiveAt, now-req.Lateness+time.Duration(longPromptFactor*float64(o.typicalPrefillTime(req)+baseLatency)))
 	if firstObjectiveAt, isRetry := o.retries.firstObjective(uniquePart(req.Prompt)); isRetry && !req.Resumes {
 		w.objectiveAt = min(w.objectiveAt, firstObjectiveAt)
 		// It is late because of its first attempt, not for lack of capacity.
@@ -226,11 +235,15 @@
 	} else if !req.Resumes {
 		o.shares.recordRequested(req.Workspace, w.cost)
 	}
+	if req.Lateness >= maxLateness && o.refuseLate(w, now) {
+		return false
+	}
 	w.arrivedLate = w.missesObjective(baseLatency, now)
 	if !req.Resumes && !w.arrivedLate {
 		o.shares.usageOf(req.Workspace).forwardControl.recordForwarded(w.cost)
 	}
 	o.decide(w, now)
+	return true
 }
 
 // refusesPrompt reports whether a request may crash its target: a part of its prompt is blocked,
@@ -353,6 +366,7 @@
 func (o *Owner) End(k Key, outcome api.AttemptOutcome, now time.Duration) {
 	w := o.requests[k]
 	if w == nil {
+		o.asked.withdraw(k)
 		return
 	}
 	delete(o.requests, k)
@@ -397,6 +411,11 @@
 // RemoveEntry removes all requests of an entry instance that is disconnected. Capacity that
 // becomes free is used by the next Tick.
 func (o *Owner) RemoveEntry(entry string) {
+	for k := range o.asked.byKey {
+		if k.Entry == entry {
+			o.asked.withdraw(k)
+		}
+	}
 	for k, w := range o.requests {
 		if k.Entry != entry {
 			continue
@@ -410,6 +429,9 @@
 	}
 }
 
+// Searches returns how often a target was chosen or looked for, which is most of the owner's work.
+func (o *Owner) Searches() uint64 { return o.searches }
+
 // Waiting returns the number of queued requests.
 func (o *Owner) Waiting() int { return o.numPending }
 
@@ -438,6 +460,14 @@
 // minTickInterval is the minimum time between two reviews of the queued requests.
 const minTickInterval = 10 * time.Millisecond
 
+const (
+	// maxReviews is the number of queued requests that one review decides on anew at most. The next review
+	// goes on behind them, so that a review takes no longer if more requests wait.
+	maxReviews = 32
+	// maxReviewsBusy replaces it while other requests wait for their first decision.
+	maxReviewsBusy = 4
+)
+
 // Tick starts queued requests for which there is capacity and reviews the others: those that
 // miss their objective are moved or refused. It does nothing within 10 ms (minTickInterval)
 // of the last review.
@@ -448,10 +478,20 @@
 	o.lastTick = now
 	o.expireFollowers(now)
 	o.advanceShares(now)
-	for _, t := range o.sortedTargets {
-		if len(t.pending) > 0 {
-			o.startPending(t, now)
-			o.reviewPending(t, now)
+	from, left := o.reviewFrom, maxReviews
+	if o.Asked() > 0 {
+		left = maxReviewsBusy
+	}
+	for i := range o.sortedTargets {
+		n := (from + i) % len(o.sortedTargets)
+		t := o.sortedTargets[n]
+		if len(t.pending) == 0 {
+			continue
+		}
+		o.startPending(t, now)
+		if left > 0 {
+			left -= o.reviewPending(t, left, now)
+			o.reviewFrom = n
 		}
 	}
 }
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -42,6 +42,9 @@
 	// missed and granted count the tokens of all workspaces by slot: of requests that no
 	// target could begin in time, and of granted requests.
 	missed, granted [windowSlots]float64
+	// late is whether the owner has refused requests for its own lateness, by slot: the throughput is then
+	// bounded by the owner and not by the targets.
+	late [windowSlots]bool
 }
 
 func newShares(window time.Duration) *shares {
@@ -69,7 +72,7 @@
 		}
 	}
 	for i := range steps {
-		s.missed[(slot-i)%windowSlots], s.granted[(slot-i)%windowSlots] = 0, 0
+		s.missed[(slot-i)%windowSlots], s.granted[(slot-i)%windowSlots], s.late[(slot-i)%windowSlots] = 0, 0, false
 	}
 	s.slot = slot
 	if s.countedFrom < 0 {
@@ -117,6 +120,25 @@
 // recordMissed counts the tokens of a request that no target could begin in time.
 func (s *shares) recordMissed(tokens float64) { s.missed[s.slot%windowSlots] += tokens }
 
+// recordLate counts the tokens of a request that the owner was too late for.
+func (s *shares) recordLate(name string, tokens float64, now time.Duration) {
+	s.late[s.slot%windowSlots] = true
+	s.recordMissed(tokens)
+	s.recordUnmet(name, now)
+	u := s.usageOf(name)
+	u.forwardControl.recordForwarded(tokens)
+	u.forwardControl.recordRefused(tokens)
+}
+
+// throttledShare is the share from which entry instances throttle a workspace: that of the configured
+// throughput, or of the observed one while the owner is what bounds it.
+func (s *shares) throttledShare() float64 {
+	if slices.Contains(s.late[:], true) {
+		return s.observedShare
+	}
+	return s.fairShare
+}
+
 // minCountedTime is the shortest time over which shares are computed, half of the usual window
 // of 4 s: over less, a few large requests look like an overload.
 const minCountedTime = 2 * time.Second
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -62,10 +62,13 @@
 func newWork(k Key, req Request, now time.Duration) *work {
 	return &work{
 		key: k, request: req, submittedAt: now, objectiveAt: now + req.Objective, deadline: now + req.Deadline,
-		cost: float64(req.PromptTokens) + 2*float64(req.OutputTokens),
+		cost: req.cost(),
 	}
 }
 
+// cost returns the tokens of a request as shares count them.
+func (r *Request) cost() float64 { return float64(r.PromptTokens) + 2*float64(r.OutputTokens) }
+
 // rank is the priority class of a queued request: lower ranks start first.
 type rank int
 
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -145,6 +145,12 @@
 	Shed map[string]int `json:"y,omitempty"`
 }
 
+// IsAck reports whether the message only acknowledges the owner's messages.
+func (u *EntryMessage) IsAck() bool {
+	return !u.FullReport && u.Share == nil && len(u.Requests)+len(u.Running)+len(u.Began)+len(u.Answered)+len(u.Ends)+
+		len(u.Notices)+len(u.Crashes)+len(u.AnsweredSuspects)+len(u.Refused)+len(u.Shed) == 0
+}
+
 // StartShare is a placement.StartReport. Ages are in milliseconds.
 type StartShare struct {
 	Parts map[string]int     `json:"p,omitempty"`
@@ -238,6 +244,9 @@
 	// instance's messages that the owner has applied, both in nanoseconds; 0 = none.
 	Sent int64 `json:"i,omitempty"`
 	Echo int64 `json:"h,omitempty"`
+	// LatenessMs is how long after it was sent the newest of these messages was applied, in
+	// milliseconds.
+	LatenessMs int64 `json:"d,omitempty"`
 	// NotOwner reports that the sender is not the owner in this term.
 	NotOwner bool `json:"x,omitempty"`
 	// ReportFully asks for a full report, because messages of the entry instance were dropped.
--- a/plugin/owner/followers.go
+++ b/plugin/owner/followers.go
@@ -16,6 +16,8 @@
 	// endedProcessTime is how long after the loss of a link the starts of a process that has ended may
 	// still count.
 	endedProcessTime = time.Second
+	// contactTime is how long after it was active an entry instance gets heartbeats.
+	contactTime = time.Second
 )
 
 // peer is what this instance knows of an entry instance, whether it is the owner or not.
@@ -26,6 +28,8 @@
 	changedAt   time.Duration // of linked
 	echo        int64         // newest placewire.EntryMessage.Sent that was applied
 	sentAt      time.Duration // of the last message to it that acknowledges one
+	activeAt    time.Duration // of the last message from it that held more than an acknowledgement
+	lateness    time.Duration // how long after it was sent the newest message was applied
 }
 
 // recordLink applies a change of a link. The starts of an earlier process of the entry instance end with
@@ -70,11 +74,14 @@
 
 // recordHeard records that a message of an entry instance has arrived, and reports whether no later one of
 // the same process has overtaken it. A full report may be the first message of another process.
-func (o *Owner) recordHeard(from string, u *placewire.EntryMessage, now time.Duration) (newest bool) {
+func (o *Owner) recordHeard(from string, u *placewire.EntryMessage, lateness, now time.Duration) (newest bool) {
 	if u.Sent == 0 {
 		return false // it is of a version that reports no starts
 	}
 	p := o.peers[from]
+	if !u.IsAck() {
+		p.activeAt = now
+	}
 	if u.FullReport && u.Process != p.process {
 		if p.process != "" {
 			o.state.ForgetStarts(from, now)
@@ -84,19 +91,41 @@
 	newest = u.Sent >= p.echo
 	o.state.RecordHeard(from, u.Follows, time.Duration(u.Heard), time.Duration(u.HeardAgo), now)
 	if !newest {
+		o.peers[from] = p
 		return false
 	}
-	p.echo = u.Sent
+	p.echo, p.lateness = u.Sent, lateness
 	o.peers[from] = p
 	return true
 }
 
+// lateness returns how long ago a message that was received at a time was sent. The entry instance says
+// how long before it had received one of this owner's messages; the way of that one counts as well.
+func lateness(u *placewire.EntryMessage, received, now time.Duration) time.Duration {
+	waited := now - received
+	if u.Heard <= 0 {
+		return waited
+	}
+	return max(waited, now-time.Duration(u.Heard)-max(0, time.Duration(u.HeardAgo)))
+}
+
+// idlePeers returns the entry instances that have been active within contactTime, were sent no message within
+// heartbeatInterval, and would otherwise take a slow owner for a lost one.
+func (o *Owner) idlePeers(now time.Duration) (out []string) {
+	for name, p := range o.peers {
+		if p.activeAt > 0 && now-p.activeAt < contactTime && now-p.sentAt >= heartbeatInterval {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // stamp adds to a message when it is sent and which message of the entry instance it acknowledges.
 func (o *Owner) stamp(entry string, d *placewire.OwnerMessage, now time.Duration) {
 	p := o.peers[entry]
 	p.sentAt = now
 	o.peers[entry] = p
-	d.Sent, d.Echo = int64(now), p.echo
+	d.Sent, d.Echo, d.LatenessMs = int64(now), p.echo, p.lateness.Milliseconds()
 }
 
 // logTakeover logs the end of the takeover.
--- a/plugin/owner/load.go
+++ b/plugin/owner/load.go
@@ -25,6 +25,7 @@
 	messages, fullReports, shares, acks             int // of entry instances; acks carry nothing else
 	asked, began, answered, ended, running, refused int // requests in these messages
 	rounds, sent, granted, declined, reportsAsked   int
+	searches                                        int // of targets for requests
 
 	applyTime, decideTime, sendTime time.Duration
 	longestRound                    time.Duration
@@ -51,7 +52,7 @@
 	if u.Share != nil {
 		l.shares++
 	}
-	if !u.FullReport && u.Share == nil && len(u.Requests)+len(u.Began)+len(u.Answered)+len(u.Ends)+len(u.Running) == 0 {
+	if u.IsAck() {
 		l.acks++
 	}
 }
@@ -66,11 +67,11 @@
 		logqueue.Notice(o.log, "owner load", "step", "owner", "term", o.term, "over_ms", (now - l.since).Milliseconds(),
 			"messages", l.messages, "full_reports", l.fullReports, "shares", l.shares, "acks", l.acks, "dropped", o.reception.dropped.Swap(0),
 			"asked", l.asked, "began", l.began, "answered", l.answered, "ended", l.ended, "running", l.running, "refused_by_entries", l.refused,
-			"rounds", l.rounds, "sent", l.sent, "granted", l.granted, "declined", l.declined, "reports_asked", l.reportsAsked,
+			"rounds", l.rounds, "sent", l.sent, "searches", l.searches, "granted", l.granted, "declined", l.declined, "reports_asked", l.reportsAsked,
 			"decode_ms", o.reception.decodeTime.Swap(0)/int64(time.Millisecond), "apply_ms", l.applyTime.Milliseconds(), "decide_ms", l.decideTime.Milliseconds(),
 			"send_ms", l.sendTime.Milliseconds(), "longest_round_ms", l.longestRound.Milliseconds(),
 			"mean_wait_ms", l.wait.Milliseconds()/int64(l.messages), "longest_wait_ms", l.longestWait.Milliseconds(), "longest_inbox", l.longestInbox,
-			"queued", o.state.Waiting(), "followers", o.state.FollowerCount(), "held_starts", o.state.HeldStarts(now))
+			"undecided", o.state.Asked(), "queued", o.state.Waiting(), "followers", o.state.FollowerCount(), "held_starts", o.state.HeldStarts(now))
 	}
 	o.load = load{since: now}
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -35,6 +35,11 @@
 	inboxSize = 8192 // queued functions
 	// maxRound is the number of queued functions that are run before decisions are sent.
 	maxRound = 64
+	// maxDecisions is the number of requests that are decided on before decisions are sent, in steps of
+	// decisionStep; none are any more when the round has taken maxRoundTime.
+	maxDecisions = 32
+	decisionStep = 8
+	maxRoundTime = 10 * time.Millisecond
 	// tickInterval is how often the owner tries again to place queued requests while no
 	// message arrives.
 	tickInterval = 10 * time.Millisecond
@@ -103,11 +108,12 @@
 	// dropped has the term of the newest message that did not fit into the inbox, by entry instance.
 	dropped map[string]uint64
 
-	load      load
-	reception reception
+	load            load
+	reception       reception
+	searchesCounted uint64 // of placement.Owner.Searches
 
-	grants, refusals, blocks, blockedRequests *metrics.Counter
-	decideSeconds                             *metrics.Histogram
+	grants, refusals, searches, blocks, blockedRequests *metrics.Counter
+	decideSeconds                                       *metrics.Histogram
 }
 
 // Provision implements kernel.Plugin.
@@ -139,6 +145,7 @@
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
 	o.blockedRequests = c.Metrics.NewCounter("nutmeg_owner_requests_blocked_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
+	o.searches = c.Metrics.GetOrCreateCounter("nutmeg_owner_searches_total")
 	o.decideSeconds = c.Metrics.NewHistogram("nutmeg_owner_decide_seconds")
 	o.mesh.Handle(placewire.MethodUp, o.handleEntryMessage)
 	o.fleet.OnChange(func(*api.View) { o.inbox.Push(o.viewChanged) })
@@ -163,7 +170,10 @@
 		var tick <-chan time.Time
 		if o.term != 0 {
 			interval := clockCheckInterval
-			if o.state.Waiting() > 0 {
+			switch {
+			case o.state.Asked() > 0:
+				interval = 0
+			case o.state.Waiting() > 0:
 				interval = tickInterval
 			}
 			t.Reset(interval)
@@ -182,6 +192,11 @@
 			o.load.longestInbox = max(o.load.longestInbox, o.inbox.Len()+1)
 			f()
 			o.processQueued()
+		}
+		if o.term != 0 {
+			o.decideAsked(begin)
+		}
+		if f != nil {
 			o.load.applyTime += o.clock.Now() - begin
 			o.checkSuspension(ctx) // it may have been suspended in this round
 		}
@@ -258,6 +273,23 @@
 	}
 }
 
+// decideAsked decides on requests that entry instances have asked for, in a round that began at a time.
+func (o *Owner) decideAsked(begin time.Duration) {
+	if o.unconfirmed {
+		for _, entry := range o.state.DropAsked() {
+			o.send(entry, placewire.OwnerMessage{Term: o.term, NotOwner: true})
+		}
+		return
+	}
+	for range maxDecisions / decisionStep { // once in any case: messages alone may fill the time
+		now := o.clock.Now()
+		o.state.DecideAsked(decisionStep, now)
+		if o.state.Asked() == 0 || now-begin >= maxRoundTime {
+			return
+		}
+	}
+}
+
 // statusChanged starts the ownership when this instance becomes the control leader and
 // ends it when the leadership ends.
 func (o *Owner) statusChanged(s api.ControlStatus) {
@@ -267,7 +299,7 @@
 		o.term, o.state, o.unconfirmed = 0, nil, false
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
-		o.term, o.unconfirmed = s.Term, false
+		o.term, o.unconfirmed, o.searchesCounted = s.Term, false, 0
 		o.entries, o.limitsDue, o.suspectsDue = map[string]bool{}, map[string]bool{}, map[string]bool{}
 		o.blockedParts, o.suspects = newBroadcast(), newBroadcast()
 		o.state = placement.NewOwner(placement.Config{
@@ -386,7 +418,8 @@
 	}
 	now := o.clock.Now()
 	o.load.countMessage(u, now-received)
-	newest := o.recordHeard(from, u, now)
+	late := lateness(u, received, now)
+	newest := o.recordHeard(from, u, late, now)
 	if u.FullReport && u.Sent != 0 && !newest {
 		// It describes an earlier state, and requests that only it names would wait for good.
 		o.askForReport(from, now)
@@ -447,7 +480,7 @@
 	}
 	for i := range u.Requests {
 		a := &u.Requests[i]
-		o.state.Submit(placement.Key{Entry: from, Number: a.Number}, a.ToPlacement(u.DataCentre), now)
+		o.state.Ask(placement.Key{Entry: from, Number: a.Number}, a.ToPlacement(u.DataCentre), late, now)
 	}
 }
 
@@ -459,6 +492,10 @@
 	o.logTakeover(now)
 	o.state.Tick(now)
 	decisions := o.state.Decisions()
+	searches := int(o.state.Searches() - o.searchesCounted)
+	o.searchesCounted += uint64(searches)
+	o.searches.Add(searches)
+	o.load.searches += searches
 	messages := map[string]*placewire.OwnerMessage{}
 	to := func(entry string) *placewire.OwnerMessage {
 		d := messages[entry]
@@ -500,6 +537,9 @@
 				to(entry)
 			}
 		}
+		for _, entry := range o.idlePeers(now) {
+			to(entry)
+		}
 	}
 	decided := o.clock.Now()
 	o.load.decideTime += decided - now
--- a/plugin/owner/startlimit_test.go
+++ b/plugin/owner/startlimit_test.go
@@ -67,6 +67,7 @@
 			must(n.duties.Wait())
 		}
 	}
+	time.Sleep(time.Second) // messages on their way arrive: time stands still once the test has ended
 }
 
 // checkBound fails if a target has got more in a second than a cold one may.
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -342,8 +342,8 @@
 	defer a.placer.mu.Unlock()
 	a.answered = true
 	a.reportAnswered()
-	a.placer.pending.Answered = append(a.placer.pending.Answered, a.number) // sent with the next message
-	a.placer.signalSend()
+	a.placer.pending.Answered = append(a.placer.pending.Answered, a.number)
+	a.placer.signalSendWithin(lazyDelay)
 }
 
 // ReportCrash implements api.Placement. A target that has answered a request does not crash because of
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -45,6 +45,7 @@
 	candidates []api.Target
 	suspicion  suspicion
 	askedAt    time.Duration
+	sent       bool               // the owner was asked
 	response   chan ownerResponse // capacity 1
 }
 
@@ -245,9 +246,16 @@
 	default:
 	}
 	defer p.mu.Unlock()
+	p.endWait(number, wt)
+}
+
+// endWait ends the wait for the owner's response. An owner that was asked is told. The lock must be held.
+func (p *Placer) endWait(number uint64, wt *waiter) {
 	delete(p.waiting, number)
-	p.pending.Ends = append(p.pending.Ends, placewire.End{Number: number, Outcome: api.AttemptUnsent})
-	p.signalSend()
+	if wt.sent {
+		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: number, Outcome: api.AttemptUnsent})
+		p.signalSend()
+	}
 }
 
 // watchLoop checks while requests wait whether the owner has become silent.
@@ -296,11 +304,9 @@
 // releaseWaiting has all waiting requests placed locally. The lock must be held.
 func (p *Placer) releaseWaiting() {
 	for n, wt := range p.waiting {
-		delete(p.waiting, n)
-		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: n, Outcome: api.AttemptUnsent})
+		p.endWait(n, wt)
 		wt.response <- ownerResponse{placeLocally: true}
 	}
-	p.signalSend()
 }
 
 // placeEngineLocal places a model request locally and reports it to the owner. One that the last owner
@@ -415,6 +421,7 @@
 		return nil, nil
 	}
 	p.owner.silence.reset(now)
+	p.owner.lateness, p.owner.latenessAt = time.Duration(d.LatenessMs)*time.Millisecond, now
 	overtaken := d.Sent != 0 && d.Sent < p.owner.sent
 	p.recordContact(d.Sent, time.Duration(d.Echo), now)
 	if d.ReportFully {
--- a/plugin/placer/report_test.go
+++ b/plugin/placer/report_test.go
@@ -49,6 +49,7 @@
 		done <- err
 	}()
 	n := r.waitForAsk(0)
+	r.True(r.p.sendPending())
 	cancel()
 	r.True(errors.Is(<-done, context.Canceled))
 	r.grant(n)
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -62,7 +62,8 @@
 	contact          ownerContact
 	starts           *placement.StartShare
 	pending          placewire.EntryMessage // message to the owner that is not sent yet
-	sendSignal       chan struct{}          // pending has content
+	sendDueAt        time.Duration          // when pending is to be sent; -1 = it has no content
+	sendSignal       chan struct{}          // sendDueAt is earlier than before
 	watchSignal      chan struct{}          // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
@@ -85,6 +86,9 @@
 	sent             int64         // newest placewire.OwnerMessage.Sent
 	shareSentAt      time.Duration // when it was last sent this instance's starts; 0 = not yet
 
+	// lateness is the age of the newest message that it has applied, as it said at latenessAt.
+	lateness, latenessAt time.Duration
+
 	silence silenceTimer
 }
 
@@ -109,6 +113,7 @@
 	p.instance, p.localByWorkspace, p.subsets = c.Settings.Instance, map[string]int{}, map[string]subset{}
 	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
 	p.waiting, p.running, p.sendSignal = map[uint64]*waiter{}, map[uint64]*assignment{}, make(chan struct{}, 1)
+	p.sendDueAt = -1
 	p.watchSignal, p.readClocks = make(chan struct{}, 1), kernel.ReadClocks
 	p.ownerGrants = c.Metrics.NewCounter("nutmeg_placer_owner_grants_total")
 	p.localPlacements = c.Metrics.NewCounter("nutmeg_placer_local_total")
