placement: a search keeps affinity targets, and looks up no target in a map

The affinity target was found anew by hashing all targets of a service, so its cost grew with their number, and each examined target was looked up among those with a cached part.

Change: affinity targets are kept until the usable targets change, targets with a cached part are marked with the number of the search, and the fields that a search reads of each target lie together. Decisions are the same (TestChooseMatchesFullScan).

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -107,6 +107,7 @@
 		caching = o.cacheIndex[w.request.Prompt[0].ID]
 	}
 	for t := range caching {
+		t.examinedIn = o.searches
 		if t != preferred && t.info.Service == w.request.Service && o.inService(t) {
 			keepBest(consider(t, t.cache.uncachedTokens(w.request.Prompt)))
 		}
@@ -118,7 +119,7 @@
 	others := o.usable[w.request.Service]
 	for i := range min(len(others), maxScannedTargets) {
 		t := others[(o.scanFrom+i)%len(others)]
-		if _, isCaching := caching[t]; isCaching || t == preferred {
+		if t.examinedIn == o.searches || t == preferred { // among those that have cached a part, or preferred
 			continue
 		}
 		uncached := promptTokens
@@ -209,12 +210,30 @@
 // affinityTarget returns the target that is preferred for the shared parts of a prompt while
 // no target has cached them, or nil.
 func (o *Owner) affinityTarget(w *work) *target {
-	usable := o.usable[w.request.Service]
-	i := rendezvousIndex(AffinityPart(w.request.Prompt), len(usable), func(i int) (uint64, bool) { return usable[i].idHash, true })
-	if i < 0 {
-		return nil
+	k := affinityKey{w.request.Service, AffinityPart(w.request.Prompt)}
+	if t, known := o.affinity[k]; known {
+		return t
 	}
-	return usable[i]
+	usable := o.usable[k.service]
+	var t *target
+	if i := rendezvousIndex(k.part, len(usable), func(i int) (uint64, bool) { return usable[i].idHash, true }); i >= 0 {
+		t = usable[i]
+	}
+	if len(o.affinity) >= maxAffinity {
+		clear(o.affinity)
+	}
+	o.affinity[k] = t
+	return t
+}
+
+// maxAffinity bounds the affinity targets that are kept. Finding one takes the longer the more targets there
+// are, and the same few parts come again and again.
+const maxAffinity = 4096
+
+// affinityKey selects an affinity target.
+type affinityKey struct {
+	service string
+	part    PartID
 }
 
 // rendezvousIndex selects one of n targets for a prompt part by rendezvous hashing: the one
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"github.com/matryer/is"
 	"testing"
 	"time"
 
@@ -68,3 +69,24 @@
 		}
 	})
 }
+
+// Guards against an affinity target that is kept although it no longer accepts requests, or another one is
+// preferred since.
+func TestAffinityTargetFollowsTheTargets(t *testing.T) {
+	is := is.New(t)
+	o := newIntakeOwner(8)
+	_, r := askOf("w", 1)
+	r.Prompt = []Part{{ID: 77, Tokens: 50}, {ID: 1, Tokens: 50}}
+	affinity := func() *target { return o.affinityTarget(newWork(Key{"e", 1}, r, 0)) }
+	fresh := func() *target { clear(o.affinity); return affinity() }
+	first := affinity()
+	is.Equal(affinity(), fresh())
+	o.RecordNotice(TargetNotice{Target: first.info.ID, StartedUnixMs: first.info.StartedUnixMs, Leaving: true}, 0)
+	second := affinity()
+	is.True(second != first)
+	is.Equal(second, fresh())
+	v := o.view
+	v.Targets = v.Targets[:1]
+	o.SetView(v, 0)
+	is.Equal(affinity(), fresh())
+}
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -122,6 +122,7 @@
 	if notice.Leaving && !t.saysLeaving {
 		t.saysLeaving = true
 		o.usable[t.info.Service] = slices.DeleteFunc(o.usable[t.info.Service], func(u *target) bool { return u == t })
+		clear(o.affinity)
 	}
 	o.redecidePending(t, now)
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -118,8 +118,9 @@
 	sortedTargets  []*target            // by ID
 	usable         map[string][]*target // targets that accept new requests, by service, sorted by ID
 	cacheIndex     cacheIndex
-	searches       uint64 // calls of choose
-	scanFrom       int    // index of the target at which the next scan of choose begins
+	affinity       map[affinityKey]*target // of the usable targets
+	searches       uint64                  // calls of choose
+	scanFrom       int                     // index of the target at which the next scan of choose begins
 	asked          *intake
 	requests       map[Key]*work
 	numPending     int
@@ -144,7 +145,7 @@
 // NewOwner returns an owner without targets; SetView adds them.
 func NewOwner(c Config) *Owner {
 	return &Owner{
-		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, asked: newIntake(), requests: map[Key]*work{},
+		cfg: c, targets: map[string]*target{}, cacheIndex: cacheIndex{}, affinity: map[affinityKey]*target{}, asked: newIntake(), requests: map[Key]*work{},
 		shares: newShares(c.ShareWindow), retries: newRetryTracker(), crashes: newCrashTracker(), requestCrashes: newRequestCrashes(), unsettled: map[*target]struct{}{}, limits: map[string]*targetLimit{}, changedLimits: map[string]struct{}{}, meanRunTimes: map[string]time.Duration{},
 		followers: map[string]*follower{}, reserved: map[string]int{}}
 }
@@ -169,6 +170,7 @@
 	}
 	slices.SortFunc(o.sortedTargets, func(a, b *target) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	o.usable = map[string][]*target{}
+	clear(o.affinity)
 	for _, t := range o.sortedTargets {
 		if o.inService(t) {
 			o.usable[t.info.Service] = append(o.usable[t.info.Service], t)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -97,28 +97,30 @@
 
 // target is the owner's model of one target: its running and queued requests, cache and speed.
 type target struct {
+	// These fields are read for each target that a search examines.
+	prefillRate       float64       // prompt tokens per millisecond
+	lastBacklog       time.Duration // at backlogComputedAt
+	backlogComputedAt time.Duration // -1 = invalid
+	health            health
+	running           map[Key]*work
+	examinedIn        uint64 // number of the last search that found a part of the prompt in its cache
+
 	info   api.Target
 	idHash uint64 // of the ID
 	engine routing.Engine
 
-	running          map[Key]*work
 	prefillQueue     []*work // sent but without a first event, oldest first
 	outputTokens     int     // expected output of the running requests
 	cache            *promptCache
-	prefillRate      float64 // prompt tokens per millisecond
 	lastFirstEventAt time.Duration
 	lastStartAt      time.Duration
-	recentStarts     []start // within startWindow or held, oldest first
-	health           health
+	recentStarts     []start                // within startWindow or held, oldest first
 	saysLeaving      bool                   // it has said that it leaves, whatever the list says
 	pausedUntil      time.Duration          // it has asked for no requests until then
 	limit            *targetLimit           // its rate limit; nil = it has named none
 	failures         []failure              // that may be a crash, oldest first
 	pending          []*work                // requests queued at the owner for this target
 	pendingByRank    [numRanks]pendingTotal // sums over pending
-
-	backlogComputedAt time.Duration // when lastBacklog was computed; -1 = invalid
-	lastBacklog       time.Duration
 }
 
 // failure is a request that failed on a target before it was answered.
