owner: a message that was dropped is not acknowledged by a later one

If the report itself did not fit into the inbox and a later message did, it gave its part of the start limits away to an owner that did not know its starts, and targets could get more than a cold one bears.

Change: until a full report replaces a dropped message, the newest message before it stays the acknowledged one. A full report that does not arrive is asked for again after a second.

TestDroppedMessageIsNotAcknowledged failed before (Echo 200, want 50).

--- a/plugin/owner/dropped_test.go
+++ b/plugin/owner/dropped_test.go
@@ -30,6 +30,30 @@
 	r.Equal(m.Decisions[0].Target, "t1") // its only slot is free
 }
 
+// Guards against an entry instance that takes its starts for known to the owner, and so follows it, because a
+// later message than the dropped one with the starts was acknowledged.
+func TestDroppedMessageIsNotAcknowledged(t *testing.T) {
+	r := newHarness(t)
+	r.send(placewire.EntryMessage{FullReport: true, Process: "a", Sent: 50})
+	r.waitForCheck()
+	blocked := make(chan struct{})
+	r.o.inbox.Push(func() { <-blocked })
+	for r.o.inbox.Push(func() {}) {
+	}
+	raw, err := json.Marshal(placewire.EntryMessage{Term: 7, Sent: 100, Share: &placewire.StartShare{}})
+	r.NoErr(err)
+	_, err = r.o.handleEntryMessage(context.Background(), "e", raw)
+	r.NoErr(err)
+	close(blocked)
+	asked := r.nextWith(func(m placewire.OwnerMessage) bool { return m.ReportFully })
+	r.Equal(asked.Echo, int64(50))
+	r.send(placewire.EntryMessage{Sent: 200, Requests: newRequests(1)})
+	r.Equal(r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 }).Echo, int64(50))
+	r.send(placewire.EntryMessage{FullReport: true, Process: "a", Sent: 300, Share: &placewire.StartShare{}})
+	r.send(placewire.EntryMessage{Sent: 400, Requests: newRequests(2)})
+	r.Equal(r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 }).Echo, int64(400))
+}
+
 // Guards against a full report that a later message has overtaken by another way and that replaces the
 // newer state, and against one of a new process that is taken for such a report.
 func TestOvertakenReportIsIgnored(t *testing.T) {
--- a/plugin/owner/followers.go
+++ b/plugin/owner/followers.go
@@ -94,7 +94,13 @@
 		o.peers[from] = p
 		return false
 	}
-	p.echo, p.lateness = u.Sent, lateness
+	p.lateness = lateness
+	if u.FullReport {
+		delete(o.reportsDue, from)
+	}
+	if u.FullReport || !o.lacksMessages(from) { // otherwise the message that is acknowledged may be the dropped one
+		p.echo = u.Sent
+	}
 	o.peers[from] = p
 	return true
 }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -61,6 +61,8 @@
 	limitsInterval = 100 * time.Millisecond
 	// suspectsInterval is the minimum time between two messages with suspect requests.
 	suspectsInterval = 50 * time.Millisecond
+	// reportRetryDelay is the time after which an entry instance is asked again for a full report.
+	reportRetryDelay = time.Second
 	// confirmRetryDelay is the time between two such reads.
 	confirmRetryDelay = 20 * time.Millisecond
 )
@@ -104,6 +106,9 @@
 	limitsDue    map[string]bool
 	limitsSentAt time.Duration
 
+	// reportsDue is when entry instances were asked for full reports that have not arrived.
+	reportsDue map[string]time.Duration
+
 	droppedMu sync.Mutex
 	// dropped has the term of the newest message that did not fit into the inbox, by entry instance.
 	dropped map[string]uint64
@@ -301,6 +306,7 @@
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed, o.searchesCounted = s.Term, false, 0
 		o.entries, o.limitsDue, o.suspectsDue = map[string]bool{}, map[string]bool{}, map[string]bool{}
+		o.reportsDue = map[string]time.Duration{}
 		o.blockedParts, o.suspects = newBroadcast(), newBroadcast()
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
@@ -394,13 +400,30 @@
 		o.dropped = map[string]uint64{}
 	}
 	o.droppedMu.Unlock()
+	now := o.clock.Now()
 	for entry, term := range dropped {
 		if term == o.term {
-			o.askForReport(entry, o.clock.Now())
+			o.reportsDue[entry] = now
+			o.askForReport(entry, now)
+		}
+	}
+	for entry, askedAt := range o.reportsDue {
+		if now-askedAt >= reportRetryDelay && o.mesh.Reachable(entry) {
+			o.reportsDue[entry] = now
+			o.askForReport(entry, now)
 		}
 	}
 }
 
+// lacksMessages reports whether a message of an entry instance was dropped that no full report has replaced.
+func (o *Owner) lacksMessages(entry string) bool {
+	o.droppedMu.Lock()
+	defer o.droppedMu.Unlock()
+	_, dropped := o.dropped[entry]
+	_, due := o.reportsDue[entry]
+	return dropped || due
+}
+
 // askForReport asks an entry instance for a full report.
 func (o *Owner) askForReport(entry string, now time.Duration) {
 	m := placewire.OwnerMessage{Term: o.term, ReportFully: true}
