owner: TestStartLimitWithoutOwner compares a second with what was asked in it

The check failed once: 65 starts in the second before the loss of the owner, at least 0.8 of 84 wanted. Callers come at random (Poisson), so a second of 84 has fewer than 67 requests in about 3 of 100 runs. The share of 0.8 stays, now of what was asked in that second.

--- a/plugin/owner/fleet_test.go
+++ b/plugin/owner/fleet_test.go
@@ -46,6 +46,7 @@
 	links    map[[2]string]*link
 	arrivals map[string][]arrival
 	refused  map[string]int // by code
+	asked    []time.Time    // requests of run
 	cost     *cost          // of the owner's work; nil = none
 	begin    time.Time
 	timeline []string
--- a/plugin/owner/startlimit_test.go
+++ b/plugin/owner/startlimit_test.go
@@ -40,6 +40,17 @@
 	return n
 }
 
+// askedBetween returns the number of requests that callers have sent in an interval.
+func (f *fleet) askedBetween(from, to time.Time) int {
+	n := 0
+	for _, at := range f.asked {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // run plays a load and faults for a time, then ends all processes.
 func (f *fleet) run(perSecond float64, duration time.Duration, faults func()) {
 	end, number := time.Now().Add(duration), 0
@@ -52,6 +63,7 @@
 		f.mu.Unlock()
 		time.Sleep(wait)
 		number++
+		f.asked = append(f.asked, time.Now())
 		n := number
 		wg.Go(func() { f.request(e, n) })
 	}
@@ -119,9 +131,10 @@
 				f.checkBound(t, begin)
 				second := func(n float64) time.Time { return begin.Add(time.Duration(n * float64(time.Second))) }
 				before, without, after := f.startedBetween(second(4), second(5)), f.startedBetween(second(6.5), second(7.5)), f.startedBetween(second(10), second(15))/5
-				t.Logf("starts per second: %d before, %d without an owner, %d after; refused %v", before, without, after, f.refused)
-				if before < load*8/10 || without < load/2 || after < load*8/10 {
-					t.Errorf("starts per second: %d before, %d without an owner, %d after", before, without, after)
+				asked := f.askedBetween(second(4), second(5)) // the load of a single second is random
+				t.Logf("starts per second: %d of %d before, %d without an owner, %d after; refused %v", before, asked, without, after, f.refused)
+				if before < asked*8/10 || without < load/2 || after < load*8/10 {
+					t.Errorf("starts per second: %d of %d before, %d without an owner, %d after", before, asked, without, after)
 				}
 			})
 		})
