--- a/internal/placement/intake.go
+++ b/internal/placement/intake.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -130,7 +132,8 @@
 	case req.Plain || req.Resumes: // it takes little time, or has been decided on before
 		o.submitAsked(a, now)
 	case len(o.asked.byKey) >= maxAsked:
-		o.decisions = append(o.decisions, Decision{Key: k, Code: CodeTooLate, RetryAfter: maxRetryAfter, ForwardShare: 1})
+		o.decisions = append(o.decisions, Decision{
+			Key: k, Code: CodeTooLate, RetryAfter: maxRetryAfter, ForwardShare: o.shares.forwardShare(req.Workspace)})
 	default:
 		o.asked.add(a)
 	}
@@ -170,14 +173,11 @@
 
 // DropAsked forgets the requests that wait for their first decision, and returns the entry instances that
 // have asked.
-func (o *Owner) DropAsked() (entries []string) {
+func (o *Owner) DropAsked() []string {
 	seen := map[string]bool{}
 	for k := range o.asked.byKey {
-		if !seen[k.Entry] {
-			seen[k.Entry] = true
-			entries = append(entries, k.Entry)
-		}
+		seen[k.Entry] = true
 	}
 	o.asked = newIntake()
-	return entries
+	return slices.Collect(maps.Keys(seen))
 }
--- a/internal/placement/intake_test.go
+++ b/internal/placement/intake_test.go
@@ -184,3 +184,25 @@
 		}
 	})
 }
+
+// Guards against entry instances without heartbeats while their requests wait for their first decision, and
+// against an intake without a bound.
+func TestWaitingForTheFirstDecision(t *testing.T) {
+	is := is.New(t)
+	o := newIntakeOwner(1)
+	for n := range uint64(maxAsked) {
+		k, r := askOf("w", n)
+		o.Ask(k, r, 0, 0)
+	}
+	is.Equal(len(o.Decisions()), 0)
+	is.Equal(o.WaitingEntries(), []string{"e"})
+	k, r := askOf("w", maxAsked)
+	o.Ask(k, r, 0, 0)
+	refused := o.Decisions()
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Key, k)
+	is.Equal(refused[0].Code, CodeTooLate)
+	is.Equal(o.DropAsked(), []string{"e"})
+	is.Equal(o.Asked(), 0)
+	is.Equal(len(o.WaitingEntries()), 0)
+}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -437,19 +438,19 @@
 // Waiting returns the number of queued requests.
 func (o *Owner) Waiting() int { return o.numPending }
 
-// WaitingEntries returns the entry instances that have queued requests, in no particular order.
+// WaitingEntries returns the entry instances that have queued requests, or some that wait for their first
+// decision, in no particular order.
 func (o *Owner) WaitingEntries() []string {
 	seen := map[string]bool{}
-	var out []string
+	for k := range o.asked.byKey {
+		seen[k.Entry] = true
+	}
 	for _, t := range o.sortedTargets {
 		for _, w := range t.pending {
-			if !seen[w.key.Entry] {
-				seen[w.key.Entry] = true
-				out = append(out, w.key.Entry)
-			}
+			seen[w.key.Entry] = true
 		}
 	}
-	return out
+	return slices.Collect(maps.Keys(seen))
 }
 
 // Decisions returns the decisions made since the last call, oldest first.
--- a/plugin/control/cluster_test.go
+++ b/plugin/control/cluster_test.go
@@ -146,6 +146,8 @@
 				ctl.replica.failPendingCalls()
 				ctl.replica.dropNode()
 			}
+		} else if ctl.replica != nil {
+			ctl.drainWithoutNode(ctl.replica) // as the duty does until the log is open again
 		}
 		for _, p := range inst.Peers() { // as the lease plug-in distributes views
 			if other := inst.peer(p); other != nil {
--- a/plugin/owner/overload_test.go
+++ b/plugin/owner/overload_test.go
@@ -28,8 +28,9 @@
 
 // load sends requests of workspaces in turn through all entry instances, from an instant for a time.
 // Refused callers come back after the time that the refusal names, until their deadline.
-func (f *fleet) load(wg *sync.WaitGroup, rng *rand.Rand, from, duration time.Duration, perSecond float64, workspaces ...string) {
+func (f *fleet) load(wg *sync.WaitGroup, seed uint64, from, duration time.Duration, perSecond float64, workspaces ...string) {
 	const patience, attempts = 3 * time.Second, 3
+	rng := rand.New(rand.NewPCG(seed, uint64(len(workspaces))))
 	wg.Go(func() {
 		time.Sleep(from)
 		for number, end := 0, time.Now().Add(duration); time.Now().Before(end); number++ {
@@ -57,13 +58,12 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				begin := time.Now()
-				rng := rand.New(rand.NewPCG(seed, 1))
 				f := newFleet(seed, 3, 20, 40)
 				f.cost = &cost{received: 320 * time.Microsecond, sent: 240 * time.Microsecond, searched: 800 * time.Microsecond}
 				f.connect()
 				var wg sync.WaitGroup
-				f.load(&wg, rng, 0, 16*time.Second, normal, "w1", "w2", "w3", "w4", "w5", "w6", "w7")
-				f.load(&wg, rng, 6*time.Second, 4*time.Second, flood, "flood")
+				f.load(&wg, seed, 0, 16*time.Second, normal, "w1", "w2", "w3", "w4", "w5", "w6", "w7")
+				f.load(&wg, seed, 6*time.Second, 4*time.Second, flood, "flood")
 				wg.Wait()
 				f.end()
 				f.checkBound(t, begin)
