owner: the lateness of a message does not follow from a clock that has drifted

Seen while reading the change: an entry instance that had been idle for an hour heard the owner an hour ago, and by 100 ppm of drift its next message looks 360 ms late. The owner would take that for its own lateness and refuse the request. The same holds after a suspension that a monotonic clock does not count. Beyond 10 s since the last message, or 3.4 s on the way, only the wait in the inbox counts.

TestLatenessCountsFromTheEntryInstance has both cases and failed before.

--- a/plugin/owner/followers.go
+++ b/plugin/owner/followers.go
@@ -16,6 +16,12 @@
 	// endedProcessTime is how long after the loss of a link the starts of a process that has ended may
 	// still count.
 	endedProcessTime = time.Second
+	// maxHeardAgo is the longest time since an entry instance heard the owner from which the time of its
+	// message is derived.
+	maxHeardAgo = 10 * time.Second
+	// maxTransit is the longest time that a message and the one that it answers take on open links: a
+	// link counts as lost after 1.7 s of silence.
+	maxTransit = 2 * 1700 * time.Millisecond
 	// contactTime is how long after it was active an entry instance gets heartbeats.
 	contactTime = time.Second
 )
@@ -106,13 +112,18 @@
 }
 
 // lateness returns how long ago a message that was received at a time was sent. The entry instance says
-// how long before it had received one of this owner's messages; the way of that one counts as well.
+// how long before it had received one of this owner's messages; the way of that one counts as well. If that
+// was long ago, the clocks have drifted apart; if the way took too long, the entry instance was suspended.
 func lateness(u *placewire.EntryMessage, received, now time.Duration) time.Duration {
-	waited := now - received
-	if u.Heard <= 0 {
+	waited, ago := now-received, max(0, time.Duration(u.HeardAgo))
+	if u.Heard <= 0 || ago > maxHeardAgo {
 		return waited
 	}
-	return max(waited, now-time.Duration(u.Heard)-max(0, time.Duration(u.HeardAgo)))
+	sent := time.Duration(u.Heard) + ago
+	if received-sent > maxTransit {
+		return waited
+	}
+	return max(waited, now-sent)
 }
 
 // idlePeers returns the entry instances that have been active within contactTime, were sent no message within
--- a/plugin/owner/heartbeat_test.go
+++ b/plugin/owner/heartbeat_test.go
@@ -45,7 +45,8 @@
 	r.True(!heartbeat())
 }
 
-// Guards against an owner that reports the wait in its inbox, but not that on the way to it.
+// Guards against an owner that reports the wait in its inbox, but not that on the way to it, and against one
+// that takes the drift of clocks or a suspension for its own lateness and refuses requests for it.
 func TestLatenessCountsFromTheEntryInstance(t *testing.T) {
 	r := newHarness(t)
 	now := time.Minute
@@ -54,5 +55,7 @@
 	}
 	r.Equal(lateness(u(0, 0), now-20*time.Millisecond, now), 20*time.Millisecond) // it has heard nothing yet
 	r.Equal(lateness(u(now-time.Second, 700*time.Millisecond), now-20*time.Millisecond, now), 300*time.Millisecond)
-	r.Equal(lateness(u(now-time.Second, 5*time.Second), now-20*time.Millisecond, now), 20*time.Millisecond) // a clock that runs fast
+	r.Equal(lateness(u(now-time.Second, 5*time.Second), now-20*time.Millisecond, now), 20*time.Millisecond)     // a clock that runs fast
+	r.Equal(lateness(u(now-30*time.Second, 29*time.Second), now-20*time.Millisecond, now), 20*time.Millisecond) // clocks that have drifted
+	r.Equal(lateness(u(now-9*time.Second, time.Second), now-20*time.Millisecond, now), 20*time.Millisecond)     // it was suspended meanwhile
 }
