--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -135,6 +135,8 @@
 	// Document is the compressed configuration of a fleet with the profile
 	// "routes", as the operator sent it.
 	Document []byte `json:"document,omitempty"`
+	// Rollouts holds the newest rollout of each service that has had one, by service.
+	Rollouts map[string]Rollout `json:"rollouts,omitempty"`
 }
 
 // Fleet stores the newest view of the configuration on this instance.
@@ -180,6 +182,8 @@
 	// data centre has been accepted since and says the opposite, the change conflicts with
 	// it; nil = Control.Submit reads it.
 	BaseOrders *uint64 `json:"base_orders,omitempty"`
+	// Rollout starts or ends a rollout; nil = neither. It is used only if OnNewestRevision is set.
+	Rollout *RolloutChange `json:"rollout,omitempty"`
 }
 
 // SubmitResult is the stored result of a submission.
@@ -267,6 +271,12 @@
 	ReadOrders(ctx context.Context) (uint64, error)
 	// ReadView returns the newest accepted view by a linearizable read.
 	ReadView(ctx context.Context) (*View, error)
+	// SaveRolloutAccount stores the account of a running rollout. Figures that are lower than the stored ones
+	// are ignored. It fails if the rollout does not run any more.
+	SaveRolloutAccount(ctx context.Context, a RolloutAccount) error
+	// ReadRolloutAccounts returns the accounts of the running rollouts by service, by a linearizable read. A
+	// rollout whose account was never saved has one without figures.
+	ReadRolloutAccounts(ctx context.Context) (map[string]RolloutAccount, error)
 	// Status returns the state of the local replica. On an instance without one
 	// ReplicaID is "".
 	Status() ControlStatus
--- a/internal/api/dialect.go
+++ b/internal/api/dialect.go
@@ -36,6 +36,10 @@
 	// ParseOrder returns the order that an operator's HTTP call stands for; false
 	// if there is none with this method and path.
 	ParseOrder(method, path string) (Order, bool)
+	// ParseRolloutOrder parses the body of an order to start a rollout. The error says what is invalid.
+	ParseRolloutOrder(body []byte) (RolloutChange, error)
+	// FormatRollout returns the response to a read of the state of a rollout, in JSON.
+	FormatRollout(r Rollout) []byte
 	// ReadyPath returns the path of the load balancer's readiness check.
 	ReadyPath() string
 }
@@ -77,6 +81,9 @@
 	// LastEventID is the id of the event after which a stream resumes; "" keeps
 	// the caller's header.
 	LastEventID string
+	// FetchFrom is the IP:port of a target from which this one fetches the parts of the prompt that it has
+	// not cached; "" = it reads them itself.
+	FetchFrom string
 }
 
 // ResponseFields are the fields in the response header of a target.
@@ -106,8 +113,9 @@
 	Service    string
 	Address    string // IP:port
 	DataCentre string
-	Slots      int  // concurrent requests
-	Leaving    bool // about to be removed; must not be sent new requests
+	Version    string // of its software
+	Slots      int    // concurrent requests
+	Leaving    bool   // about to be removed; must not be sent new requests
 	// ColdRemaining is how long the target stays cold, counted from the time of
 	// the response.
 	ColdRemaining time.Duration
@@ -129,14 +137,17 @@
 
 // Kinds of orders.
 const (
-	OrderReplace   OrderKind = iota + 1 // replace the configuration
-	OrderRead                           // read the configuration
-	OrderTakeOut                        // take a data centre out of service
-	OrderBringBack                      // bring a data centre back into service
+	OrderReplace      OrderKind = iota + 1 // replace the configuration
+	OrderRead                              // read the configuration
+	OrderTakeOut                           // take a data centre out of service
+	OrderBringBack                         // bring a data centre back into service
+	OrderStartRollout                      // move a service to a new version
+	OrderReadRollout                       // read the state of a service's newest rollout
 )
 
 // Order is an operator's order, parsed from an HTTP call.
 type Order struct {
 	Kind       OrderKind
 	DataCentre string // set for OrderTakeOut and OrderBringBack
+	Service    string // set for OrderReadRollout
 }
--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -15,8 +15,9 @@
 	Service    string
 	Address    string // IP:port
 	DataCentre string
-	Slots      int  // concurrent requests
-	Leaving    bool // about to be removed; must not be sent new requests
+	Version    string // of its software
+	Slots      int    // concurrent requests
+	Leaving    bool   // about to be removed; must not be sent new requests
 	// ColdUntil is the end of the cold start on the kernel clock; 0 = warm.
 	ColdUntil time.Duration
 	// StartedUnixMs is the start time of the target in Unix milliseconds, which
@@ -68,6 +69,9 @@
 type Placement interface {
 	// Target returns the target.
 	Target() Target
+	// FetchFrom returns the IP:port of the target from which the target is to fetch parts of the prompt; "" =
+	// none.
+	FetchFrom() string
 	// BeforeSend reports that the first byte of the request is about to be written.
 	// It fails if the target must no longer be used; then nothing may be sent.
 	BeforeSend() error
--- a/internal/fleetstate/command.go
+++ b/internal/fleetstate/command.go
@@ -19,6 +19,8 @@
 	Claim  *Claim      `json:"claim,omitempty"`
 	Settle *Settle     `json:"settle,omitempty"`
 	Epoch  *OrderEpoch `json:"epoch,omitempty"`
+	// Account is the account of a running rollout. It makes no revision.
+	Account *api.RolloutAccount `json:"account,omitempty"`
 }
 
 // Submit is a change by an operator. Its document has been validated before.
--- a/internal/fleetstate/snapshot.go
+++ b/internal/fleetstate/snapshot.go
@@ -31,6 +31,7 @@
 	History  []api.HistoryEntry    `json:"history,omitempty"`
 	Claims   []*claim              `json:"claims,omitempty"`
 	Epochs   []*poolEpochs         `json:"epochs,omitempty"`
+	Rollouts map[string]rollout    `json:"rollouts,omitempty"`
 }
 
 // storedChange is the result of a submitted change.
@@ -45,6 +46,7 @@
 		Format: snapshotFormat, NowMs: s.nowMs, Revision: s.revision, Config: s.config,
 		Version: s.version, Document: s.document,
 		Out: s.outOfService, Orders: s.orders, Ordered: s.lastOrders, Moves: s.moves, History: s.history,
+		Rollouts: s.rollouts,
 	}
 	for _, id := range s.changeOrder {
 		data.Changes = append(data.Changes, storedChange{id, s.changes[id]})
@@ -77,6 +79,7 @@
 	s.orders = data.Orders
 	maps.Copy(s.lastOrders, data.Ordered)
 	maps.Copy(s.moves, data.Moves)
+	maps.Copy(s.rollouts, data.Rollouts)
 	for _, c := range data.Changes {
 		s.changes[c.ID] = c.Result
 		s.changeOrder = append(s.changeOrder, c.ID)
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -28,6 +28,7 @@
 	history      []api.HistoryEntry
 	claims       claims
 	epochs       map[string]*poolEpochs
+	rollouts     map[string]rollout // the newest of each service
 	view         *api.View
 }
 
@@ -40,6 +41,7 @@
 		changes:      map[string]api.SubmitResult{},
 		claims:       newClaims(),
 		epochs:       map[string]*poolEpochs{},
+		rollouts:     map[string]rollout{},
 		view:         &api.View{},
 	}
 }
@@ -63,6 +65,8 @@
 		return s.claims.claim(c.Claim, s.nowMs)
 	case c.Settle != nil:
 		return s.claims.settle(c.Settle)
+	case c.Account != nil:
+		return s.saveAccount(c.Account)
 	case c.Epoch != nil:
 		return Result{Epoch: s.issueEpoch(c.Epoch.Pool, c.ID)}
 	}
@@ -99,7 +103,7 @@
 
 // rebuildView replaces the view by one of the current state.
 func (s *State) rebuildView() {
-	v := &api.View{Revision: s.revision, Config: s.config, Version: s.version, Document: s.document}
+	v := &api.View{Revision: s.revision, Config: s.config, Version: s.version, Document: s.document, Rollouts: s.viewRollouts()}
 	if len(s.outOfService) > 0 {
 		v.DataCentresOut = make(map[string]bool, len(s.outOfService))
 		for dc := range s.outOfService {
--- a/internal/fleetstate/submit.go
+++ b/internal/fleetstate/submit.go
@@ -63,8 +63,12 @@
 // applyToNewest applies a change without a base revision. A document replaces the current
 // one if its version is higher. An order on a data centre conflicts with a later one that
 // says the opposite: its message was delayed. A change without effect makes no revision,
-// but an order counts, so that those ordered before it conflict.
+// but an order counts, so that those ordered before it conflict. Rollouts are separate
+// changes.
 func (s *State) applyToNewest(c *Submit) api.SubmitResult {
+	if c.Rollout != nil {
+		return s.applyRollout(c)
+	}
 	_, out := s.outOfService[c.DataCentre]
 	if c.DataCentre != "" {
 		last := s.lastOrders[c.DataCentre]
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -143,12 +143,15 @@
 	// Shed is the number of tokens of the requests that the entry instance shed for
 	// lack of processor time or memory, by workspace. The tokens count as in Tokens.
 	Shed map[string]int `json:"y,omitempty"`
+	// Rollouts lists what this entry instance has seen of running rollouts: those whose figures have
+	// changed, or in a full report all.
+	Rollouts []RolloutEvidence `json:"z2,omitempty"`
 }
 
 // IsAck reports whether the message only acknowledges the owner's messages.
 func (u *EntryMessage) IsAck() bool {
 	return !u.FullReport && u.Share == nil && len(u.Requests)+len(u.Running)+len(u.Began)+len(u.Answered)+len(u.Ends)+
-		len(u.Notices)+len(u.Crashes)+len(u.AnsweredSuspects)+len(u.Refused)+len(u.Shed) == 0
+		len(u.Rollouts)+len(u.Notices)+len(u.Crashes)+len(u.AnsweredSuspects)+len(u.Refused)+len(u.Shed) == 0
 }
 
 // StartShare is a placement.StartReport. Ages are in milliseconds.
@@ -228,6 +231,16 @@
 	// IdleTarget reports that a target was idle when a request beyond its workspace's share was
 	// decided on.
 	IdleTarget bool `json:"i,omitempty"`
+	// NewVersion reports that the request goes to the new version of a service whose rollout runs: a plain
+	// request is permitted there, the target of a model request has it. It is good for one send.
+	NewVersion bool `json:"v,omitempty"`
+	// ExpectedMs is, for a model request of a service whose rollout runs, the time from the send to the
+	// first event that is expected of the versions before, in milliseconds.
+	ExpectedMs int64 `json:"k,omitempty"`
+	// FetchFrom is the ID of the target from which the granted one fetches parts of the prompt, and
+	// FetchStartedUnixMs its incarnation; "" = none.
+	FetchFrom          string `json:"f,omitempty"`
+	FetchStartedUnixMs int64  `json:"fs,omitempty"`
 	// Term is the owner's term, set by the receiver; it is not sent.
 	Term uint64 `json:"-"`
 }
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -24,6 +24,8 @@
 	Directory Directory `json:"directory"`
 	// Bounds are the service levels promised to callers and operators.
 	Bounds Bounds `json:"bounds"`
+	// Rollouts bounds rollouts; nil = the fleet serves no orders for rollouts.
+	Rollouts *Rollouts `json:"rollouts,omitempty"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB float64 `json:"memoryMB"`
 	// MaxFiles is the number of files and sockets that the process may have open.
@@ -50,6 +52,16 @@
 	MaxLagMs float64 `json:"maxLagMs"`
 }
 
+// Rollouts bounds what the targets of a new version that turns out to be bad may get.
+type Rollouts struct {
+	// ExposureShare and ExposureSlack bound its requests: that share of all requests that reach its service
+	// until the deadline of the rollout, plus the slack.
+	ExposureShare float64 `json:"exposureShare"`
+	ExposureSlack float64 `json:"exposureSlack"`
+	// RollbackMs is the time after its 50th bad response from which it must get no request.
+	RollbackMs float64 `json:"rollbackMs"`
+}
+
 // Bounds are times and ratios promised to callers and operators.
 type Bounds struct {
 	// ApplyMs is the time within which an accepted configuration is in force on all
--- a/internal/targetlist/list.go
+++ b/internal/targetlist/list.go
@@ -36,6 +36,7 @@
 	Service    string `json:"s"`
 	Address    string `json:"a"`
 	DataCentre string `json:"z,omitempty"`
+	Version    string `json:"v,omitempty"`
 	Slots      int    `json:"n,omitempty"`
 	Leaving    bool   `json:"l,omitempty"`
 	ColdMs     int64  `json:"c,omitempty"` // rest of the cold start at the time of the update; 0 = warm
@@ -183,6 +184,7 @@
 	return cmp.Or(
 		cmp.Compare(b.ColdUntil, a.ColdUntil), cmp.Compare(a.Slots, b.Slots),
 		cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Address, b.Address),
+		cmp.Compare(a.Version, b.Version),
 	) < 0
 }
 
@@ -194,7 +196,7 @@
 // fromEntry returns the target of an entry received at the time now.
 func fromEntry(e api.DirectoryEntry, now time.Duration) api.Target {
 	t := api.Target{
-		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 		Slots: e.Slots, Leaving: e.Leaving, StartedUnixMs: e.StartedUnixMs,
 	}
 	if e.ColdRemaining > 0 {
@@ -206,7 +208,7 @@
 // toEntry returns the wire form of a target at the time now.
 func toEntry(t api.Target, now time.Duration) Entry {
 	return Entry{
-		ID: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre,
+		ID: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Version: t.Version,
 		Slots: t.Slots, Leaving: t.Leaving, StartedUnixMs: t.StartedUnixMs,
 		ColdMs: max(0, t.ColdUntil-now).Milliseconds(),
 	}
@@ -246,7 +248,7 @@
 	}
 	for _, e := range u.Entries {
 		next[e.ID] = fromEntry(api.DirectoryEntry{
-			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
+			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Slots: e.Slots,
 			Leaving: e.Leaving, StartedUnixMs: e.StartedUnixMs, ColdRemaining: time.Duration(e.ColdMs) * time.Millisecond,
 		}, now)
 	}
--- a/plugin/control/client.go
+++ b/plugin/control/client.go
@@ -145,6 +145,19 @@
 	return r.View, nil
 }
 
+// SaveRolloutAccount implements api.Control. It retries until ctx ends.
+func (c *Control) SaveRolloutAccount(ctx context.Context, a api.RolloutAccount) error {
+	_, err := c.command(ctx, methodAccount, fleetstate.Command{ID: c.ids.next(), Account: &a})
+	return err
+}
+
+// ReadRolloutAccounts implements api.Control. It retries until ctx ends.
+func (c *Control) ReadRolloutAccounts(ctx context.Context) (map[string]api.RolloutAccount, error) {
+	var r reply
+	err := c.callLeader(ctx, methodAccounts, struct{}{}, &r)
+	return r.Accounts, err
+}
+
 // History implements api.Control. It returns at most limit changes, newest first, by a
 // linearizable read; a limit of 0 or less returns up to maxHistoryEntries.
 func (c *Control) History(ctx context.Context, limit int) ([]api.HistoryEntry, error) {
--- a/plugin/control/replica.go
+++ b/plugin/control/replica.go
@@ -56,6 +56,7 @@
 	orders   uint64 // as State.Orders
 	view     *api.View
 	history  []api.HistoryEntry
+	accounts map[string]api.RolloutAccount // of running rollouts
 }
 
 // pending is a proposal that is not applied yet, with the callbacks of the calls that
@@ -223,7 +224,7 @@
 	for _, read := range rd.Reads {
 		if done, ok := r.pendingReads[read.Context]; ok {
 			delete(r.pendingReads, read.Context)
-			done(callResult{state: readState{r.state.Revision(), r.state.Orders(), r.state.View(), r.state.History(maxHistoryEntries)}})
+			done(callResult{state: readState{r.state.Revision(), r.state.Orders(), r.state.View(), r.state.History(maxHistoryEntries), r.state.RolloutAccounts()}})
 		}
 	}
 	return nil
--- a/plugin/control/server.go
+++ b/plugin/control/server.go
@@ -25,6 +25,9 @@
 	methodRead    = "control.read"
 	methodHistory = "control.history"
 	methodView    = "control.view"
+	// methodAccount stores the account of a rollout, methodAccounts reads all of them.
+	methodAccount  = "control.account"
+	methodAccounts = "control.accounts"
 )
 
 // Timeouts of the serving replica for one call. They may be shorter than the time
@@ -49,11 +52,12 @@
 	Leader string            `json:"leader,omitempty"`
 	Error  string            `json:"error,omitempty"`
 	Result fleetstate.Result `json:"result"`
-	// Revision, Orders, View and History are set in replies to reads.
-	Revision uint64             `json:"revision,omitempty"`
-	Orders   uint64             `json:"orders,omitempty"`
-	View     *api.View          `json:"view,omitempty"`
-	History  []api.HistoryEntry `json:"history,omitempty"`
+	// Revision, Orders, View, History and Accounts are set in replies to reads.
+	Revision uint64                        `json:"revision,omitempty"`
+	Orders   uint64                        `json:"orders,omitempty"`
+	View     *api.View                     `json:"view,omitempty"`
+	History  []api.HistoryEntry            `json:"history,omitempty"`
+	Accounts map[string]api.RolloutAccount `json:"accounts,omitempty"`
 }
 
 func (c *Control) registerHandlers() {
@@ -61,6 +65,7 @@
 	c.mesh.Handle(methodProbe, c.handleProbe)
 	for _, method := range []string{
 		methodJoin, methodSubmit, methodClaim, methodSettle, methodEpoch, methodRead, methodHistory, methodView,
+		methodAccount, methodAccounts,
 	} {
 		c.mesh.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 			return c.serve(ctx, method, params), nil
@@ -119,7 +124,7 @@
 	}
 	switch {
 	case res.err == nil:
-		return reply{Result: res.result, Revision: res.state.revision, Orders: res.state.orders, View: res.state.view, History: res.state.history}
+		return reply{Result: res.result, Revision: res.state.revision, Orders: res.state.orders, View: res.state.view, History: res.state.history, Accounts: res.state.accounts}
 	case errors.Is(res.err, errRetry), ctx.Err() != nil:
 		return reply{Retry: true, Leader: c.Status().Leader}
 	}
@@ -136,7 +141,7 @@
 			return callResult{}, errors.WithMessage(err, "control: join")
 		}
 		return c.runOnReplica(ctx, func(r *replica, done func(callResult)) { r.join(p, done) }), nil
-	case methodRead, methodHistory, methodView:
+	case methodRead, methodHistory, methodView, methodAccounts:
 		res := c.runOnReplica(ctx, func(r *replica, done func(callResult)) { r.readIndex(done) })
 		if method != methodHistory {
 			res.state.history = nil
@@ -144,6 +149,9 @@
 		if method != methodView {
 			res.state.view = nil
 		}
+		if method != methodAccounts {
+			res.state.accounts = nil
+		}
 		return res, nil
 	}
 	var cmd fleetstate.Command
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -337,7 +337,7 @@
 // send writes the request and reads the response header, both before the deadline.
 func (a *attempt) send(conn *targetconn.Conn) (*exchange.Exchange, *exchange.Failure) {
 	a.sendBegun = false
-	header := a.call.header(a.placement.Target())
+	header := a.call.header(a.placement)
 	defer fasthttp.ReleaseRequest(header)
 	remaining := a.call.remaining()
 	deadline := time.Now().Add(remaining)
@@ -372,13 +372,14 @@
 
 // header returns a request with the request line and headers for a target. The caller
 // must release it with fasthttp.ReleaseRequest.
-func (c *call) header(t api.Target) *fasthttp.Request {
+func (c *call) header(p api.Placement) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	c.req.Header.CopyTo(&req.Header)
 	exchange.StripRequest(&req.Header)
 	req.Header.SetNoDefaultContentType(true)
 	c.fwd.dialect.SetTargetHeaders(&req.Header, api.TargetFields{
-		Workspace: c.req.Workspace, Timeout: c.remaining(), ExpectedTarget: t.ID, LastEventID: c.lastEventID,
+		Workspace: c.req.Workspace, Timeout: c.remaining(), ExpectedTarget: p.Target().ID, LastEventID: c.lastEventID,
+		FetchFrom: p.FetchFrom(),
 	})
 	return req
 }
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -181,6 +181,7 @@
 }
 
 func (p *placement) Target() api.Target { return api.Target{ID: p.t.id, Address: p.t.address} }
+func (p *placement) FetchFrom() string  { return "" }
 func (p *placement) BeforeSend() error  { return nil }
 func (p *placement) ResponseStarted()   {}
 func (p *placement) ReportEvents(int)   {}
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -1,6 +1,6 @@
 // Package operators serves the operators' HTTP interface on the control instances of a
 // fleet with the profile "routes": replacing and reading the configuration, taking data
-// centres out of service and bringing them back. Any control instance accepts a call and forwards
+// centres out of service and bringing them back, starting rollouts and reading their state. Any control instance accepts a call and forwards
 // it to the leader through api.Control.
 package operators
 
@@ -91,6 +91,8 @@
 		s.refuse(ctx, fasthttp.StatusNotFound, "no such call")
 	case order.Kind == api.OrderRead:
 		s.read(ctx)
+	case order.Kind == api.OrderStartRollout || order.Kind == api.OrderReadRollout:
+		s.serveRollout(ctx, order)
 	case order.Kind == api.OrderReplace:
 		s.replace(ctx)
 	default:
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -237,6 +237,9 @@
 // Target implements api.Placement.
 func (a *assignment) Target() api.Target { return a.target }
 
+// FetchFrom implements api.Placement.
+func (a *assignment) FetchFrom() string { return "" }
+
 // BeforeSend implements api.Placement.
 func (a *assignment) BeforeSend() error {
 	if age := a.placer.readClocks().Since(a.chosenAt); age > grantLifetime {
