settings: bounds on rollouts are validated; misspelt ones are refused

The parser decoded the section routes.rollouts, the first pointer in the settings, with encoding/json, which ignores unknown and repeated fields: a misspelt exposureSlack counted as 0. It is decoded like other objects now, and its values must be in range.

--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -127,6 +127,9 @@
 
 func (p *parser) decodeValue(raw json.RawMessage, base int, name string, v reflect.Value) {
 	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		p.decodeValue(raw, base, name, v.Elem())
 	case reflect.Struct:
 		p.decodeObject(raw, base, name+".", v)
 	case reflect.Slice:
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -137,6 +137,22 @@
 	if r.LossesTolerated < 0 {
 		p.addProblem(p.fieldOffset("lossesTolerated"), "routes.lossesTolerated", "must not be negative")
 	}
+	if r.Rollouts != nil {
+		p.checkRollouts(*r.Rollouts)
+	}
+}
+
+// checkRollouts validates the bounds on rollouts.
+func (p *parser) checkRollouts(r Rollouts) {
+	if r.ExposureShare <= 0 || r.ExposureShare > 1 {
+		p.addProblem(p.fieldOffset("exposureShare"), "routes.rollouts.exposureShare", "must be above 0 and at most 1")
+	}
+	if r.ExposureSlack < 0 {
+		p.addProblem(p.fieldOffset("exposureSlack"), "routes.rollouts.exposureSlack", "must not be negative")
+	}
+	if r.RollbackMs <= 0 {
+		p.addProblem(p.fieldOffset("rollbackMs"), "routes.rollouts.rollbackMs", "must be above 0")
+	}
 }
 
 // MeshAddress returns the mesh address, IP:port, of the instance whose address for
