rollout: failures of a burst and of an incident do not count against a good version

Cause: failures finish before good streams, so the first responses after the canary's begin or the move are mostly failures; single faulty targets and targets of different speed were mistaken for a bad version, or hid one. Change: requests that still run count; moments right after an increase are not looked at; windows are compared with the last ones of the old version; a bad version may fail on each target at a rate of its own.

--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -14,6 +14,7 @@
 
 // canarySet is the set of targets of the new version that get requests in the canary phase.
 type canarySet struct {
+	given    []string // the list as it was set
 	listed   map[string]bool
 	order    []string // listed targets in an order that mixes machines
 	chosen   map[string]bool
@@ -22,6 +23,10 @@
 
 // setListed sets the usable targets of the new version. Targets that are no longer among them leave the set.
 func (s *canarySet) setListed(targets []string) {
+	if s.listed != nil && slices.Equal(targets, s.given) {
+		return
+	}
+	s.given = slices.Clone(targets)
 	s.listed = make(map[string]bool, len(targets))
 	for _, t := range targets {
 		s.listed[t] = true
@@ -57,10 +62,10 @@
 
 // resize fits the set to a wanted number of targets. A target that fails more often than old ones is replaced by one
 // that has had no request: it shows sooner whether the version fails or the target, and spares callers.
-func (s *canarySet) resize(want int, e *evidence) {
+func (s *canarySet) resize(want int, suspects map[string]bool) {
 	want = max(want, minCanary)
 	for t := range s.chosen {
-		if len(s.replaced) < maxReplaced*want && len(s.listed) > len(s.chosen)+s.listedReplaced() && e.suspicious(t) {
+		if len(s.replaced) < maxReplaced*want && len(s.listed) > len(s.chosen)+s.listedReplaced() && suspects[t] {
 			delete(s.chosen, t)
 			s.replaced[t] = true
 		}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -91,6 +91,7 @@
 	c.sawOld = c.sawOld || t.OldListed
 	if c.phase == PhaseBefore && len(t.New) > 0 {
 		c.phase = PhaseCanary
+		c.evidence.rampAt = now
 	}
 	c.canary.setListed(t.New)
 	c.updateCanary()
@@ -98,7 +99,7 @@
 
 // updateCanary fits the canary set to the load: each target gets about as many requests as an old one.
 func (c *Controller) updateCanary() {
-	c.canary.resize(int(math.Ceil(canaryShare*c.config.ExposureShare*float64(c.targets.Old))), &c.evidence)
+	c.canary.resize(int(math.Ceil(canaryShare*c.config.ExposureShare*float64(c.targets.Old))), c.evidence.suspects())
 }
 
 // IsCanary reports whether a target of the new version may get requests in the present phase.
@@ -179,12 +180,11 @@
 		return
 	}
 	c.nextStep = now + stepInterval
-	c.evidence.moved = c.phase == PhaseMoved
 	active := len(c.canary.chosen)
 	if c.phase == PhaseMoved {
 		active = len(c.targets.New)
 	}
-	c.evidence.evaluate(len(c.targets.New), active)
+	c.evidence.evaluate(now, len(c.targets.New), active)
 	if v, ok := c.decide(now); ok {
 		c.verdict = &v
 		c.phase = PhaseDecided
@@ -196,6 +196,7 @@
 	c.updateCanary()
 	if c.moveDue(now) {
 		c.phase = PhaseMoved
+		c.evidence.rampAt, c.evidence.moved = now, true
 		return
 	}
 	rate := c.rates.total(now)
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -81,6 +81,7 @@
 	numWindows   float64 // in the whole rollout
 	takenOver    bool    // an owner before has granted
 	moved        bool
+	rampAt       time.Duration // when the canary phase or the move began
 
 	routes      []string
 	routeIDs    map[string]int
@@ -272,18 +273,23 @@
 	return n
 }
 
-// suspicious reports whether a target fails, or is slow, much more often than old targets.
-func (e *evidence) suspicious(target string) bool {
-	i, ok := e.targetIDs[target]
-	if !ok {
-		return false
-	}
+// suspects returns the targets that fail, or are slow, much more often than old targets.
+func (e *evidence) suspects() map[string]bool {
 	var old tally
-	for j := range e.oldTotal {
-		old.add(&e.oldTotal[j])
+	for i := range e.oldTotal {
+		old.add(&e.oldTotal[i])
+	}
+	m := old.median()
+	isSlow, maySlow := above(m*slowRatio), above(m*slowRatio/speedSpread)
+	failed := upperShare(old.failed, old.failed+old.served)
+	slow := upperShare(old.count(&maySlow), old.paced)
+	exceeds := func(k, n, p float64) bool { return k >= 3 && k > n*p+3*math.Sqrt(n*p*(1-p)) }
+	result := map[string]bool{}
+	for i := range e.newByTarget {
+		t := &e.newByTarget[i]
+		if exceeds(t.failed, t.failed+t.served, failed) || exceeds(t.count(&isSlow), t.paced, slow) {
+			result[e.targets[i]] = true
+		}
 	}
-	t, m := &e.newByTarget[i], old.median()
-	above := func(k, n, p float64) bool { return k >= 3 && k > n*p+3*math.Sqrt(n*p*(1-p)) }
-	return above(t.failed, t.failed+t.served, upperShare(old.failed, old.failed+old.served)) ||
-		above(t.countAbove(m*slowRatio), t.paced, upperShare(old.countAbove(m*slowRatio/speedSpread), old.paced))
+	return result
 }
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // The test compares two explanations of the evidence. With a good version, a target fails as often as old targets do,
@@ -32,7 +33,16 @@
 	// minShare is the least share of bad responses that is assumed of a good version.
 	minShare = 0.01
 	// windowPrior is the number of old responses by which the share in all windows counts in that of one window.
-	windowPrior = 30
+	windowPrior = 20
+	// comparedWindows is the number of windows with responses of the old version over which a window is compared.
+	comparedWindows = 4
+	// rampTime is the time after an increase of the requests to the version, by the canary phase or the move, for
+	// which no moment after that increase is looked at: more of the failures of the requests started before than of
+	// their good responses would lie after it.
+	rampTime = 5 * time.Second
+	// minDeviations is the number of standard deviations of bad responses below which the likelihoods are not
+	// computed: they could not matter.
+	minDeviations = 2.5
 )
 
 // The excess shares of bad responses that are looked for, of the responses that would be good.
@@ -57,15 +67,26 @@
 	}
 }
 
-// addCounts adds the log-likelihood ratios of n responses, k of which were bad, for a share p of the good version.
-func (r *ratios) addCounts(k, n, p float64, excess *ratios, weight float64) {
-	if n == 0 && k == 0 {
-		return
-	}
+// weights holds what one bad and one good response add to the log-likelihood ratios.
+type weights struct{ bad, good ratios }
+
+// newWeights returns the weights for a share p of bad responses of the good version, times a factor.
+func newWeights(p float64, excess *ratios, factor float64) weights {
+	var w weights
 	for i, x := range excess {
-		q := p + (1-p)*x
-		r[i] += weight * (k*math.Log(q/p) + (n-k)*math.Log1p(-x))
+		w.bad[i] = factor * math.Log((p+(1-p)*x)/p)
+		w.good[i] = factor * math.Log1p(-x)
+	}
+	return w
+}
+
+// of returns the log-likelihood ratios of some bad and good responses.
+func (w *weights) of(bad, good float64) ratios {
+	var r ratios
+	for i := range r {
+		r[i] = bad*w.bad[i] + good*w.good[i]
 	}
+	return r
 }
 
 // upperShare returns a cautious upper value of the share of k in n.
@@ -83,21 +104,35 @@
 	numKinds
 )
 
-// shareAbove returns the share of paces above a ratio, interpolated within its bucket.
-func (t *tally) countAbove(ratio float64) float64 {
-	n, low := 0.0, PaceBuckets[0]/math.Sqrt2
-	for i, count := range t.pace {
-		high := low * math.Sqrt2
-		if i < len(PaceBuckets) {
-			high = PaceBuckets[i]
-		}
-		switch {
-		case ratio <= low:
-			n += count
-		case ratio < high:
-			n += count * math.Log(high/ratio) / math.Log(high/low)
-		}
-		low = high
+// paceParts holds, by bucket, the part of the responses that is counted.
+type paceParts [NumPaceBuckets]float64
+
+// bucketBounds returns the bounds of a bucket. Those of the first and the last are as wide as most others.
+func bucketBounds(i int) (low, high float64) {
+	low, high = PaceBuckets[0]/math.Sqrt2, PaceBuckets[len(PaceBuckets)-1]*math.Sqrt2
+	if i > 0 {
+		low = PaceBuckets[i-1]
+	}
+	if i < len(PaceBuckets) {
+		high = PaceBuckets[i]
+	}
+	return low, high
+}
+
+// above returns the parts of the buckets above a pace, as if paces were evenly distributed on a logarithmic scale.
+func above(pace float64) paceParts {
+	var parts paceParts
+	for i := range parts {
+		low, high := bucketBounds(i)
+		parts[i] = max(0, min(1, math.Log(high/pace)/math.Log(high/low)))
+	}
+	return parts
+}
+
+func (t *tally) count(parts *paceParts) float64 {
+	n := 0.0
+	for i, part := range parts {
+		n += part * t.pace[i]
 	}
 	return n
 }
@@ -107,44 +142,48 @@
 	if t.paced < 8 {
 		return 1
 	}
-	lo, hi := math.Log(PaceBuckets[0]/math.Sqrt2), math.Log(PaceBuckets[len(PaceBuckets)-1])
-	for range 20 {
-		if mid := (lo + hi) / 2; t.countAbove(math.Exp(mid)) > t.paced/2 {
-			lo = mid
-		} else {
-			hi = mid
+	n := 0.0
+	for i, count := range t.pace {
+		if n+count >= t.paced/2 {
+			low, high := bucketBounds(i)
+			return low * math.Pow(high/low, (t.paced/2-n)/count)
 		}
+		n += count
 	}
-	return math.Exp(lo)
+	return 1
 }
 
 // routeNull holds what a good version is expected to do on a route.
 type routeNull struct {
 	failed, slow float64 // shares
-	median       float64 // of the paces of old targets
+	// isSlow counts slow responses; maySlow those that would be slow on a target that is slower by speedSpread.
+	isSlow, maySlow paceParts
 }
 
 func (e *evidence) null(route int) routeNull {
 	t := &e.oldTotal[route]
 	m := t.median()
-	return routeNull{
-		failed: upperShare(t.failed, t.failed+t.served),
-		slow:   upperShare(t.countAbove(m*slowRatio/speedSpread), t.paced),
-		median: m,
-	}
+	null := routeNull{isSlow: above(m * slowRatio), maySlow: above(m * slowRatio / speedSpread)}
+	null.failed = upperShare(t.failed, t.failed+t.served)
+	null.slow = upperShare(t.count(&null.maySlow), t.paced)
+	return null
 }
 
-// inWindow returns the shares in a window: those of old targets in it, with the shares in all windows as a prior.
-func (null routeNull) inWindow(w *window, route int) routeNull {
-	if route >= len(w.old) {
-		return null
+// inWindow returns the shares at the time of a window: those of old targets in it and the windows before, with the
+// shares in all windows as a prior. After the move these are the last ones that old targets had.
+func (e *evidence) inWindow(index, route int, null routeNull) routeNull {
+	var t tally
+	for i, found := index, 0; i >= 0 && found < comparedWindows; i-- {
+		if w := e.windows[i]; route < len(w.old) && w.old[route].failed+w.old[route].served > 0 {
+			t.add(&w.old[route])
+			found++
+		}
 	}
-	t := &w.old[route]
 	shrink := func(k, n, p float64) float64 {
 		return max(minShare, min(0.95, (k+windowPrior*p)/(n+windowPrior)))
 	}
 	null.failed = shrink(t.failed, t.failed+t.served, null.failed)
-	null.slow = shrink(t.countAbove(null.median*slowRatio/speedSpread), t.paced, null.slow)
+	null.slow = shrink(t.count(&null.maySlow), t.paced, null.slow)
 	return null
 }
 
@@ -191,7 +230,7 @@
 
 // evaluate computes the strength of the evidence against the version, of which some targets are listed and some are
 // active: they get requests.
-func (e *evidence) evaluate(listedNew, active int) {
+func (e *evidence) evaluate(now time.Duration, listedNew, active int) {
 	if !e.changed || e.newTotal.failed+e.newTotal.served+e.newTotal.paced == 0 {
 		return
 	}
@@ -224,9 +263,9 @@
 		switch age := len(e.windows) - i; {
 		case i == 0:
 			ev.weigh(0.5)
-		case age == nextAge:
+		case age >= nextAge && (w.from <= e.rampAt || now-e.rampAt > rampTime):
 			ev.weigh(0.5 / e.numWindows)
-			nextAge += 1 + age/4
+			nextAge = age + 1 + age/4
 		}
 	}
 	ev.result.strength = math.Log(max(ev.likelihood, 1e-9))
@@ -235,22 +274,25 @@
 
 // weighWindows computes the likelihood ratios of the windows that are not fixed.
 func (e *evidence) weighWindows(nulls []routeNull) {
+	inWindow := make([]routeNull, len(nulls))
+	failed, slow := make([]weights, len(nulls)), make([]weights, len(nulls))
 	for i, w := range e.windows {
 		if w.fixed {
 			continue
 		}
 		w.fixed = i < len(e.windows)-fixedAfter
-		inWindow := make([]routeNull, len(nulls))
 		for r := range nulls {
-			inWindow[r] = nulls[r].inWindow(w, r)
+			inWindow[r] = e.inWindow(i, r, nulls[r])
+			failed[r] = newWeights(inWindow[r].failed, &failExcess, 1)
+			slow[r] = newWeights(inWindow[r].slow, &slowExcess, slowWeight)
 		}
 		for j := range w.cells {
-			c, null := &w.cells[j], inWindow[w.cells[j].route]
-			c.fail, c.slow = ratios{}, ratios{}
-			c.fail.addCounts(c.failed, c.failed+c.served, null.failed, &failExcess, 1)
+			c := &w.cells[j]
+			null := &inWindow[c.route]
+			c.fail = failed[c.route].of(c.failed, c.served)
 			c.failExcess = c.failed - (c.failed+c.served)*null.failed
-			c.slowCount = c.countAbove(null.median * slowRatio)
-			c.slow.addCounts(c.slowCount, c.paced, null.slow, &slowExcess, slowWeight)
+			c.slowCount = c.count(&null.isSlow)
+			c.slow = slow[c.route].of(c.slowCount, c.paced-c.slowCount)
 			c.slowExcess = c.slowCount - c.paced*null.slow
 		}
 	}
@@ -308,46 +350,44 @@
 		bad += s.bad[k]
 		all += s.all[k]
 	}
-	if excess <= 0 || bad < 2 {
+	expected := bad - excess
+	if bad < 2 || excess <= minDeviations*math.Sqrt(max(0, expected*(1-expected/all))) {
 		return
 	}
+	answering := 0
+	for t := range numTargets {
+		if ev.answers(k, from, to, t) > 0 {
+			answering++
+		}
+	}
 	// The requests that run now and did not at the beginning of the suffix count as good until they finish, divided
 	// evenly between the targets.
 	var running ratios
 	if k == kindFailed {
 		for r := from; r < to; r++ {
-			n := max(0, ev.running[r]) / float64(max(1, ev.numActive))
-			running.addCounts(0, n, ev.nulls[r].failed, &failExcess, 1)
+			w := newWeights(ev.nulls[r].failed, &failExcess, 1)
+			n := w.of(0, max(0, ev.running[r])/float64(max(1, ev.numActive, answering)))
+			running.add(&n)
 		}
 	}
 	var same, atLeast ratios // log-likelihood ratios: all targets with the same excess, or with at least that
-	targets := 0
-	add := func(in, before *ratios) {
-		null := ev.logNull(k, in, before)
-		for i := range in {
-			same[i] += in[i] - null
-			atLeast[i] += logMean(in[i:]) - null
-		}
-	}
 	for t := range numTargets {
+		if ev.answers(k, from, to, t) == 0 {
+			continue
+		}
 		in := running
 		var before ratios
-		var answers float64
 		for r := from; r < to; r++ {
 			s, whole := &ev.suffix[r*numTargets+t], &ev.total[r*numTargets+t]
 			in.add(&s.ratios[k])
 			for i := range before {
 				before[i] += whole.ratios[k][i] - s.ratios[k][i]
 			}
-			answers += s.all[k]
-		}
-		if answers > 0 {
-			targets++
-			add(&in, &before)
 		}
+		ev.addTarget(k, &in, &before, &same, &atLeast, 1)
 	}
-	for range ev.numActive - targets {
-		add(&running, &ratios{})
+	if silent := ev.numActive - answering; silent > 0 {
+		ev.addTarget(k, &running, &ratios{}, &same, &atLeast, float64(silent))
 	}
 	likelihood := 0.0
 	for i := range same {
@@ -356,31 +396,44 @@
 	likelihood *= weight
 	ev.likelihood += likelihood
 	if likelihood > ev.result.best {
-		ev.result = result{best: likelihood, kind: k, bad: bad, all: all, targets: targets}
+		ev.result = result{best: likelihood, kind: k, bad: bad, all: all, targets: answering}
 		ev.describe(k, from, to)
 	}
 }
 
-// logNull returns the likelihood of a target's evidence with a good version, relative to that of a sound target. Of a
-// target that was faulty before the suffix it is likely that it still is. That no target is faulty is no evidence
-// against a version, so the result is not negative.
-func (ev *evaluation) logNull(k kind, in, before *ratios) float64 {
-	if !ev.faulty {
-		return 0
-	}
-	prior := &targetPrior[k]
-	was := prior.faulty * math.Exp(logMean(before[:]))
-	q := max(was/(was+1-prior.faulty), prior.becomesFaulty)
-	return max(0, math.Log(1-q+q*math.Exp(logMean(in[:]))))
+// answers returns the number of responses of a target on some routes in the suffix.
+func (ev *evaluation) answers(k kind, from, to, target int) float64 {
+	n := 0.0
+	for r := from; r < to; r++ {
+		n += ev.suffix[r*len(ev.e.targets)+target].all[k]
+	}
+	return n
 }
 
-// logMean returns the logarithm of the mean of the exponentials.
-func logMean(logs []float64) float64 {
+// addTarget adds the log-likelihood ratios of a bad version to a good one on a number of targets with the same
+// evidence. With a good version a target may be sound or faulty. If it was faulty before the suffix, it is likely that
+// it still is. That no target is faulty is no evidence against a version, so a target counts as sound at least.
+func (ev *evaluation) addTarget(k kind, in, before, same, atLeast *ratios, times float64) {
+	var tail ratios // sums of the likelihood ratios from each excess on
 	sum := 0.0
-	for _, x := range logs {
-		sum += math.Exp(min(x, 300))
+	for i := len(in) - 1; i >= 0; i-- {
+		sum += math.Exp(max(-300, min(in[i], 300)))
+		tail[i] = sum
+	}
+	null := 0.0
+	if ev.faulty {
+		prior, was := &targetPrior[k], 0.0
+		for _, x := range before {
+			was += math.Exp(min(x, 300)) / float64(len(before))
+		}
+		was *= prior.faulty
+		q := max(was/(was+1-prior.faulty), prior.becomesFaulty)
+		null = max(0, math.Log(1-q+q*sum/float64(len(in))))
+	}
+	for i := range in {
+		same[i] += times * (in[i] - null)
+		atLeast[i] += times * (math.Log(tail[i]/float64(len(in)-i)) - null)
 	}
-	return math.Log(max(sum, 1e-300) / float64(len(logs)))
 }
 
 // describe sets the route and the counts of the old version for the log. Of several routes it names the one with the
@@ -400,7 +453,7 @@
 			ev.result.oldBad += old.failed
 			ev.result.oldAll += old.failed + old.served
 		} else {
-			ev.result.oldBad += old.countAbove(ev.nulls[r].median * slowRatio)
+			ev.result.oldBad += old.count(&ev.nulls[r].isSlow)
 			ev.result.oldAll += old.paced
 		}
 	}
