placement: requests of a service under a rollout are split by version

Cause: the owner sent requests to any target of a service, also while a rollout to a new version of it runs. Change: targets of the new version serve only requests that a Splitter has given to them; a canary request without a target that can start it goes to an old one at once, after the move requests wait for new targets and go to old ones only if none can be used in time; targets excluded after the end are not used; the expected time to the first event follows the mean prefill rate of the old targets; queued requests are decided anew at the move and at the end. The route name comes with a request (placewire.Request.Route) only if the entry instance knows of the rollout. Services without a rollout are decided on as before.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -108,7 +108,7 @@
 	}
 	for t := range caching {
 		t.examinedIn = o.searches
-		if t != preferred && t.info.Service == w.request.Service && o.inService(t) {
+		if t != preferred && t.info.Service == w.request.Service && o.inService(t) && o.serves(t, w) {
 			keepBest(consider(t, t.cache.uncachedTokens(w.request.Prompt)))
 		}
 	}
@@ -116,7 +116,7 @@
 	for _, p := range w.request.Prompt {
 		promptTokens += p.Tokens
 	}
-	others := o.usable[w.request.Service]
+	others := o.targetsFor(w.request.Service, w.newVersion)
 	for i := range min(len(others), maxScannedTargets) {
 		t := others[(o.scanFrom+i)%len(others)]
 		if t.examinedIn == o.searches || t == preferred { // among those that have cached a part, or preferred
@@ -210,11 +210,11 @@
 // affinityTarget returns the target that is preferred for the shared parts of a prompt while
 // no target has cached them, or nil.
 func (o *Owner) affinityTarget(w *work) *target {
-	k := affinityKey{w.request.Service, AffinityPart(w.request.Prompt)}
+	k := affinityKey{w.request.Service, w.newVersion, AffinityPart(w.request.Prompt)}
 	if t, known := o.affinity[k]; known {
 		return t
 	}
-	usable := o.usable[k.service]
+	usable := o.targetsFor(k.service, k.newVersion)
 	var t *target
 	if i := rendezvousIndex(k.part, len(usable), func(i int) (uint64, bool) { return usable[i].idHash, true }); i >= 0 {
 		t = usable[i]
@@ -232,8 +232,9 @@
 
 // affinityKey selects an affinity target.
 type affinityKey struct {
-	service string
-	part    PartID
+	service    string
+	newVersion bool
+	part       PartID
 }
 
 // rendezvousIndex selects one of n targets for a prompt part by rendezvous hashing: the one
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -32,6 +32,9 @@
 		w.overloaded = o.shares.overloaded(w.request.Workspace)
 		w.overShare = o.shares.exceedsShare(w.request.Workspace, w.cost)
 	}
+	if o.decideMoved(w, now) {
+		return
+	}
 	c, rested := o.choose(w, now)
 	ok := c.target != nil
 	if ok && !w.missCounted && !w.request.Resumes && w.missesObjective(c.firstEventAfter, now) {
@@ -164,7 +167,20 @@
 	return time.Duration(float64(min(pause, MaxPauseRetryAfter)) * (1 + pauseSpread*fraction))
 }
 
-func (o *Owner) grant(w *work, c candidate, now time.Duration) {
+// grant grants a request a target, or another one if the rollout of the service has it that way. It reports false
+// if the target is of a new version to which the request must not go.
+func (o *Owner) grant(w *work, c candidate, now time.Duration) bool {
+	c, ok := o.split(w, c, now)
+	if !ok {
+		return false
+	}
+	var expected time.Duration
+	if r := o.rollouts[w.request.Service]; r != nil {
+		expected = r.expectedFirstEvent(c.target, c.uncached, now)
+		if w.newVersion {
+			r.splitter.RecordGrant(now)
+		}
+	}
 	c.target.start(w, start{at: now, by: o.followers[w.key.Entry], granted: true})
 	w.metered = c.target.countAgainstLimit(now)
 	o.crashes.recordSent(w.request.Prompt)
@@ -173,7 +189,9 @@
 	}
 	d := o.newDecision(w, c)
 	d.Target, d.Metered, d.QueueDelay = c.target.info.ID, w.metered, now-w.submittedAt
+	d.NewVersion, d.Expected = w.newVersion, expected
 	o.decisions = append(o.decisions, d)
+	return true
 }
 
 func (o *Owner) newDecision(w *work, c candidate) Decision {
@@ -209,7 +227,9 @@
 			o.refuse(w, c, code, 0, now)
 			continue
 		}
-		o.grant(w, c, now)
+		if !o.grant(w, c, now) {
+			o.decide(w, now)
+		}
 	}
 }
 
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -44,6 +44,8 @@
 	Candidates []string
 	// Fingerprint is set if several targets have crashed with the request.
 	Fingerprint api.Fingerprint
+	// Route is the name of its route; "" if the entry instance knows of no running rollout of the service.
+	Route string
 }
 
 // Decision is the owner's reply to a Request: a grant with a target, or a refusal with a code.
@@ -55,6 +57,12 @@
 	Metered bool
 	// Permitted reports, for a plain request without candidates, that it may be sent.
 	Permitted bool
+	// NewVersion reports that the request goes to the new version of its service, whose rollout runs: the target has
+	// that version, or a plain request, with or without candidates, is permitted on any target of it.
+	NewVersion bool
+	// Expected is, for a model request of a service whose rollout runs, the time from the send to the first event
+	// that is expected of the versions before; 0 = no rollout runs.
+	Expected time.Duration
 	// Code is the reason of a refusal, RetryAfter the time after which the caller may retry.
 	Code       string
 	RetryAfter time.Duration
@@ -97,6 +105,8 @@
 	// TokensPerSecond is the configured throughput of all engines together, in tokens as
 	// shares count them: prompt tokens plus twice the output tokens.
 	TokensPerSecond float64
+	// Rollouts holds the newest rollout of each service that has had one, by service.
+	Rollouts map[string]api.Rollout
 }
 
 // Config holds the settings of an owner.
@@ -116,8 +126,9 @@
 	cfg            Config
 	view           View
 	targets        map[string]*target
-	sortedTargets  []*target            // by ID
-	usable         map[string][]*target // targets that accept new requests, by service, sorted by ID
+	sortedTargets  []*target                  // by ID
+	usable         map[string][]*target       // targets that accept new requests, by service, sorted by ID; without those of serviceRollout
+	rollouts       map[string]*serviceRollout // running ones by service
 	cacheIndex     cacheIndex
 	affinity       map[affinityKey]*target // of the usable targets
 	searches       uint64                  // calls of choose
@@ -172,18 +183,30 @@
 	slices.SortFunc(o.sortedTargets, func(a, b *target) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	o.usable = map[string][]*target{}
 	clear(o.affinity)
+	changedSides := o.applyRollouts()
+	for _, r := range o.rollouts {
+		r.newTargets = nil
+	}
 	for _, t := range o.sortedTargets {
-		if o.inService(t) {
+		switch {
+		case !o.inService(t):
+		case t.isNew:
+			r := o.rollouts[t.info.Service]
+			r.newTargets = append(r.newTargets, t)
+		default:
 			o.usable[t.info.Service] = append(o.usable[t.info.Service], t)
 		}
 	}
+	for service, r := range o.rollouts {
+		o.refreshRollout(service, r, now)
+	}
 	for _, t := range previous {
 		if current[t.info.ID] != t {
 			t.cache.removeFromIndex()
 		}
 	}
 	for _, t := range previous {
-		if current[t.info.ID] != t || !o.inService(t) {
+		if current[t.info.ID] != t || !o.inService(t) || changedSides[t] {
 			o.redecidePending(t, now)
 		}
 	}
@@ -475,6 +498,7 @@
 // miss their objective are moved or refused. It does nothing within 10 ms (minTickInterval)
 // of the last review.
 func (o *Owner) Tick(now time.Duration) {
+	o.refreshRollouts(now)
 	if o.numPending == 0 || now-o.lastTick < minTickInterval {
 		return
 	}
@@ -510,6 +534,9 @@
 	}
 	usable, all := 0, 0
 	for _, t := range o.sortedTargets {
+		if t.isNew || t.excluded { // beside those that make up the configured throughput
+			continue
+		}
 		all++
 		if o.inService(t) && t.health.suspectUntil <= now {
 			usable++
@@ -527,5 +554,5 @@
 
 // inService reports whether a target accepts new requests.
 func (o *Owner) inService(t *target) bool {
-	return !t.info.Leaving && !t.saysLeaving && !o.view.OutOfService[t.info.DataCentre]
+	return !t.info.Leaving && !t.saysLeaving && !t.excluded && !o.view.OutOfService[t.info.DataCentre]
 }
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -210,6 +210,11 @@
 // or refuses it. Without candidates it permits the request: the entry instance chooses the target. It
 // does not count how many plain requests run.
 func (o *Owner) decidePlain(k Key, req Request, now time.Duration) {
+	if r := o.rollouts[req.Service]; r != nil && r.splitter != nil && req.Route != "" && r.splitter.Choose(req.Route, now) {
+		r.splitter.RecordGrant(now)
+		o.decisions = append(o.decisions, Decision{Key: k, ForwardShare: 1, Permitted: true, NewVersion: true})
+		return
+	}
 	d := Decision{Key: k, ForwardShare: 1, Permitted: len(req.Candidates) == 0}
 	var soonest *targetLimit
 	soonestWait := time.Duration(math.MaxInt64)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -57,6 +57,9 @@
 	gotFirstEvent bool
 	answered      bool // the target has begun to answer and did not crash
 	overtaken     bool // a request sent to the target later got its first event earlier
+
+	newVersion bool // it is to run, or runs, on the new version of its service
+	splitAsked bool // the Splitter of its service has counted it
 }
 
 func newWork(k Key, req Request, now time.Duration) *work {
@@ -115,6 +118,8 @@
 	lastFirstEventAt time.Duration
 	lastStartAt      time.Duration
 	recentStarts     []start                // within startWindow or held, oldest first
+	isNew            bool                   // of the new version of a running rollout
+	excluded         bool                   // of a version that must not be used any more, see api.Rollout.Excludes
 	saysLeaving      bool                   // it has said that it leaves, whatever the list says
 	pausedUntil      time.Duration          // it has asked for no requests until then
 	limit            *targetLimit           // its rate limit; nil = it has named none
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -35,6 +35,8 @@
 	Plain       bool         `json:"y,omitempty"`
 	Candidates  []string     `json:"c,omitempty"`
 	Fingerprint *Fingerprint `json:"f,omitempty"` // nil = none
+	// Route is the name of the route, set only if a rollout of the service runs in the view of the entry instance.
+	Route string `json:"h,omitempty"`
 }
 
 // Fingerprint is an api.Fingerprint: its selector and the halves of its digest.
@@ -393,7 +395,7 @@
 		Service: r.Service, Workspace: r.Workspace, DataCentre: dataCentre,
 		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: prompt,
 		Objective: ms(r.TimesMs[0]), Deadline: ms(r.TimesMs[1]), RouteObjective: ms(r.TimesMs[2]), Tried: r.TriedTargets, Resumes: r.Resumed,
-		Plain: r.Plain, Candidates: r.Candidates, Fingerprint: fingerprint,
+		Plain: r.Plain, Candidates: r.Candidates, Fingerprint: fingerprint, Route: r.Route,
 	}
 }
 
@@ -403,5 +405,6 @@
 		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Permitted: d.Permitted, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
 		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
+		NewVersion: d.NewVersion, ExpectedMs: d.Expected.Milliseconds(),
 	}
 }
