owner: runs a controller for each running rollout

Cause: nothing applied the decisions of package rollout. Change: while it leads, the owner reads the account of each running rollout linearizably, creates a controller and gives it to placement as the splitter; saves reservations, passes on the evidence of entry instances, and submits the verdict until it is committed. In doubt after a pause it gives the new version nothing and decides on no end. All control instances record when they first saw a rollout.

--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -117,6 +117,11 @@
 	reception       reception
 	searchesCounted uint64 // of placement.Owner.Searches
 
+	rolloutBounds *settings.Rollouts         // nil = the fleet has no rollouts
+	rollouts      map[string]*runningRollout // by service
+	rolloutsAt    time.Duration              // when they were last advanced
+	metrics       *metrics.Set
+
 	grants, refusals, searches, blocks, blockedRequests *metrics.Counter
 	decideSeconds                                       *metrics.Histogram
 }
@@ -143,6 +148,7 @@
 		return err
 	}
 	o.kernel, o.clock, o.log = c, c.Clock, c.Log.With("plugin", "owner")
+	o.rolloutBounds, o.metrics = c.Settings.Routes.Rollouts, c.Metrics
 	o.readClocks, o.dropped = kernel.ReadClocks, map[string]uint64{}
 	o.peers, o.settledAt = map[string]peer{}, o.clock.Now()+linkSettleTime
 	o.inbox = kernel.NewRing[func()](c.Metrics, "owner", inboxSize)
@@ -178,7 +184,7 @@
 			switch {
 			case o.state.Asked() > 0:
 				interval = 0
-			case o.state.Waiting() > 0:
+			case o.state.Waiting() > 0 || len(o.rollouts) > 0:
 				interval = tickInterval
 			}
 			t.Reset(interval)
@@ -199,6 +205,7 @@
 			o.processQueued()
 		}
 		if o.term != 0 {
+			o.advanceRollouts(ctx)
 			o.decideAsked(begin)
 		}
 		if f != nil {
@@ -302,12 +309,14 @@
 	case s.Role != "leader" && o.term != 0:
 		logqueue.Notice(o.log, "ownership ended", "step", "owner", "term", o.term)
 		o.term, o.state, o.unconfirmed = 0, nil, false
+		o.resetRollouts()
 	case s.Role == "leader" && o.term != s.Term:
 		b := o.kernel.Settings.Routes.Bounds
 		o.term, o.unconfirmed, o.searchesCounted = s.Term, false, 0
 		o.entries, o.limitsDue, o.suspectsDue = map[string]bool{}, map[string]bool{}, map[string]bool{}
 		o.reportsDue = map[string]time.Duration{}
 		o.blockedParts, o.suspects = newBroadcast(), newBroadcast()
+		o.resetRollouts()
 		o.state = placement.NewOwner(placement.Config{
 			ShareWindow: settings.Ms(b.ShareWindowMs), ColdOverage: b.ColdOverage, ColdSlack: b.ColdSlack,
 		})
@@ -322,10 +331,11 @@
 
 // viewChanged applies the current configuration and list of targets.
 func (o *Owner) viewChanged() {
+	v := o.fleet.View()
+	o.noteRollouts(v)
 	if o.term == 0 {
 		return
 	}
-	v := o.fleet.View()
 	if o.table == nil || o.table.Version != v.Version {
 		o.loadTable(v)
 	}
@@ -333,8 +343,9 @@
 		return
 	}
 	o.state.SetView(placement.View{
-		Services: o.table.Services, Targets: o.directory.Targets(), OutOfService: v.DataCentresOut, TokensPerSecond: o.table.TokensPerSecond,
+		Services: o.table.Services, Targets: o.directory.Targets(), OutOfService: v.DataCentresOut, TokensPerSecond: o.table.TokensPerSecond, Rollouts: v.Rollouts,
 	}, o.clock.Now())
+	o.refreshRolloutTargets()
 }
 
 func (o *Owner) loadTable(v *api.View) {
@@ -488,6 +499,7 @@
 	for _, e := range u.Ends {
 		o.state.End(placement.Key{Entry: from, Number: e.Number}, e.Outcome, now)
 	}
+	o.recordEvidence(from, u.Rollouts, now)
 	for workspace, tokens := range u.Shed {
 		o.state.CountShed(workspace, tokens, now)
 	}
