placer: requests of a service under a rollout ask the owner for their version, and report evidence

Cause: entry instances chose among targets of all versions, sent plain requests without a decision on their version, and reported nothing of how the versions answer. Change: plain requests of such a service ask the owner; a grant to the new version is good for one send; local choices use old targets only, unless no other version is listed; targets of excluded versions are refused before the first byte.

--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -71,6 +71,10 @@
 	// WorkspaceRunning is the number of local requests of the workspace, which may use as many slots as
 	// it leaves free. It is used only with MaxRunning.
 	WorkspaceRunning int
+	// Rollout is the newest rollout of the service; nil = it has had none. While it runs, only targets of other versions
+	// than the new one are used, with NewVersion only those of the new version, with AllVersions all.
+	Rollout                 *api.Rollout
+	NewVersion, AllVersions bool
 	// Random is uniform in [0, 1). It breaks ties between targets with equal cost.
 	Random float64
 }
@@ -230,7 +234,42 @@
 
 // mayUse is usable without regard to pauses.
 func (q *Query) mayUse(t *api.Target) bool {
-	return t.Service == q.Service && !t.Leaving && (q.Notices == nil || !q.Notices.Leaving(t)) && !q.OutOfService[t.DataCentre] && t.ColdUntil <= q.Now
+	return t.Service == q.Service && !t.Leaving && (q.Notices == nil || !q.Notices.Leaving(t)) && !q.OutOfService[t.DataCentre] && t.ColdUntil <= q.Now && q.mayUseVersion(t)
+}
+
+// mayUseVersion reports whether the rollout of the service lets a target be used.
+func (q *Query) mayUseVersion(t *api.Target) bool {
+	switch r := q.Rollout; {
+	case r == nil:
+		return true
+	case r.State == api.RolloutRunning:
+		return q.AllVersions || (t.Version == r.Version) == q.NewVersion
+	default:
+		return !r.Excludes(t.Version)
+	}
+}
+
+// Versions identifies the versions of targets that a query may use.
+type Versions struct {
+	Started                 uint64 // of the rollout; 0 = all versions
+	State                   api.RolloutState
+	NewVersion, AllVersions bool
+}
+
+// Versions returns what identifies the versions that the query may use.
+func (q *Query) Versions() Versions {
+	if q.Rollout == nil {
+		return Versions{}
+	}
+	return Versions{q.Rollout.Started, q.Rollout.State, q.NewVersion, q.AllVersions}
+}
+
+// OfVersions returns the query's targets whose versions may be used.
+func (q *Query) OfVersions() []api.Target {
+	if q.Rollout == nil {
+		return q.Targets
+	}
+	return slices.DeleteFunc(slices.Clone(q.Targets), func(t api.Target) bool { return t.Service == q.Service && !q.mayUseVersion(&t) })
 }
 
 // PauseEnd returns the time until the first of the paused targets may be sent requests again, 0 if
@@ -289,6 +328,19 @@
 	return load
 }
 
+// Running returns the number of running requests on a target.
+func (l *Local) Running(t *api.Target) int {
+	if load := l.loads[t.ID]; load != nil && load.startedUnixMs == t.StartedUnixMs {
+		return load.running
+	}
+	return 0
+}
+
+// IsSuspect reports whether a target is a last resort after a failure.
+func (l *Local) IsSuspect(t *api.Target, now time.Duration) bool {
+	return l.loadOf(t).suspectUntil > now
+}
+
 // Start counts a running request on a target. Each call needs one call of End.
 func (l *Local) Start(t api.Target) { l.loadOf(&t).running++ }
 
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -35,13 +35,14 @@
 		Service: w.Service, Targets: p.directory.Targets(), OutOfService: p.fleet.View().DataCentresOut,
 		Tried: w.TriedTargets, Now: now, Random: rand.Float64(), Notices: p.notices,
 	}
+	p.applyRollout(&q)
 	if w.Engine != nil {
 		share := p.slotShare(w.Engine.Slots)
 		q.AffinityPart, q.MaxRunning = affinityPart(w.Prompt), max(1, int(share+0.5))
 		if w.ColdPerSecond > 0 {
 			q.Starts = p.starts // which also divides the targets among the instances
 		} else {
-			q.Targets = p.localTargets(w.Service, q.Targets, share)
+			q.Targets = p.localTargets(&q, share)
 		}
 	}
 	return q
@@ -60,7 +61,7 @@
 		}
 	}
 	p.mu.Unlock()
-	if len(limited) == 0 && !s.suspect() {
+	if len(limited) == 0 && !s.suspect() && p.rolloutRoute(w) == "" {
 		return p.placeLocal(w)
 	}
 	number, wt, ok := p.askOwner(w, limited, s)
@@ -75,6 +76,8 @@
 		return p.acceptGrant(w, resp), nil
 	case resp.placeLocally || resp.askAgain:
 		return p.placeWithoutOwner(w, s)
+	case resp.decision.NewVersion:
+		return p.placeNewVersion(w)
 	case resp.decision.Permitted:
 		return p.placeLocal(w)
 	case resp.decision.Code == placement.CodeRequestCrashes:
@@ -163,6 +166,7 @@
 func (p *Placer) startLocal(w *api.PlacementRequest, t api.Target) *assignment {
 	p.local.Start(t)
 	a := &assignment{placer: p, work: w, target: t, startedAt: p.clock.Now(), chosenBy: "entry", chosenAt: p.readClocks()}
+	p.noteRollout(w.Service)
 	if w.Engine != nil {
 		p.localByWorkspace[w.Workspace]++
 		p.recordStart(a)
@@ -179,12 +183,13 @@
 
 // localTargets is placement.LocalTargets for this instance. The result is kept until the list or the
 // share changes.
-func (p *Placer) localTargets(service string, targets []api.Target, share float64) []api.Target {
+func (p *Placer) localTargets(q *placement.Query, share float64) []api.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	service, targets, versions := q.Service, q.Targets, q.Versions()
 	s, ok := p.subsets[service]
-	if !ok || s.share != share || len(s.list) != len(targets) || len(targets) > 0 && &s.list[0] != &targets[0] {
-		s = subset{list: targets, share: share, targets: placement.LocalTargets(targets, service, share, p.instance)}
+	if !ok || s.share != share || s.versions != versions || len(s.list) != len(targets) || len(targets) > 0 && &s.list[0] != &targets[0] {
+		s = subset{list: targets, share: share, versions: versions, targets: placement.LocalTargets(q.OfVersions(), service, share, p.instance)}
 		p.subsets[service] = s
 	}
 	return s.targets
@@ -232,6 +237,15 @@
 	responseStarted bool
 	firstEventAt    time.Duration // 0 = no event yet
 	answered        bool          // the target has begun to answer and did not crash
+
+	newVersion    bool          // the owner has given the request to the new version of its service, for one send
+	versionUsed   bool          // that send has begun
+	resendRefused bool          // a second send was refused for that reason
+	expected      time.Duration // time from the send to the first event that the owner expects; 0 = not known
+	tracked       bool          // a rollout ran when it was sent, so that its events are measured
+	// trackedEvents counts the events of this attempt, the first and the last of which came at these times.
+	trackedEvents               int
+	firstTrackedAt, lastEventAt time.Duration
 }
 
 // Target implements api.Placement.
@@ -252,6 +266,9 @@
 	if err := a.checkLimit(); err != nil {
 		return err
 	}
+	if err := a.checkVersion(); err != nil {
+		return err
+	}
 	a.sentAt = a.placer.clock.Now()
 	a.countSend()
 	return nil
@@ -331,6 +348,7 @@
 
 // ReportEvents implements api.Placement.
 func (a *assignment) ReportEvents(int) {
+	a.recordEvents()
 	if a.number == 0 || a.answered {
 		return
 	}
@@ -355,6 +373,7 @@
 	p := a.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	a.recordRolloutCrash(p.clock.Now())
 	if a.answered {
 		return
 	}
@@ -382,6 +401,7 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	p.local.End(a.target, o, now-a.startedAt, now)
+	a.recordEvidence(o, now)
 	if o == api.AttemptServed || o == api.AttemptFailed {
 		a.reportAnswered()
 	}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -44,6 +44,7 @@
 	// candidates are the targets of which a plain request asks for one, best first.
 	candidates []api.Target
 	suspicion  suspicion
+	route      string // as in placewire.Request.Route
 	askedAt    time.Duration
 	sent       bool               // the owner was asked
 	response   chan ownerResponse // capacity 1
@@ -52,7 +53,7 @@
 // request returns the message for the request.
 func (wt *waiter) request(number uint64, now time.Duration) placewire.Request {
 	r := placewire.NewRequest(number, wt.work, now)
-	r.Plain = wt.work.Engine == nil
+	r.Plain, r.Route = wt.work.Engine == nil, wt.route
 	for _, t := range wt.candidates {
 		r.Candidates = append(r.Candidates, t.ID)
 	}
@@ -193,14 +194,14 @@
 // of its candidates, of whose rate limits the owner is told first. It reports false if the owner is
 // unknown, unreachable or within ownerRetryDelay.
 func (p *Placer) askOwner(w *api.PlacementRequest, candidates []api.Target, s suspicion) (uint64, *waiter, bool) {
-	now := p.clock.Now()
+	now, route := p.clock.Now(), p.rolloutRoute(w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.owner.name == "" || now < p.owner.unavailableUntil || !p.mesh.Reachable(p.owner.name) {
 		return 0, nil, false
 	}
 	p.lastNumber++
-	wt := &waiter{work: w, candidates: candidates, suspicion: s, askedAt: now, response: make(chan ownerResponse, 1)}
+	wt := &waiter{work: w, candidates: candidates, suspicion: s, route: route, askedAt: now, response: make(chan ownerResponse, 1)}
 	for i := range candidates {
 		if p.notices.Unreported(&candidates[i]) {
 			p.reportLimit(&candidates[i])
@@ -351,7 +352,8 @@
 // startGranted starts a request on the target that the owner has granted. It is reported to a
 // new owner from now on. The lock must be held.
 func (p *Placer) startGranted(w *api.PlacementRequest, g placewire.Decision) *assignment {
-	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered}
+	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered,
+		newVersion: g.NewVersion, expected: time.Duration(g.ExpectedMs) * time.Millisecond}
 	a.target, _ = p.directory.Target(g.Target) // checkTarget rejects a removed target later
 	if w.Engine != nil {
 		a.number = g.Number
@@ -359,6 +361,7 @@
 		p.recordStart(a)
 	}
 	p.local.Start(a.target)
+	p.noteRollout(w.Service)
 	return a
 }
 
@@ -474,7 +477,7 @@
 		return
 	}
 	delete(p.waiting, g.Number)
-	if (overtaken || wt.askedAt < p.suspensionEnd) && g.Target != "" {
+	if (overtaken || wt.askedAt < p.suspensionEnd) && (g.Target != "" || g.NewVersion) {
 		// The grant may have been in the receive buffer for the whole suspension.
 		p.recordExpired("requested before a suspension or overtaken", p.clock.Now()-wt.askedAt)
 		p.pending.Ends = append(p.pending.Ends, placewire.End{Number: g.Number, Outcome: api.AttemptUnsent})
--- a/plugin/placer/report.go
+++ b/plugin/placer/report.go
@@ -120,6 +120,7 @@
 		p.pending.AddCrashes(u)
 	} else {
 		p.addStarts(&u)
+		p.addEvidence(&u)
 	}
 	owner := p.owner
 	p.mu.Unlock()
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -61,10 +61,11 @@
 	subsets          map[string]subset // by service
 	contact          ownerContact
 	starts           *placement.StartShare
-	pending          placewire.EntryMessage // message to the owner that is not sent yet
-	sendDueAt        time.Duration          // when pending is to be sent; -1 = it has no content
-	sendSignal       chan struct{}          // sendDueAt is earlier than before
-	watchSignal      chan struct{}          // the first request waits
+	rollouts         map[string]*runningRollout // by service
+	pending          placewire.EntryMessage     // message to the owner that is not sent yet
+	sendDueAt        time.Duration              // when pending is to be sent; -1 = it has no content
+	sendSignal       chan struct{}              // sendDueAt is earlier than before
+	watchSignal      chan struct{}              // the first request waits
 
 	ownerGrants, localPlacements, ownerTimeouts, throttled, expiredGrants *metrics.Counter
 	leavingNotices, pauseNotices, limitNotices, unmeteredSends            *metrics.Counter
@@ -73,9 +74,11 @@
 
 // subset is the part of a list of targets that this instance uses while no owner responds.
 type subset struct {
-	list    []api.Target // of which it is a part
-	share   float64
-	targets []api.Target
+	list  []api.Target // of which it is a part
+	share float64
+	// versions identifies the versions that may be used.
+	versions placement.Versions
+	targets  []api.Target
 }
 
 // ownerState is this instance's state of the current owner.
@@ -127,6 +130,7 @@
 	p.waitSeconds = c.Metrics.NewHistogram("nutmeg_placer_wait_seconds")
 	p.mesh.Handle(placewire.MethodDown, p.handleOwnerMessage)
 	p.directory.OnChange(p.targetsChanged)
+	p.fleet.OnChange(p.viewChanged)
 	p.topology.OnLeader(p.leaderChanged)
 	linkManager, err := kernel.Lookup[api.LinkManager](c)
 	if err != nil {
@@ -150,6 +154,9 @@
 	p.local.Retain(p.directory.Targets())
 	p.starts.Retain(p.directory.Targets())
 	p.notices.Retain(p.directory.Targets())
+	for _, r := range p.rollouts {
+		p.findOldTargets(r)
+	}
 }
 
 // Errors of an assignment whose target must not be used any more.
