owner: tests of rollouts in a small fleet

Cause: the changes for rollouts had no tests at the owner. Change: the fleet of plugin/owner has versions, a log of rollouts and a simple controller. Route names in decisions and evidence are never empty. A permitted plain request counts as granted in the owner's metrics.

--- a/plugin/owner/fleet_test.go
+++ b/plugin/owner/fleet_test.go
@@ -50,6 +50,7 @@
 	cost     *cost          // of the owner's work; nil = none
 	begin    time.Time
 	timeline []string
+	rollouts rolloutLog
 }
 
 // cost is the processor time that control instances spend on a message, and on a search of a target. A
@@ -135,6 +136,7 @@
 	onLink    []func(api.LinkChange)
 	onStatus  []func(api.ControlStatus)
 	onLeader  []func(string, uint64)
+	onView    []func(*api.View)
 	status    api.ControlStatus
 	knownTerm uint64
 }
@@ -185,6 +187,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel, n.duties = cancel, kernel.NewDuties(ctx)
 	s := &settings.Settings{Instance: n.name, DataCentre: "z", Profile: settings.ProfileRoutes}
+	s.Routes.Rollouts = &settings.Rollouts{ExposureShare: exposureShare, ExposureSlack: exposureSlack, RollbackMs: 5000}
 	s.Routes.Bounds.ColdOverage, s.Routes.Bounds.ColdSlack, s.Routes.Bounds.ShareWindowMs = coldOverage, coldSlack, 4000
 	n.clock = kernel.NewClock()
 	if n.control {
@@ -242,6 +245,7 @@
 	for _, p := range f.peers(n) {
 		f.setLink(n, p, true)
 	}
+	n.tellView()
 }
 
 // peers returns the instances to which a process has links.
@@ -495,9 +499,9 @@
 func (l *linkManager) SetAddresses([]string)               {}
 
 func (v *view) View() *api.View {
-	return &api.View{Revision: 1, Version: 1, Document: api.PackDocument([]byte("{}"))}
+	return &api.View{Revision: 1, Version: 1, Document: api.PackDocument([]byte("{}")), Rollouts: (*node)(v).rollouts()}
 }
-func (v *view) OnChange(func(*api.View)) {}
+func (v *view) OnChange(f func(*api.View)) { v.onView = append(v.onView, f) }
 
 func (d *directory) Targets() []api.Target { return d.f.targets }
 func (d *directory) OnChange(func())       {}
@@ -513,7 +517,7 @@
 var engine = &routing.Engine{Slots: 64, CacheTokens: 1_000_000}
 
 func (d *dialect) ParseConfig([]byte) (*routing.Table, error) {
-	return &routing.Table{Version: 1, TokensPerSecond: 1e6, Services: map[string]*routing.Service{"m": {Name: "m", Engine: engine, ColdPerSecond: coldPerSecond}}}, nil
+	return &routing.Table{Version: 1, TokensPerSecond: 1e6, Services: map[string]*routing.Service{"m": {Name: "m", Engine: engine, ColdPerSecond: coldPerSecond}, "p": {Name: "p"}}}, nil
 }
 
 func (c *control) OnStatus(f func(api.ControlStatus)) { c.onStatus = append(c.onStatus, f) }
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -547,7 +547,7 @@
 		decisions = nil
 	}
 	for _, d := range decisions {
-		if d.Target != "" {
+		if d.Target != "" || d.Permitted {
 			o.grants.Inc()
 			o.load.granted++
 		} else {
--- a/plugin/placer/rollout.go
+++ b/plugin/placer/rollout.go
@@ -11,6 +11,7 @@
 	"nutmegrouter/internal/placement"
 	"nutmegrouter/internal/placewire"
 	"nutmegrouter/internal/rollout"
+	"nutmegrouter/internal/routing"
 )
 
 const (
@@ -302,9 +303,12 @@
 	if r, _ := p.currentRollout(w.Service); r == nil || r.State != api.RolloutRunning {
 		return ""
 	}
-	return w.Route.Name
+	return routeName(w.Route)
 }
 
+// routeName returns what a route is called in decisions on rollouts and in their evidence. It is never empty.
+func routeName(r *routing.Route) string { return cmp.Or(r.Name, "-") }
+
 // placeNewVersion chooses a target of the new version for a plain request that the owner has given to it. Without
 // one that can be used at once, the request goes to another version.
 func (p *Placer) placeNewVersion(w *api.PlacementRequest) (*assignment, error) {
@@ -370,7 +374,7 @@
 		// After a refused resend it is only known that a pooled connection was closed.
 		return
 	}
-	result := attemptResult{route: a.work.Route.Name, target: a.target, outcome: o, cold: a.target.ColdUntil > a.sentAt}
+	result := attemptResult{route: routeName(a.work.Route), target: a.target, outcome: o, cold: a.target.ColdUntil > a.sentAt}
 	switch {
 	case !a.tracked: // it was sent before the rollout: its times have not been measured
 	case a.trackedEvents > 0:
@@ -387,7 +391,7 @@
 // recordRolloutCrash records that the target has crashed during the attempt. The lock must be held.
 func (a *assignment) recordRolloutCrash(now time.Duration) {
 	if r := a.placer.noteRollout(a.target.Service); r != nil && a.sentAt > 0 && !a.resendRefused {
-		r.evidence.RecordCrash(a.work.Route.Name, &a.target, now)
+		r.evidence.RecordCrash(routeName(a.work.Route), &a.target, now)
 	}
 }
 
