rollouts: grants after a success, owner in doubt, unit tests of the owner

Cause: an entry instance that has not received the end of a rollout yet refused grants on the new version, which were not marked any more; between a verdict and its record the owner took the service for one that has not moved. Change: grants on the version to which a service has moved stay marked, and are good for more than one send once the entry instance knows of the success.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -189,7 +189,7 @@
 	}
 	d := o.newDecision(w, c)
 	d.Target, d.Metered, d.QueueDelay = c.target.info.ID, w.metered, now-w.submittedAt
-	d.NewVersion, d.Expected = w.newVersion, expected
+	d.NewVersion, d.Expected = w.newVersion || o.hasMovedTo(c.target.info.Service, c.target.info.Version), expected
 	o.decisions = append(o.decisions, d)
 	return true
 }
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -215,6 +215,10 @@
 		o.decisions = append(o.decisions, Decision{Key: k, ForwardShare: 1, Permitted: true, NewVersion: true})
 		return
 	}
+	if r := o.view.Rollouts[req.Service]; req.Route != "" && o.hasMovedTo(req.Service, r.Version) {
+		o.decisions = append(o.decisions, Decision{Key: k, ForwardShare: 1, Permitted: true, NewVersion: true})
+		return
+	}
 	d := Decision{Key: k, ForwardShare: 1, Permitted: len(req.Candidates) == 0}
 	var soonest *targetLimit
 	soonestWait := time.Duration(math.MaxInt64)
--- a/internal/placement/rollout.go
+++ b/internal/placement/rollout.go
@@ -48,6 +48,13 @@
 // UnderRollout reports whether a rollout of a service runs and targets of other versions are listed.
 func (o *Owner) UnderRollout(service string) bool { return o.rollouts[service] != nil }
 
+// hasMovedTo reports whether a service has moved to a version by its newest rollout. Grants on it are then marked like
+// those during the rollout, because the entry instance may not have received the end of it yet.
+func (o *Owner) hasMovedTo(service, version string) bool {
+	r, ok := o.view.Rollouts[service]
+	return ok && r.State == api.RolloutSucceeded && r.Version == version
+}
+
 // CanUse reports whether the owner may grant a target now. Targets of plain services, of which it has no model,
 // can always be used.
 func (o *Owner) CanUse(targetID string, now time.Duration) bool {
--- a/plugin/owner/rollout.go
+++ b/plugin/owner/rollout.go
@@ -455,7 +455,8 @@
 
 // HasMoved implements placement.Splitter.
 func (s *splitter) HasMoved() bool {
-	return s.mayGrant() && (s.r.verdict != nil || s.r.controller.Phase() == rollout.PhaseMoved)
+	// After a verdict, Choose still distinguishes how the rollout ends.
+	return s.mayGrant() && s.r.controller.Phase() >= rollout.PhaseMoved
 }
 
 // RecordGrant implements placement.Splitter.
--- a/plugin/placer/rollout.go
+++ b/plugin/placer/rollout.go
@@ -330,17 +330,17 @@
 // for one send, so that the owner counts each.
 func (a *assignment) checkVersion() error {
 	r, nothingToMove := a.placer.currentRollout(a.target.Service)
+	running := r != nil && r.State == api.RolloutRunning
 	switch {
 	case r != nil && r.Excludes(a.target.Version):
 		return errVersionExcluded
-	case a.newVersion && a.versionUsed:
+	case running && a.newVersion && a.versionUsed:
 		a.resendRefused = true
 		return errVersionUsed
-	case !a.newVersion && r != nil && r.State == api.RolloutRunning && r.Version == a.target.Version && !nothingToMove:
+	case running && !a.newVersion && r.Version == a.target.Version && !nothingToMove:
 		return errVersionNotGiven
 	}
-	a.versionUsed = true
-	a.tracked = r != nil && r.State == api.RolloutRunning
+	a.versionUsed, a.tracked = true, running
 	return nil
 }
 
