scenario, soak: rollouts of good and bad versions on real processes

The soak has a fault that starts a rollout beside the others; its list of targets has a lock, as two series of faults change it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -10,7 +11,7 @@
 
 // findViolations checks the recorded requests and the runs at the targets against
 // the fleet's guarantees. Each violation is one line.
-func (h *harness) findViolations(requests []*request) []string {
+func (h *harness) findViolations(ctx context.Context, requests []*request) []string {
 	violations := h.runLog.Violations()
 	runs := h.runLog.All()
 	byID := map[string]*request{}
@@ -28,6 +29,7 @@
 	}
 	violations = append(violations, checkDeadly(requests, runs)...)
 	violations = append(violations, h.checkNotices(byID)...)
+	violations = append(violations, h.checkRollouts(ctx, byID)...)
 	return append(violations, h.checkRetryBudget(requests, runs)...)
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,12 +66,18 @@
 		{"reset", 1, func(ctx context.Context, h *harness, rng *rand.Rand) {
 			h.disturbLinks(ctx, pick(h.controlInstances(), rng), rng, func(r *relay.Relay) { r.Down() })
 		}},
-		{"silent-links", 0, func(_ context.Context, h *harness, rng *rand.Rand) { pick(h.controlInstances(), rng).relay.Silence() }},
+		{"silent-links", 0, func(_ context.Context, h *harness, rng *rand.Rand) {
+			inst := pick(h.controlInstances(), rng)
+			h.recordDisturbance(inst)
+			inst.relay.Silence()
+		}},
 		{"slow-links", 0, func(ctx context.Context, h *harness, rng *rand.Rand) {
 			inst := pick(h.controlInstances(), rng)
+			h.recordDisturbance(inst)
 			inst.relay.Delay(time.Duration(rng.IntN(60)) * time.Millisecond)
 			randomPause(ctx, rng, 3)
 			inst.relay.Delay(0)
+			h.recordDisturbance(inst)
 		}},
 		{"targets-fail", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 0, 300, 0, 0) }},
 		{"targets-refuse", 0, func(ctx context.Context, h *harness, rng *rand.Rand) { h.failTargets(ctx, rng, 400, 0, 0, 0) }},
@@ -80,13 +86,13 @@
 		{"targets-limit", 0, limitTargets},
 		{"deadly-request", 0, repeatDeadlyRequest},
 		{"target-dark", 0, func(ctx context.Context, h *harness, rng *rand.Rand) {
-			p := h.targetRelays[h.targets[rng.IntN(len(h.targets))].ID]
+			p := h.targetRelay(pick(h.liveTargets(), rng))
 			p.Cut(relay.Both)
 			randomPause(ctx, rng, 3)
 			p.Heal()
 		}},
 		{"target-silent", 0, func(_ context.Context, h *harness, rng *rand.Rand) {
-			h.targetRelays[h.targets[rng.IntN(len(h.targets))].ID].Silence()
+			h.targetRelay(pick(h.liveTargets(), rng)).Silence()
 		}},
 		{"replace-target", 0, replaceTarget},
 		{"list-refused", 0, func(ctx context.Context, h *harness, rng *rand.Rand) {
@@ -97,6 +103,7 @@
 		{"configure", 0, replaceConfig},
 		{"bad-configuration", 0, submitInvalidConfig},
 		{"out-and-back", 0, moveOutAndBack},
+		{"rollout", 0, startRollout},
 	}
 }
 
@@ -172,6 +179,7 @@
 	if !h.isRunning(inst) || inst.suspended {
 		return
 	}
+	h.recordDisturbance(inst)
 	h.signal(inst, syscall.SIGKILL)
 	if p, err := h.procs.Get(inst.name); err == nil {
 		<-p.Done()
@@ -189,6 +197,7 @@
 	if !h.isRunning(inst) || inst.suspended {
 		return
 	}
+	h.recordDisturbance(inst)
 	h.signal(inst, syscall.SIGKILL)
 	if p, err := h.procs.Get(inst.name); err == nil {
 		<-p.Done()
@@ -209,6 +218,7 @@
 func killControls(ctx context.Context, h *harness, rng *rand.Rand) {
 	for _, inst := range h.controlInstances() {
 		if h.isRunning(inst) {
+			h.recordDisturbance(inst)
 			h.signal(inst, syscall.SIGKILL)
 		}
 	}
@@ -226,31 +236,33 @@
 // disturbLinks applies f to the relay in front of a control instance, and heals the
 // relay after a random time.
 func (h *harness) disturbLinks(ctx context.Context, inst *instance, rng *rand.Rand, f func(*relay.Relay)) {
+	h.recordDisturbance(inst)
 	f(inst.relay)
 	randomPause(ctx, rng, 4)
 	inst.relay.Heal()
+	h.recordDisturbance(inst)
 }
 
 // failTargets makes about a third of the targets fail for a random time. The shares of
 // requests that these refuse, fail, cut off and leave hanging are in thousandths.
 func (h *harness) failTargets(ctx context.Context, rng *rand.Rand, refuse, fail, cut, hang int32) {
-	var affected []int
-	for i := range h.targets {
+	var affected []*standin.Target
+	for _, t := range h.liveTargets() {
 		if rng.IntN(3) == 0 {
-			affected = append(affected, i)
-			h.targets[i].FaultRates.Set(refuse, fail, cut, hang)
+			affected = append(affected, t)
+			t.FaultRates.Set(refuse, fail, cut, hang)
 		}
 	}
 	randomPause(ctx, rng, 4)
-	for _, i := range affected {
-		h.targets[i].FaultRates.Set(0, 0, 0, 0)
+	for _, t := range affected {
+		t.FaultRates.Set(0, 0, 0, 0)
 	}
 }
 
 // limitTargets makes about two thirds of the targets name a rate limit, which changes once, for 8 s.
 func limitTargets(ctx context.Context, h *harness, rng *rand.Rand) {
 	var affected []*standin.Target
-	for _, t := range slices.Clone(h.targets) {
+	for _, t := range h.liveTargets() {
 		if rng.IntN(3) > 0 {
 			affected = append(affected, t)
 		}
@@ -280,24 +292,23 @@
 
 // replaceTarget starts a replacement for a target, has the list show the old target as
 // leaving, and stops the old one up to 3 s after the bound on new work there (leaveMs).
+// It leaves the targets of a service alone whose rollout is under way.
 func replaceTarget(ctx context.Context, h *harness, rng *rand.Rand) {
-	i := rng.IntN(len(h.targets))
-	old := h.targets[i]
-	replacement, err := h.addTarget(old.Service, old.Engine, old.Slots, old.DataCentre)
-	if err != nil {
+	old := pick(h.liveTargets(), rng)
+	if h.isRollingOut(old.Service) {
+		return
+	}
+	if _, err := h.addVersion(old.Service, old.Engine, old.Slots, old.DataCentre, old.Version, old.Bad); err != nil {
 		h.opt.Log("replace %s: %v", old.ID, err)
 		return
 	}
-	h.targets[i], h.targets = replacement, h.targets[:len(h.targets)-1]
+	h.forgetTargets(old)
 	old.MarkDraining()
 	select {
 	case <-ctx.Done():
 	case <-time.After(leaveMs*time.Millisecond + time.Duration(rng.IntN(3000))*time.Millisecond):
 	}
-	old.Close()
-	h.targetRelays[old.ID].Close()
-	time.Sleep(time.Second) // a real list shows a stopped target for a while, too
-	h.directory.Remove(old.ID)
+	h.stopTargets(old)
 }
 
 // replaceConfig submits a newer configuration, in which a fifth route with a random
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -92,6 +92,7 @@
 	instances       []*instance
 	directory       *standin.Directory
 	runLog          *standin.RunLog
+	targetsMu       sync.Mutex // for targets and targetCount
 	targets         []*standin.Target
 	relaysMu        sync.Mutex              // for crashTarget, which runs beside the faults
 	targetRelays    map[string]*relay.Relay // in front of the targets, by target id
@@ -103,13 +104,16 @@
 	disturbedMu     sync.Mutex
 	disturbed       map[string][]time.Time // restarts and suspensions, by instance
 	restarts        sync.WaitGroup         // of crashed targets
+	rolloutsMu      sync.Mutex
+	rollouts        []*rollout      // in the order of their starts
+	rollingOut      map[string]bool // services with a rollout under way
 }
 
 // newHarness starts the list of targets and the targets, and lays out the instances
 // without starting them.
 func newHarness(o Options) (*harness, error) {
 	h := &harness{
-		opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), runLog: standin.NewRunLog(), targetRelays: map[string]*relay.Relay{}, disturbed: map[string][]time.Time{},
+		opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), runLog: standin.NewRunLog(), targetRelays: map[string]*relay.Relay{}, disturbed: map[string][]time.Time{}, rollingOut: map[string]bool{},
 		operator: standin.Operator{Client: &http.Client{Timeout: 1500 * time.Millisecond}},
 	}
 	var err error
@@ -155,11 +159,18 @@
 	}
 }
 
-// addTarget starts a target behind a relay and adds it to the list of targets.
+// addTarget starts a target of the default version behind a relay and adds it to the list of targets.
 func (h *harness) addTarget(service string, engine bool, slots int, dc string) (*standin.Target, error) {
+	return h.addVersion(service, engine, slots, dc, standin.DefaultVersion, nil)
+}
+
+// addVersion is addTarget for a version, which is good if bad is nil.
+func (h *harness) addVersion(service string, engine bool, slots int, dc, version string, bad *standin.BadVersion) (*standin.Target, error) {
+	h.targetsMu.Lock()
+	defer h.targetsMu.Unlock()
 	h.targetCount++
 	t := &standin.Target{
-		ID: fmt.Sprintf("i-%s-%d", service, h.targetCount), Service: service, DataCentre: dc, Engine: engine, Slots: slots,
+		ID: fmt.Sprintf("i-%s-%d", service, h.targetCount), Service: service, DataCentre: dc, Version: version, Bad: bad, Engine: engine, Slots: slots,
 		RunLog: h.runLog, MaxColdPerSecond: standin.ColdPerSecond*coldOverage + coldSlack, StartedAt: time.Now(),
 	}
 	t.OnDeadly = h.crashTarget
@@ -179,15 +190,53 @@
 	return t, nil
 }
 
+// liveTargets returns the targets that are neither stopped nor being replaced.
+func (h *harness) liveTargets() []*standin.Target {
+	h.targetsMu.Lock()
+	defer h.targetsMu.Unlock()
+	return slices.Clone(h.targets)
+}
+
+// targetsOf returns the live targets of a service.
+func (h *harness) targetsOf(service string) []*standin.Target {
+	return slices.DeleteFunc(h.liveTargets(), func(t *standin.Target) bool { return t.Service != service })
+}
+
+// forgetTargets removes targets from the live ones. They go on to serve.
+func (h *harness) forgetTargets(targets ...*standin.Target) {
+	h.targetsMu.Lock()
+	defer h.targetsMu.Unlock()
+	h.targets = slices.DeleteFunc(h.targets, func(t *standin.Target) bool { return slices.Contains(targets, t) })
+}
+
+// stopTargets stops targets, and removes them from the platform's list a second later: a real list shows a stopped
+// target for a while, too.
+func (h *harness) stopTargets(targets ...*standin.Target) {
+	h.forgetTargets(targets...)
+	for _, t := range targets {
+		t.Close()
+		h.targetRelay(t).Close()
+	}
+	time.Sleep(time.Second)
+	for _, t := range targets {
+		h.directory.Remove(t.ID)
+	}
+}
+
+// targetRelay returns the relay in front of a target.
+func (h *harness) targetRelay(t *standin.Target) *relay.Relay {
+	h.relaysMu.Lock()
+	defer h.relaysMu.Unlock()
+	return h.targetRelays[t.ID]
+}
+
 // restartTime is how long a crashed target is away.
 const restartTime = 3 * time.Second
 
 // crashTarget ends all requests of a target, which refuses connections until it is back as another
 // incarnation after restartTime.
 func (h *harness) crashTarget(t *standin.Target) {
-	h.relaysMu.Lock()
-	r := h.targetRelays[t.ID]
-	h.relaysMu.Unlock()
+	r := h.targetRelay(t)
 	r.Refuse()
 	h.restarts.Go(func() {
 		time.Sleep(restartTime)
@@ -206,6 +255,7 @@
 	}
 	s.Routes = settings.Routes{
 		Bootstrap: !inst.bootstrapped, DataCentres: dataCentres, MemoryMB: 256, MaxFiles: 4096, LossesTolerated: h.opt.Losses,
+		Rollouts:  &rolloutBounds,
 		Directory: settings.Directory{Address: h.directory.Address(), CallsPerSecond: 40, MaxLagMs: 500},
 		Bounds: settings.Bounds{
 			ApplyMs: applyMs, AcknowledgeMs: 4000, LeaveMs: leaveMs, OutMs: outMs, StopMs: stopMs, CatchUpMs: 4000,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -70,7 +70,7 @@
 	stopLoad()
 	wg.Wait()
 	requests := generator.recorded()
-	report.Violations = append(h.findViolations(requests), h.checkConfig(ctx)...)
+	report.Violations = append(h.findViolations(ctx, requests), h.checkConfig(ctx)...)
 	report.Served, report.Attempts = countServed(requests, time.Time{}, time.Now())
 	report.AfterServed, report.AfterAttempts = countServed(requests, faultsEnded.Add(recoveryTime), time.Now())
 	if report.AfterServed*2 < report.AfterAttempts {
--- a/scenario/routes_test.go
+++ b/scenario/routes_test.go
@@ -30,6 +30,7 @@
 	controlIP, entryIP                   string
 	operators, listen, ready, entryAdmin string // addresses
 	memoryMB                             float64
+	rollouts                             *settings.Rollouts // nil = no rollouts
 }
 
 // routesFleets counts the fleets of this process.
@@ -75,6 +76,7 @@
 		Profile: settings.ProfileRoutes, Instance: name, DataCentre: "dc-1", Mesh: ip + ":7400", Admin: ip + ":8003",
 		Routes: settings.Routes{
 			Bootstrap: true, DataCentres: []string{"dc-1"}, MemoryMB: f.memoryMB, MaxFiles: 4096, Seeds: []string{f.operators},
+			Rollouts:  f.rollouts,
 			Directory: settings.Directory{Address: f.directory.Address(), CallsPerSecond: 40, MaxLagMs: 500},
 			Bounds: settings.Bounds{ApplyMs: 2000, AcknowledgeMs: 4000, LeaveMs: 3000, OutMs: 5000, StopMs: 8000, CatchUpMs: 4000,
 				ForwardMs: 120, RetryRatio: 0.2, RetrySlack: 54, RetryWindowMs: 10_000, ColdOverage: 1.5, ColdSlack: 5, ShareWindowMs: 4000},
