--- a/cmd/nutmegctl/main.go
+++ b/cmd/nutmegctl/main.go
@@ -50,6 +50,7 @@
 		{"wait", "[REVISION]", "wait until a revision is in force everywhere", (*tool).wait},
 		{"out", "DATA-CENTRE", "take a data centre out of service", (*tool).takeOut},
 		{"back", "DATA-CENTRE", "bring a data centre back into service", (*tool).bringBack},
+		{"rollouts", "[SERVICE]", "show the newest rollout of each service; with the evidence if -admin names the control leader", (*tool).showRollouts},
 		{"explain", "[-json] REQUEST [LOG...]", "show what happened to a request, from log files or standard input", (*tool).explain},
 		{"losses", "[-json] [-by workspace|kind|time] [-interval D] [LOG...]", "count requests that were not served in time, by cause, from log files or standard input", (*tool).losses},
 		{"timeline", "[-since D] [-kind K] [-workspace W] [-target T] [-request R]", "print the merged events of all instances", (*tool).timeline},
--- a/cmd/nutmegctl/main_test.go
+++ b/cmd/nutmegctl/main_test.go
@@ -27,6 +27,8 @@
 	failures int
 	result   api.SubmitResult
 	inForce  bool
+	rollouts map[string]api.Rollout
+	metrics  string
 }
 
 func startFakeInstance(t *testing.T) *fakeInstance {
@@ -45,7 +47,10 @@
 	var out any
 	switch string(r.Path()) {
 	case adminapi.PathView:
-		out = api.View{Revision: 4}
+		out = api.View{Revision: 4, Rollouts: f.rollouts}
+	case adminapi.PathMetrics:
+		r.SetBodyString(f.metrics)
+		return
 	case adminapi.PathInForce:
 		out = adminapi.InForce{Revision: 5, InForce: f.inForce, WaitingInstances: []string{"b"}}
 	case adminapi.PathStatus:
@@ -204,3 +209,48 @@
 	is.Equal(run([]string{"losses", "-interval", "1ms"}, strings.NewReader(lines), &out, &errOut), exitUsage)
 	is.Equal(run([]string{"losses"}, strings.NewReader(""), &out, &errOut), exitFailure)
 }
+
+// Guards against a rollout shown with the evidence of another one or of the wrong version, and against one that is
+// hidden because its owner does not answer.
+func TestRollouts(t *testing.T) {
+	is := is.New(t)
+	f := startFakeInstance(t)
+	f.rollouts = map[string]api.Rollout{
+		"s": {Service: "s", Version: "v2", DurationMs: 12_000, Started: 7, State: api.RolloutRolledBack, Reason: "failures"},
+		"t": {Service: "t", Version: "v2", DurationMs: 60_000, Started: 9, State: api.RolloutSucceeded, Reason: "all_moved", Replaced: []string{"v0", "v1"}},
+		"u": {Service: "u", Version: `v"1`, DurationMs: 500, Started: 10, State: api.RolloutRunning},
+	}
+	f.metrics = `nutmeg_ready 1
+nutmeg_rollout_state{service="s",version="v1"} 10
+nutmeg_rollout_state{service="s",version="v2"} 11
+nutmeg_rollout_grants_total{service="s",version="v1"} 99
+nutmeg_rollout_grants_total{service="s",version="v2"} 41
+nutmeg_rollout_failed_total{service="s",version="v2"} 12
+nutmeg_rollout_failed_total{service="s",version="other"} 3
+nutmeg_rollout_slow_total{service="s",version="v2"} 5
+nutmeg_rollout_slow_total{service="s",version="other"} 4
+nutmeg_rollout_state{service="u",version="v\"1"} 2
+`
+	code, out, errOut := runTool("", "-admin", f.address, "-json", "rollouts")
+	is.Equal(errOut, "")
+	is.Equal(code, exitOK)
+	var got []shownRollout
+	is.NoErr(json.Unmarshal([]byte(out), &got))
+	is.Equal(len(got), 3)
+	is.Equal(got[0].Rollout, f.rollouts["s"])
+	is.Equal(*got[0].Evidence, rolloutEvidence{Owner: "a", Phase: "rolled back", Granted: 41, Failed: 12, Slow: 5, OtherFailed: 3, OtherSlow: 4})
+	is.True(got[1].Evidence == nil)
+	is.Equal(got[2].Evidence.Phase, "canary")
+	code, out, _ = runTool("", "-admin", f.address, "rollouts", "t")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "all_moved") && strings.Contains(out, "v0 v1") && !strings.Contains(out, "rolled_back"))
+	code, _, errOut = runTool("", "-admin", f.address, "rollouts", "x")
+	is.Equal(code, exitFailure)
+	is.True(strings.Contains(errOut, "has had no rollout"))
+	f.mu.Lock()
+	f.metrics = ""
+	f.mu.Unlock()
+	code, out, _ = runTool("", "-admin", f.address+",127.0.0.1:1", "rollouts")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "rolled_back"))
+}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -80,6 +80,12 @@
 	return out, c.get(ctx, PathEvents, f.Query(), &out)
 }
 
+// Metrics returns the metrics of the first instance that responds, in the Prometheus format.
+func (c *Client) Metrics(ctx context.Context) (string, error) {
+	var out string
+	return out, c.get(ctx, PathMetrics, nil, &out)
+}
+
 // Submit proposes a change. After an error the outcome is unknown; the same
 // submission may be sent again.
 func (c *Client) Submit(ctx context.Context, s api.Submission) (api.SubmitResult, error) {
@@ -152,6 +158,10 @@
 		}
 		return statusErr
 	}
+	if text, ok := out.(*string); ok {
+		*text = string(resp.Body())
+		return nil
+	}
 	return errors.Wrapf(json.Unmarshal(resp.Body(), out), "decode %s (peer %s)", path, addr)
 }
 
