--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -213,8 +213,16 @@
 	if float64(elapsed) < earliestMove*float64(c.config.Duration) || now-c.startedAt < minRateTime {
 		return false
 	}
-	return c.evidence.answered() && c.evidence.result.strength < doubtStrength &&
-		c.fits(loadGrowth, now)
+	_, doubt := c.strengths()
+	return c.evidence.answered() && c.evidence.result.strength < doubt && c.fits(loadGrowth, now)
+}
+
+// strengths returns the strength of the evidence that decides against the version, and the one that does so at the end.
+func (c *Controller) strengths() (verdict, doubt float64) {
+	if c.canaryPart > canaryShare {
+		return fewVerdictStrength, fewDoubtStrength
+	}
+	return verdictStrength, doubtStrength
 }
 
 // fits reports whether all requests until the deadline, at a multiple of the present rate, fit into the bound.
@@ -247,11 +255,14 @@
 func (c *Controller) decide(now time.Duration) (Verdict, bool) {
 	result := &c.evidence.result
 	atEnd := c.Elapsed(now) >= c.endAt()
+	verdict, doubt := c.strengths()
 	switch {
 	case !c.sawOld && len(c.targets.New) > 0 && c.account.Requests == 0:
 		return Verdict{Succeeded: true, Reason: ReasonNoOtherVersion}, true
-	case result.strength >= verdictStrength, atEnd && result.strength >= doubtStrength:
-		return result.verdict(), true
+	case result.strength >= verdict, atEnd && result.strength >= doubt:
+		v := result.verdict()
+		v.Attrs = append(v.Attrs, "bound", verdict, "bound_at_end", doubt)
+		return v, true
 	case atEnd && !c.evidence.answered():
 		return Verdict{Reason: ReasonNoResponses}, true
 	case atEnd:
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -105,6 +105,7 @@
 		windowLength: length, numWindows: max(1, min(1000, float64(duration)/float64(length))), takenOver: takenOver,
 		routeIDs: map[string]int{}, targetIDs: map[string]int{},
 		entries: map[string]*reporter{},
+		result:  result{strength: noStrength},
 	}
 	e.window(now)
 	return e
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -12,11 +12,17 @@
 // the likelihood ratio, averaged over all forms of a bad version with fixed weights. Such an average exceeds 1/a with a
 // probability of at most a against a good version, however often it is evaluated.
 const (
-	// verdictStrength is the strength that decides against a version at any time: ln 300.
-	verdictStrength = 5.7
-	// doubtStrength is the strength that holds back the move, and decides at the end, when the version would get all
-	// requests: ln 15.
-	doubtStrength = 2.7
+	// verdictStrength is the strength that decides against a version at any time: ln 400. doubtStrength is that which
+	// holds back the move, and decides at the end, when the version would get all requests: ln 30. Where the canary
+	// phase has few requests, a bad version does not reach them; the lower ones, ln 55 and 1, still gave no more
+	// false verdicts there, because the share of failures
+	// of a good version is estimated with caution from few responses.
+	verdictStrength    = 6.0
+	doubtStrength      = 3.4
+	fewVerdictStrength = 4.0
+	fewDoubtStrength   = 0.0
+	// noStrength is the strength without any sign against a version.
+	noStrength = -20.0
 	// enoughAnswers is the number of answers after which a target counts for the comparison of targets, and
 	// enoughTargets that of such targets. Without them, after manyBad bad responses, no target counts as faulty by
 	// itself: a bad version of which few targets work must not succeed.
@@ -172,18 +178,23 @@
 // inWindow returns the shares at the time of a window: those of old targets in it and the windows before, with the
 // shares in all windows as a prior. After the move these are the last ones that old targets had.
 func (e *evidence) inWindow(index, route int, null routeNull) routeNull {
-	var t tally
+	var recent, own tally
 	for i, found := index, 0; i >= 0 && found < comparedWindows; i-- {
 		if w := e.windows[i]; route < len(w.old) && w.old[route].failed+w.old[route].served > 0 {
-			t.add(&w.old[route])
-			found++
+			recent.add(&w.old[route])
+			if found++; i == index {
+				own = w.old[route]
+			}
 		}
 	}
 	shrink := func(k, n, p float64) float64 {
 		return max(minShare, min(0.95, (k+windowPrior*p)/(n+windowPrior)))
 	}
-	null.failed = shrink(t.failed, t.failed+t.served, null.failed)
-	null.slow = shrink(t.count(&null.maySlow), t.paced, null.slow)
+	// Own responses count most, because both versions may begin to fail.
+	for _, t := range []*tally{&recent, &own} {
+		null.failed = shrink(t.failed, t.failed+t.served, null.failed)
+		null.slow = shrink(t.count(&null.maySlow), t.paced, null.slow)
+	}
 	return null
 }
 
@@ -224,7 +235,7 @@
 	}
 	return Verdict{Reason: reason, Route: r.route, Attrs: []any{
 		"route", r.route, "new_bad", r.bad, "new_all", r.all, "old_bad", r.oldBad, "old_all", r.oldAll,
-		"targets", r.targets, "evidence", r.strength, "bound", verdictStrength,
+		"targets", r.targets, "evidence", r.strength,
 	}}
 }
 
@@ -268,7 +279,7 @@
 			nextAge = age + 1 + age/4
 		}
 	}
-	ev.result.strength = math.Log(max(ev.likelihood, 1e-9))
+	ev.result.strength = max(noStrength, math.Log(ev.likelihood))
 	e.result = ev.result
 }
 
