rollout: large likelihoods of faulty targets do not overflow

Cause: exponentials were cut at exp(300), so a faulty target with 230 failures counted against the version; a slow version got requests for 5.3 s after its 50th bad response at 60 s and 100/s. Change: sums relative to the greatest item; the lower threshold decides between 40 and 100 bad responses.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -222,6 +222,9 @@
 	if c.canaryPart > canaryShare {
 		return fewVerdictStrength, fewDoubtStrength
 	}
+	if bad := c.evidence.result.newBad; bad >= limitedFrom && bad <= limitedTo {
+		return doubtStrength, doubtStrength
+	}
 	return verdictStrength, doubtStrength
 }
 
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -21,6 +21,10 @@
 	doubtStrength      = 3.4
 	fewVerdictStrength = 4.0
 	fewDoubtStrength   = 0.0
+	// While the version has had between limitedFrom and limitedTo bad responses, doubtStrength decides: after the 50th
+	// there is little time left in which it may get requests.
+	limitedFrom = 40
+	limitedTo   = 100
 	// noStrength is the strength without any sign against a version.
 	noStrength = -20.0
 	// enoughAnswers is the number of answers after which a target counts for the comparison of targets, and
@@ -226,6 +230,7 @@
 	bad, all       float64
 	oldBad, oldAll float64
 	targets        int
+	newBad         float64 // bad responses of the version in all
 }
 
 func (r *result) verdict() Verdict {
@@ -280,6 +285,11 @@
 		}
 	}
 	ev.result.strength = max(noStrength, math.Log(ev.likelihood))
+	ev.result.newBad = 0
+	for i := range ev.total {
+		// A stream gives two paces.
+		ev.result.newBad += ev.total[i].bad[kindFailed] + ev.total[i].bad[kindSlow]/2
+	}
 	e.result = ev.result
 }
 
@@ -425,25 +435,27 @@
 // evidence. With a good version a target may be sound or faulty. If it was faulty before the suffix, it is likely that
 // it still is. That no target is faulty is no evidence against a version, so a target counts as sound at least.
 func (ev *evaluation) addTarget(k kind, in, before, same, atLeast *ratios, times float64) {
+	// Logarithms of sums relative to the greatest item: a faulty target may have a ratio beyond exp(700).
+	greatest := slices.Max(in[:])
 	var tail ratios // sums of the likelihood ratios from each excess on
 	sum := 0.0
 	for i := len(in) - 1; i >= 0; i-- {
-		sum += math.Exp(max(-300, min(in[i], 300)))
-		tail[i] = sum
+		sum += math.Exp(in[i] - greatest)
+		tail[i] = max(sum, math.SmallestNonzeroFloat64)
 	}
 	null := 0.0
-	if ev.faulty {
+	if ev.faulty && greatest > 0 {
 		prior, was := &targetPrior[k], 0.0
 		for _, x := range before {
 			was += math.Exp(min(x, 300)) / float64(len(before))
 		}
 		was *= prior.faulty
 		q := max(was/(was+1-prior.faulty), prior.becomesFaulty)
-		null = max(0, math.Log(1-q+q*sum/float64(len(in))))
+		null = max(0, greatest+math.Log((1-q)*math.Exp(-greatest)+q*sum/float64(len(in))))
 	}
 	for i := range in {
 		same[i] += times * (in[i] - null)
-		atLeast[i] += times * (math.Log(tail[i]/float64(len(in)-i)) - null)
+		atLeast[i] += times * (greatest + math.Log(tail[i]/float64(len(in)-i)) - null)
 	}
 }
 
