--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -12,11 +12,21 @@
 // the likelihood ratio, averaged over all forms of a bad version with fixed weights. Such an average exceeds 1/a with a
 // probability of at most a against a good version, however often it is evaluated.
 const (
-	// verdictStrength is the strength that decides against a version at any time: ln 300.
-	verdictStrength = 5.7
-	// doubtStrength is the strength that holds back the move, and decides at the end, when the version would get all
-	// requests: ln 15.
-	doubtStrength = 2.7
+	// verdictStrength is the strength that decides against a version at any time: ln 400. doubtStrength is that which
+	// holds back the move, and decides at the end, when the version would get all requests: ln 30. Where the canary
+	// phase has few requests, a bad version does not reach them; the lower ones, ln 55 and 1, still gave no more
+	// false verdicts there, because the share of failures
+	// of a good version is estimated with caution from few responses.
+	verdictStrength    = 6.0
+	doubtStrength      = 3.4
+	fewVerdictStrength = 4.0
+	fewDoubtStrength   = 0.0
+	// While the version has had between limitedFrom and limitedTo bad responses, doubtStrength decides: after the 50th
+	// there is little time left in which it may get requests.
+	limitedFrom = 40
+	limitedTo   = 100
+	// noStrength is the strength without any sign against a version.
+	noStrength = -20.0
 	// enoughAnswers is the number of answers after which a target counts for the comparison of targets, and
 	// enoughTargets that of such targets. Without them, after manyBad bad responses, no target counts as faulty by
 	// itself: a bad version of which few targets work must not succeed.
@@ -172,18 +182,23 @@
 // inWindow returns the shares at the time of a window: those of old targets in it and the windows before, with the
 // shares in all windows as a prior. After the move these are the last ones that old targets had.
 func (e *evidence) inWindow(index, route int, null routeNull) routeNull {
-	var t tally
+	var recent, own tally
 	for i, found := index, 0; i >= 0 && found < comparedWindows; i-- {
 		if w := e.windows[i]; route < len(w.old) && w.old[route].failed+w.old[route].served > 0 {
-			t.add(&w.old[route])
-			found++
+			recent.add(&w.old[route])
+			if found++; i == index {
+				own = w.old[route]
+			}
 		}
 	}
 	shrink := func(k, n, p float64) float64 {
 		return max(minShare, min(0.95, (k+windowPrior*p)/(n+windowPrior)))
 	}
-	null.failed = shrink(t.failed, t.failed+t.served, null.failed)
-	null.slow = shrink(t.count(&null.maySlow), t.paced, null.slow)
+	// Own responses count most, because both versions may begin to fail.
+	for _, t := range []*tally{&recent, &own} {
+		null.failed = shrink(t.failed, t.failed+t.served, null.failed)
+		null.slow = shrink(t.count(&null.maySlow), t.paced, null.slow)
+	}
 	return null
 }
 
@@ -215,6 +230,7 @@
 	bad, all       float64
 	oldBad, oldAll float64
 	targets        int
+	newBad         float64 // bad responses of the version in all
 }
 
 func (r *result) verdict() Verdict {
@@ -224,7 +240,7 @@
 	}
 	return Verdict{Reason: reason, Route: r.route, Attrs: []any{
 		"route", r.route, "new_bad", r.bad, "new_all", r.all, "old_bad", r.oldBad, "old_all", r.oldAll,
-		"targets", r.targets, "evidence", r.strength, "bound", verdictStrength,
+		"targets", r.targets, "evidence", r.strength,
 	}}
 }
 
@@ -268,7 +284,12 @@
 			nextAge = age + 1 + age/4
 		}
 	}
-	ev.result.strength = math.Log(max(ev.likelihood, 1e-9))
+	ev.result.strength = max(noStrength, math.Log(ev.likelihood))
+	ev.result.newBad = 0
+	for i := range ev.total {
+		// A stream gives two paces.
+		ev.result.newBad += ev.total[i].bad[kindFailed] + ev.total[i].bad[kindSlow]/2
+	}
 	e.result = ev.result
 }
 
@@ -414,25 +435,27 @@
 // evidence. With a good version a target may be sound or faulty. If it was faulty before the suffix, it is likely that
 // it still is. That no target is faulty is no evidence against a version, so a target counts as sound at least.
 func (ev *evaluation) addTarget(k kind, in, before, same, atLeast *ratios, times float64) {
+	// Logarithms of sums relative to the greatest item: a faulty target may have a ratio beyond exp(700).
+	greatest := slices.Max(in[:])
 	var tail ratios // sums of the likelihood ratios from each excess on
 	sum := 0.0
 	for i := len(in) - 1; i >= 0; i-- {
-		sum += math.Exp(max(-300, min(in[i], 300)))
-		tail[i] = sum
+		sum += math.Exp(in[i] - greatest)
+		tail[i] = max(sum, math.SmallestNonzeroFloat64)
 	}
 	null := 0.0
-	if ev.faulty {
+	if ev.faulty && greatest > 0 {
 		prior, was := &targetPrior[k], 0.0
 		for _, x := range before {
 			was += math.Exp(min(x, 300)) / float64(len(before))
 		}
 		was *= prior.faulty
 		q := max(was/(was+1-prior.faulty), prior.becomesFaulty)
-		null = max(0, math.Log(1-q+q*sum/float64(len(in))))
+		null = max(0, greatest+math.Log((1-q)*math.Exp(-greatest)+q*sum/float64(len(in))))
 	}
 	for i := range in {
 		same[i] += times * (in[i] - null)
-		atLeast[i] += times * (math.Log(tail[i]/float64(len(in)-i)) - null)
+		atLeast[i] += times * (greatest + math.Log(tail[i]/float64(len(in)-i)) - null)
 	}
 }
 
