owner: a new owner waits for the reports before it gives a bad version more requests

Change: it gives new versions nothing until the entry instances that it knows have reported and the controller has evaluated that, at most a second.

--- a/plugin/owner/rollout.go
+++ b/plugin/owner/rollout.go
@@ -23,6 +23,11 @@
 	rolloutRetryDelay = 50 * time.Millisecond
 	// rolloutMetricsInterval is how often the metrics of the evidence are computed.
 	rolloutMetricsInterval = time.Second
+	// maxReportWait is the longest time for which a new owner gives new versions nothing because it waits for the full
+	// reports of entry instances, without which it knows nothing that speaks against a version. evidenceTime is the
+	// time from the last of them until the controller has evaluated them, which it does ten times a second.
+	maxReportWait = time.Second
+	evidenceTime  = 150 * time.Millisecond
 	// slowFactor is the multiple of the old versions' median from which a response counts as slow in the metrics.
 	slowFactor = 2.6
 )
@@ -140,6 +145,10 @@
 		return
 	}
 	o.rolloutsAt = now
+	if o.takingOver {
+		o.reportedAt = now
+	}
+	o.awaitsReports = now-o.reportedAt < evidenceTime && now-o.ownedSince < maxReportWait
 	for _, r := range o.rollouts {
 		if r.controller == nil {
 			if !r.reading && now >= r.readDueAt {
@@ -440,12 +449,16 @@
 
 // mayGrant reports whether the new version may be given requests.
 func (s *splitter) mayGrant() bool {
-	return !s.o.unconfirmed && s.r.controller != nil && (s.r.verdict == nil || s.r.verdict.Succeeded)
+	return !s.o.unconfirmed && !s.o.awaitsReports && s.r.controller != nil && (s.r.verdict == nil || s.r.verdict.Succeeded)
 }
 
 // Choose implements placement.Splitter.
 func (s *splitter) Choose(route string, now time.Duration) bool {
-	return s.mayGrant() && s.r.controller.Choose(route, now)
+	if s.o.unconfirmed || s.r.controller == nil {
+		return false
+	}
+	chosen := s.r.controller.Choose(route, now) // counts the request in any case
+	return chosen && s.mayGrant()
 }
 
 // IsCanary implements placement.Splitter.
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -120,6 +120,8 @@
 	rolloutBounds *settings.Rollouts         // nil = the fleet has no rollouts
 	rollouts      map[string]*runningRollout // by service
 	rolloutsAt    time.Duration              // when they were last advanced
+	reportedAt    time.Duration              // last time at which full reports of entry instances were missing
+	awaitsReports bool                       // new versions get nothing until these have been evaluated
 	metrics       *metrics.Set
 
 	grants, refusals, searches, blocks, blockedRequests *metrics.Counter
@@ -323,6 +325,7 @@
 		now := o.clock.Now()
 		known := o.knownEntries(now)
 		o.takingOver, o.ownedSince = true, now
+		o.reportedAt, o.awaitsReports = now, true
 		o.state.BeginTakeover(known, o.settledAt, now)
 		logqueue.Notice(o.log, "ownership begins", "step", "owner", "term", o.term, "entries", len(known))
 		o.viewChanged()
