--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// Guards against a rollout that is lost, gives a bad version more than the bounds allow, or goes on to use a version
+// after its end, because control or entry instances or targets fail meanwhile.
+func TestRolloutsUnderFaults(t *testing.T) {
+	playFaults(t, 1, 8*time.Second, "rollout", "kill-control", "kill-entry", "targets-fail")
+}
+
 // playFaults injects faults into a fleet under load and fails the test if a guarantee is violated.
 func playFaults(t *testing.T, seed uint64, duration time.Duration, faults ...string) {
 	t.Helper()
@@ -46,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: %d of %d served", seed, report.Served, report.Attempts)
+	t.Logf("seed %d: %d of %d served, faults %v", seed, report.Served, report.Attempts, report.Faults)
 	if len(report.Violations) > 0 {
 		t.Errorf("%d violations, the first:\n%s", len(report.Violations), strings.Join(report.Violations[:min(5, len(report.Violations))], "\n"))
 	}
