--- a/scenario/rollouts_test.go
+++ b/scenario/rollouts_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -151,6 +154,7 @@
 		f.t.Errorf("seed %d: %s", seed, v)
 	}
 	f.checkRefusals()
+	f.checkShown(cases)
 	if f.t.Failed() {
 		f.showRolloutLines()
 	}
@@ -303,6 +307,32 @@
 	}
 }
 
+// checkShown checks that nutmegctl shows the rollouts with the evidence of their owner, on which it was decided.
+func (f *rolloutFleet) checkShown(cases []*rolloutCase) {
+	is := is.New(f.t)
+	out, err := exec.Command(filepath.Join(binDir, "nutmegctl"), "-admin", f.entryAdmin+","+f.controlIP+":8003", "-json", "rollouts").Output()
+	is.NoErr(err)
+	var shown []struct {
+		Service, State, Reason string
+		Evidence               *struct {
+			Owner                 string
+			Granted, Failed, Slow int
+		}
+	}
+	is.NoErr(json.Unmarshal(out, &shown))
+	is.Equal(len(shown), len(cases))
+	for _, s := range shown {
+		i := slices.IndexFunc(cases, func(c *rolloutCase) bool { return c.service == s.Service })
+		is.True(i >= 0)
+		is.Equal(s.State, cases[i].state)
+		is.True(s.Reason != "")
+		is.True(s.Evidence != nil) // the control instance is the owner
+		is.Equal(s.Evidence.Owner, "control")
+		is.True(s.Evidence.Granted > 0)
+		f.t.Logf("nutmegctl: %s %s %s %+v", s.Service, s.State, s.Reason, *s.Evidence)
+	}
+}
+
 // refusalCode matches the code in the log line of a refusal.
 var refusalCode = regexp.MustCompile(`"msg":"refused".*"code":"(\w+)"`)
 
