placement: the owner decides on fetches of prompt parts together with the target

The owner now finds the best sources of a prompt, predicts each candidate with the fetch that is fastest for it, scores the transfer instead of the prefill, queues transfers on the links of both targets, and names the source in the grant. A service whose engine names no moves, kv_token_bytes or link_mbps has no sources.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -12,8 +12,8 @@
 	// request. It covers the message round trip to the owner, so that the target does not run
 	// idle. Further requests wait at the owner, where they can still be reordered.
 	maxTargetBacklog = 60 * time.Millisecond
-	// prefillWeight is the cost of prefilling a part that another target has cached, as a
-	// multiple of the prefill time: the target could serve another request in that time.
+	// prefillWeight is the cost of prefilling or fetching a part that another target has cached, as
+	// a multiple of the time: the target could serve another request in that time.
 	prefillWeight = 3.0
 	// affinityBonus is the cost reduction of a prompt's affinity target. It decides where a
 	// prompt goes that no target has cached, so that successive owners select alike.
@@ -53,7 +53,9 @@
 	wait            time.Duration // until the target can accept the request
 	firstEventAfter time.Duration // time until the first event
 	score           time.Duration // cost; the lowest wins
-	uncached        int           // prompt tokens that need prefill
+	uncached        int           // prompt tokens that the target has not cached
+	fetch           fetch         // of some of them
+	prefill         time.Duration // of the others, and the transfer
 
 	// idleTarget reports whether an examined target is idle. It is set only for a request of a
 	// workspace that exceeds its share.
@@ -78,6 +80,7 @@
 // number of predictions per decision stays bounded in large fleets.
 func (o *Owner) choose(w *work, now time.Duration) (best, rested candidate) {
 	o.searches++
+	o.findSources(w, now)
 	idleTarget := false
 	minUncached, minUncachedWait := -1, time.Duration(0)
 	consider := func(t *target, uncached int) candidate {
@@ -126,7 +129,7 @@
 		if len(w.request.Prompt) == 1 {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		if best.target == nil || o.minScore(t, w, uncached, now) <= best.score ||
+		if best.target == nil || o.minScore(t, w, o.sources.minPrefill(t, uncached), now) <= best.score ||
 			(w.overloaded && rested.target == nil && o.hasRested(t, uncached, now)) {
 			keepBest(consider(t, uncached))
 		} else {
@@ -164,9 +167,9 @@
 		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.maxStarts(t, now), 0, now) == 0
 }
 
-// minScore returns a lower bound of the score of a request on a target.
-func (o *Owner) minScore(t *target, w *work, uncached int, now time.Duration) time.Duration {
-	prefill := t.prefillTime(float64(uncached))
+// minScore returns a lower bound of the score of a request on a target, for a lower bound of
+// candidate.prefill.
+func (o *Owner) minScore(t *target, w *work, prefill, now time.Duration) time.Duration {
 	firstEventAfter := t.backlog(now) + prefill + baseLatency
 	score := firstEventAfter + time.Duration(prefillWeight*float64(prefill)) +
 		time.Duration(len(t.running))*runningRequestCost
@@ -180,7 +183,7 @@
 }
 
 // predict estimates the times and the score of a request on a target that has to prefill a
-// number of uncached tokens.
+// number of uncached tokens, or to fetch some of them from one of the sources that were found last.
 func (o *Owner) predict(t *target, w *work, uncached int, now time.Duration) candidate {
 	c := candidate{target: t, uncached: uncached}
 	pendingBefore := t.pendingBefore(w)
@@ -190,9 +193,10 @@
 		c.wait = max(c.wait, t.capacityWait(pendingBefore.requests, o.meanRunTime(t.info.Service)))
 	}
 	c.wait = max(c.wait, t.startWait(o.maxStarts(t, now), pendingBefore.requests, now), t.pausedUntil-now)
-	prefill := t.prefillTime(float64(c.uncached))
-	c.firstEventAfter = max(backlog, c.wait) + prefill + baseLatency
-	c.score = c.firstEventAfter + time.Duration(prefillWeight*float64(prefill)) +
+	c.fetch = o.sources.best(t, uncached, max(backlog, c.wait), now)
+	c.prefill = t.prefillTime(float64(uncached-c.fetch.tokens)) + c.fetch.transfer
+	c.firstEventAfter = max(backlog, c.wait) + c.fetch.wait + c.prefill + baseLatency
+	c.score = c.firstEventAfter + time.Duration(prefillWeight*float64(c.prefill)) +
 		time.Duration(len(t.running))*runningRequestCost +
 		time.Duration(t.health.failureRatio*float64(failureTimeCost))
 	if t.info.DataCentre != w.request.DataCentre {
--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -405,6 +405,9 @@
 		prompts = append(prompts, f.prompt)
 		return true
 	})
+	if len(prompts) > 0 {
+		t.cache.generation++
+	}
 	o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(t.info.ID, now, prompts...)...)
 }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if c.wait > 0 {
-		c.target.addPending(w, c.uncached)
+		c.target.addPending(w, c.prefillTokens())
 		w.reviewedAt = now
 		o.numPending++
 		return
@@ -166,6 +166,7 @@
 
 func (o *Owner) grant(w *work, c candidate, now time.Duration) {
 	c.target.start(w, start{at: now, by: o.followers[w.key.Entry], granted: true})
+	c.target.beginFetch(w, c.fetch, now)
 	w.metered = c.target.countAgainstLimit(now)
 	o.crashes.recordSent(w.request.Prompt)
 	if !w.request.Resumes {
@@ -173,6 +174,9 @@
 	}
 	d := o.newDecision(w, c)
 	d.Target, d.Metered, d.QueueDelay = c.target.info.ID, w.metered, now-w.submittedAt
+	if s := c.fetch.source; s != nil {
+		d.FetchFrom, d.FetchStartedUnixMs = s.info.ID, s.info.StartedUnixMs
+	}
 	o.decisions = append(o.decisions, d)
 }
 
@@ -200,6 +204,7 @@
 			return
 		}
 		o.dropPending(w)
+		o.findSources(w, now)
 		c := o.predict(t, w, t.cache.uncachedTokens(w.request.Prompt), now)
 		c.wait, c.minUncached = 0, c.uncached
 		if !w.request.Resumes {
@@ -252,6 +257,7 @@
 			continue
 		}
 		w.reviewedAt = now
+		o.findSources(w, now)
 		if !w.predictedMiss && !w.missesObjective(o.predict(t, w, t.cache.uncachedTokens(w.request.Prompt), now).firstEventAfter, now) {
 			continue
 		}
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -53,6 +53,10 @@
 	// counted against the target's rate limit.
 	Target  string
 	Metered bool
+	// FetchFrom is the ID of the target from which the granted one fetches parts of the prompt, and
+	// FetchStartedUnixMs its incarnation; "" = none.
+	FetchFrom          string
+	FetchStartedUnixMs int64
 	// Permitted reports, for a plain request without candidates, that it may be sent.
 	Permitted bool
 	// Code is the reason of a refusal, RetryAfter the time after which the caller may retry.
@@ -121,6 +125,7 @@
 	cacheIndex     cacheIndex
 	affinity       map[affinityKey]*target // of the usable targets
 	searches       uint64                  // calls of choose
+	sources        fetchSources            // for the last request that was decided on
 	scanFrom       int                     // index of the target at which the next scan of choose begins
 	asked          *intake
 	requests       map[Key]*work
@@ -343,6 +348,7 @@
 	}
 	w := newWork(k, req, now)
 	w.answered = answered
+	w.fetchUnknown = t.engine.CanFetch()
 	o.requests[k] = w
 	t.start(w, start{at: now - max(0, sentAgo), by: o.followers[k.Entry]})
 	if sentAgo < startWindow {
@@ -350,6 +356,7 @@
 	}
 	if firstEvent {
 		w.gotFirstEvent = true
+		t.cache.markPrefilled(req.Prompt)
 		t.removeFromPrefill(w, false)
 	}
 }
@@ -379,6 +386,7 @@
 	}
 	w.target.end(w)
 	w.target.health.record(outcome, now)
+	w.target.loseParts(outcome)
 	o.noteFailure(w, outcome, now)
 	if outcome == api.AttemptServed {
 		o.recordRunTime(w.target.info.Service, now-w.sentAt)
--- a/internal/placement/promptcache.go
+++ b/internal/placement/promptcache.go
@@ -24,6 +24,8 @@
 	index    cacheIndex
 	target   *target
 	unpinned *list.List // parts without running requests, most recently used first
+	// generation is increased when the target may have lost the parts that it has prefilled.
+	generation uint64
 }
 
 // cachedPart is a part in a prompt cache.
@@ -31,6 +33,8 @@
 	Part
 	pins    int
 	indexed bool // first part of a longer prompt, which other prompts may share
+	// prefilledIn is the generation of the cache in which the part was prefilled; 0 = not yet.
+	prefilledIn uint64
 }
 
 // cacheIndex maps a prompt part to the targets that have cached it.
@@ -54,7 +58,7 @@
 }
 
 func newPromptCache(capacity int) *promptCache {
-	return &promptCache{capacity: capacity, byID: map[PartID]*list.Element{}, unpinned: list.New()}
+	return &promptCache{capacity: capacity, byID: map[PartID]*list.Element{}, unpinned: list.New(), generation: 1}
 }
 
 // uncachedTokens returns the prompt tokens that the target must prefill: all tokens from the
@@ -70,6 +74,44 @@
 	return n
 }
 
+// markPrefilled records that the target has prefilled the cached parts of a prompt.
+func (c *promptCache) markPrefilled(prompt []Part) {
+	for _, p := range prompt {
+		if e := c.byID[p.ID]; e != nil {
+			e.Value.(*cachedPart).prefilledIn = c.generation
+		}
+	}
+}
+
+// prefilledTokens returns the number of tokens up to the first one that is not cached or has not
+// been prefilled yet.
+func (c *promptCache) prefilledTokens(prompt []Part) (n int) {
+	for _, p := range prompt {
+		e := c.byID[p.ID]
+		if e == nil || e.Value.(*cachedPart).prefilledIn != c.generation {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+// forget drops the assumption that the target has the parts of a prompt. Parts of running requests
+// stay cached, but do not count as prefilled.
+func (c *promptCache) forget(prompt []Part) {
+	for _, p := range prompt {
+		e := c.byID[p.ID]
+		if e == nil {
+			continue
+		}
+		part := e.Value.(*cachedPart)
+		if part.prefilledIn = 0; part.pins == 0 {
+			c.unpinned.Remove(e)
+			c.remove(part)
+		}
+	}
+}
+
 // pin adds the parts of a starting request to the cache and protects them from eviction.
 // otherTokens is the memory that running requests occupy besides their prompts.
 func (c *promptCache) pin(prompt []Part, otherTokens int) {
@@ -121,11 +163,16 @@
 func (c *promptCache) evict(otherTokens int) {
 	for c.usedTokens+otherTokens > c.capacity && c.unpinned.Len() > 0 {
 		part := c.unpinned.Remove(c.unpinned.Back()).(*cachedPart)
-		delete(c.byID, part.ID)
-		c.usedTokens -= part.Tokens
-		if part.indexed {
-			c.index.remove(part.ID, c.target)
-		}
+		c.remove(part)
+	}
+}
+
+// remove removes a part that is not in the list of unpinned parts any more.
+func (c *promptCache) remove(part *cachedPart) {
+	delete(c.byID, part.ID)
+	c.usedTokens -= part.Tokens
+	if part.indexed {
+		c.index.remove(part.ID, c.target)
 	}
 }
 
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -31,6 +31,7 @@
 	deadly       PartID               // part that crashes each engine that begins to answer it; 0 = none
 	failShare    float64              // share of the requests with which engines fail at their first event
 	crashes      []time.Duration
+	overlapFetch bool            // engines fetch for one request while they prefill others
 	deadlyStarts []time.Duration // when requests with the deadly part reached engines
 }
 
@@ -47,6 +48,8 @@
 	unreachable bool
 	active      map[Key]*call // requests on the engine
 	incarnation int64
+	link        link
+	dataCentre  string
 }
 
 // call is a simulated request and its outcome.
@@ -61,8 +64,10 @@
 	refused      string
 	done         bool
 	prefilled    int
-	retried      bool // this is the caller's second attempt
-	attempts     int  // on engines
+	fetchFrom    string // engine named by the owner
+	fetched      int    // tokens
+	retried      bool   // this is the caller's second attempt
+	attempts     int    // on engines
 }
 
 type event struct {
@@ -96,7 +101,7 @@
 	}
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
-		s.engines[id] = &engine{id: id, speed: 40, slots: slots, cache: newPromptCache(cacheTokens), active: map[Key]*call{}}
+		s.engines[id] = &engine{id: id, speed: 40, slots: slots, cache: newPromptCache(cacheTokens), active: map[Key]*call{}, dataCentre: fmt.Sprint("z", i%4)}
 		s.view.Targets = append(s.view.Targets, api.Target{ID: id, Service: "m", DataCentre: fmt.Sprint("z", i%4), Slots: slots})
 	}
 	s.owner.SetView(s.view, 0)
@@ -133,7 +138,7 @@
 			s.endRefused(d.Key, d.Code, d.RetryAfter)
 			continue
 		}
-		c.target, c.sentAt = d.Target, s.now
+		c.target, c.sentAt, c.fetchFrom = d.Target, s.now, d.FetchFrom
 		s.after(s.messageDelay, func() { s.start(d.Key, s.engines[d.Target]) })
 	}
 }
@@ -212,10 +217,11 @@
 	c.attempts++
 	incarnation := e.incarnation
 	c.prefilled = e.cache.uncachedTokens(c.request.Prompt)
+	ready := s.fetch(c, e)
 	e.cache.pin(c.request.Prompt, 0)
 	step := 4 + 0.09*float64(e.running)
 	prefill := time.Duration((float64(c.prefilled)/e.speed + step) * float64(time.Millisecond))
-	e.busyUntil = max(e.busyUntil, s.now) + prefill
+	e.busyUntil = max(e.busyUntil, ready) + prefill
 	s.after(e.busyUntil-s.now, func() {
 		if e.incarnation != incarnation {
 			return
@@ -229,6 +235,7 @@
 			return
 		}
 		c.firstEventAt = s.now
+		e.cache.markPrefilled(c.request.Prompt)
 		s.after(answerTime, func() { s.owner.RecordAnswered(k, s.now) })
 		s.after(s.messageDelay, func() { s.owner.RecordFirstEvent(k, s.now) })
 		generation := time.Duration(float64(c.request.OutputTokens) * (step + s.tokenPauseMs) * float64(time.Millisecond))
@@ -245,6 +252,30 @@
 	})
 }
 
+// fetch has an engine fetch what the engine that the owner has named holds of a prompt, and returns
+// when the prefill of the others can begin.
+func (s *sim) fetch(c *call, e *engine) time.Duration {
+	source := s.engines[c.fetchFrom]
+	if source == nil || source.unreachable {
+		return s.now
+	}
+	c.fetched = max(0, source.cache.prefilledTokens(c.request.Prompt)-(c.request.PromptTokens-c.prefilled))
+	c.prefilled -= c.fetched
+	takes := transferTime(s.view.Services["m"].Engine, c.fetched, source.dataCentre != e.dataCentre)
+	begin := s.now
+	if !s.overlapFetch {
+		begin = max(begin, e.busyUntil)
+	}
+	return reserveTransfer(&source.link, &e.link, takes, begin)
+}
+
+// enableFetch lets engines fetch prompt parts from one another, as fast as the platform's.
+func (s *sim) enableFetch() {
+	e := s.view.Services["m"].Engine
+	e.CanMove, e.CachedTokenBytes, e.LinkMbps = true, 18_432, 180_000
+	s.owner.SetView(s.view, s.now)
+}
+
 // answerTime is the time from the first event until an entry instance reports that a target has
 // begun to answer; restartTime is how long a crashed engine is away.
 const (
@@ -348,7 +379,7 @@
 type outcome struct {
 	asked, onTime, started, refused int
 	tokensAsked, tokensStarted      float64
-	prefilled                       int
+	prefilled, fetched              int
 }
 
 func (o outcome) onTimeShare() float64 { return float64(o.onTime) / float64(max(1, o.asked)) }
@@ -356,6 +387,7 @@
 // add adds the outcomes of another run.
 func (o *outcome) add(p outcome) {
 	o.asked, o.onTime, o.started, o.refused, o.prefilled = o.asked+p.asked, o.onTime+p.onTime, o.started+p.started, o.refused+p.refused, o.prefilled+p.prefilled
+	o.fetched += p.fetched
 	o.tokensAsked, o.tokensStarted = o.tokensAsked+p.tokensAsked, o.tokensStarted+p.tokensStarted
 }
 
@@ -374,6 +406,7 @@
 			o.started++
 			o.tokensStarted += cost
 			o.prefilled += c.prefilled
+			o.fetched += c.fetched
 			if c.firstEventAt-c.submittedAt <= c.request.Objective {
 				o.onTime++
 			}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -45,14 +45,17 @@
 	predictedMiss        bool    // the last decision or review predicted that it misses its objective
 
 	pendingOn       *target // target for which it is queued, or nil
-	pendingUncached int     // prompt tokens that need prefill there
+	pendingUncached int     // prompt tokens that need prefill there, or whose prefill takes as long as the fetch of others
 	pendingRank     rank    // rank under which the target counts it
 	reviewedAt      time.Duration
 
-	target        *target // on which it runs; nil while queued
-	charge        charge  // against the share of its workspace
-	metered       bool    // counted against the target's rate limit
-	uncached      int     // prompt tokens that need prefill
+	target        *target       // on which it runs; nil while queued
+	charge        charge        // against the share of its workspace
+	metered       bool          // counted against the target's rate limit
+	uncached      int           // prompt tokens that need prefill
+	fetch         fetch         // of further prompt tokens, which need no prefill
+	fetchTime     time.Duration // by which the fetch is expected to delay the prefill
+	fetchUnknown  bool          // another instance placed it, and it may fetch
 	sentAt        time.Duration
 	gotFirstEvent bool
 	answered      bool // the target has begun to answer and did not crash
@@ -118,6 +121,7 @@
 	saysLeaving      bool                   // it has said that it leaves, whatever the list says
 	pausedUntil      time.Duration          // it has asked for no requests until then
 	limit            *targetLimit           // its rate limit; nil = it has named none
+	link             link                   // for fetches
 	failures         []failure              // that may be a crash, oldest first
 	pending          []*work                // requests queued at the owner for this target
 	pendingByRank    [numRanks]pendingTotal // sums over pending
@@ -165,7 +169,7 @@
 		if w.overtaken {
 			continue
 		}
-		n := float64(w.uncached)
+		n := float64(w.uncached) + w.fetchTime.Seconds()*1e3*t.prefillRate
 		if first {
 			first = false
 			elapsed := now - max(w.sentAt, t.lastFirstEventAt)
@@ -296,14 +300,18 @@
 	waitedForPrevious := t.lastFirstEventAt > w.sentAt
 	t.removeFromPrefill(w, true)
 	t.lastFirstEventAt = now
-	if w.overtaken || w.uncached < minRateSample {
+	t.cache.markPrefilled(w.request.Prompt)
+	took, prefilled := now-prefillFrom, w.uncached
+	if w.fetch.source != nil && !w.overtaken {
+		prefilled, took = t.recordFetched(w, took, waitedForPrevious)
+	}
+	if w.overtaken || w.fetchUnknown || prefilled < minRateSample {
 		return
 	}
-	took := now - prefillFrom
 	if !waitedForPrevious {
 		took -= baseLatency
 	}
-	rate := float64(w.uncached) / max(1, took.Seconds()*1e3)
+	rate := float64(prefilled) / max(1, took.Seconds()*1e3)
 	t.prefillRate = max(minPrefillRate, t.prefillRate+prefillRateWeight*(min(rate, 2*t.prefillRate)-t.prefillRate))
 }
 
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -403,5 +403,6 @@
 		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Permitted: d.Permitted, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
 		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
+		FetchFrom: d.FetchFrom, FetchStartedUnixMs: d.FetchStartedUnixMs,
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -100,8 +100,15 @@
 	CanBackUp bool
 	// BackupTTL is how long the copy of a running request's memory is kept.
 	BackupTTL time.Duration
+	// CachedTokenBytes is the size of a cached token in bytes, LinkMbps the rate of a target's
+	// link in megabits per second; 0 = unknown.
+	CachedTokenBytes, LinkMbps float64
 }
 
+// CanFetch reports whether a target can fetch cached prompt parts from another one, and the time
+// that it takes is known.
+func (e *Engine) CanFetch() bool { return e.CanMove && e.CachedTokenBytes > 0 && e.LinkMbps > 0 }
+
 // CallerLimits limits the size of a caller's request, in bytes, and how long the caller
 // may take to send its header or keep a connection idle.
 type CallerLimits struct {
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -218,27 +218,39 @@
 
 // assignment is a request that was assigned to a target. It implements api.Placement.
 type assignment struct {
-	placer          *Placer
-	work            *api.PlacementRequest
-	target          api.Target
-	startedAt       time.Duration       // when the target was chosen, on the kernel clock
-	sentAt          time.Duration       // first byte of the newest send, on the kernel clock
-	metered         bool                // one send is counted against the target's rate limit
-	countedAt       time.Duration       // when the next send is counted as a start; -1 = it is not counted yet
-	suspect         api.Fingerprint     // set if targets have crashed with the request and none has answered it
-	chosenBy        string              // instance that chose the target: owner or entry
-	chosenAt        kernel.ClockReading // for the grant lifetime; includes suspensions
-	number          uint64              // number of the model request; 0 for plain requests
-	responseStarted bool
-	firstEventAt    time.Duration // 0 = no event yet
-	answered        bool          // the target has begun to answer and did not crash
+	placer                   *Placer
+	work                     *api.PlacementRequest
+	target                   api.Target
+	fetchSource              string              // ID of the target from which parts of the prompt are fetched; "" = none
+	fetchSourceStartedUnixMs int64               // its incarnation
+	startedAt                time.Duration       // when the target was chosen, on the kernel clock
+	sentAt                   time.Duration       // first byte of the newest send, on the kernel clock
+	metered                  bool                // one send is counted against the target's rate limit
+	countedAt                time.Duration       // when the next send is counted as a start; -1 = it is not counted yet
+	suspect                  api.Fingerprint     // set if targets have crashed with the request and none has answered it
+	chosenBy                 string              // instance that chose the target: owner or entry
+	chosenAt                 kernel.ClockReading // for the grant lifetime; includes suspensions
+	number                   uint64              // number of the model request; 0 for plain requests
+	responseStarted          bool
+	firstEventAt             time.Duration // 0 = no event yet
+	answered                 bool          // the target has begun to answer and did not crash
 }
 
 // Target implements api.Placement.
 func (a *assignment) Target() api.Target { return a.target }
 
-// FetchFrom implements api.Placement.
-func (a *assignment) FetchFrom() string { return "" }
+// FetchFrom implements api.Placement. It returns "" if the source is not in this instance's list with the
+// incarnation that the owner has named, or must not be sent requests.
+func (a *assignment) FetchFrom() string {
+	if a.fetchSource == "" {
+		return ""
+	}
+	source, ok := a.placer.directory.Target(a.fetchSource)
+	if !ok || source.StartedUnixMs != a.fetchSourceStartedUnixMs || a.placer.checkTarget(source) != nil {
+		return ""
+	}
+	return source.Address
+}
 
 // BeforeSend implements api.Placement.
 func (a *assignment) BeforeSend() error {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -343,7 +343,7 @@
 func (p *Placer) acceptGrant(w *api.PlacementRequest, resp ownerResponse) *assignment {
 	g := resp.decision
 	p.ownerGrants.Inc()
-	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
+	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target, "fetch_from", g.FetchFrom,
 		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "least_missing_tokens", g.MinUncachedTokens, "least_wait_ms", g.MinUncachedWaitMs, "term", g.Term)
 	return resp.granted
 }
@@ -351,7 +351,8 @@
 // startGranted starts a request on the target that the owner has granted. It is reported to a
 // new owner from now on. The lock must be held.
 func (p *Placer) startGranted(w *api.PlacementRequest, g placewire.Decision) *assignment {
-	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered}
+	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered,
+		fetchSource: g.FetchFrom, fetchSourceStartedUnixMs: g.FetchStartedUnixMs}
 	a.target, _ = p.directory.Target(g.Target) // checkTarget rejects a removed target later
 	if w.Engine != nil {
 		a.number = g.Number
