--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -9,8 +9,11 @@
 
 // newBusyFleet returns a simulation in which all targets have running requests and cached
 // parts.
-func newBusyFleet(targets int) *sim {
+func newBusyFleet(targets int, configure ...func(*sim)) *sim {
 	s := newSim(1, targets, 12, 392_000, float64(targets)*16_000)
+	for _, f := range configure {
+		f(s)
+	}
 	for _, e := range s.engines {
 		e.speed = 56
 	}
@@ -42,6 +45,53 @@
 	}
 }
 
+// Measures one decision of the owner with and without fetches, for prompt parts that a few targets have
+// cached, and where all targets have cached the first part.
+func BenchmarkDecideWithFetch(b *testing.B) {
+	for _, targets := range []int{64, 256, 1024} {
+		for _, cachedByAll := range []bool{false, true} {
+			for _, fetch := range []bool{false, true} {
+				b.Run(fmt.Sprintf("%d targets, cached by all %v, fetch %v", targets, cachedByAll, fetch), func(b *testing.B) {
+					s := newBusyFleet(targets, func(s *sim) {
+						if fetch {
+							s.enableFetch()
+						}
+					})
+					first := Part{ID: 77, Tokens: 1000}
+					if cachedByAll {
+						for _, t := range s.owner.sortedTargets {
+							t.cache.pin([]Part{first, {ID: 78, Tokens: 1}}, 0)
+							t.cache.markPrefilled([]Part{first})
+						}
+					}
+					now := s.now
+					decide := func(i int) {
+						now += second / time.Duration(10*targets)
+						req := Request{Service: "m", Workspace: "w1", PromptTokens: 12_000, OutputTokens: 378, Objective: 800 * time.Millisecond,
+							RouteObjective: 800 * time.Millisecond, Deadline: 12 * second, DataCentre: "z1",
+							Prompt: []Part{{ID: hashPart("compare", i%40), Tokens: 5382}, {ID: PartID(i + 1), Tokens: 6610}}}
+						if cachedByAll {
+							req.Prompt = []Part{first, {ID: hashPart("compare", i%40), Tokens: 4382}, {ID: PartID(i + 1), Tokens: 6610}}
+						}
+						k := Key{"n0", uint64(1_000_000 + i)}
+						s.owner.Submit(k, req, now)
+						s.owner.RecordFirstEvent(k, now)
+						s.owner.End(k, api.AttemptServed, now)
+						s.owner.Decisions()
+					}
+					for i := range 10 * targets {
+						decide(i)
+					}
+					b.ResetTimer()
+					for i := range b.N {
+						decide(i)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Measures one decision of an owner whose starts are reported by many entry instances, some of which do
 // not acknowledge the owner's messages in time.
 func BenchmarkDecideWithFollowers(b *testing.B) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -12,9 +12,13 @@
 	// request. It covers the message round trip to the owner, so that the target does not run
 	// idle. Further requests wait at the owner, where they can still be reordered.
 	maxTargetBacklog = 60 * time.Millisecond
-	// prefillWeight is the cost of prefilling or fetching a part that another target has cached, as
-	// a multiple of the time: the target could serve another request in that time.
+	// prefillWeight is the cost of prefilling a part that another target has cached, as a
+	// multiple of the prefill time: the target could serve another request in that time.
 	prefillWeight = 3.0
+	// fetchWeight is the cost of fetching such a part, as a multiple of the transfer time. It is higher
+	// than prefillWeight because the transfer occupies two links and the copy evicts other parts:
+	// with an equal weight, overloaded targets served fewer requests in time than without fetches.
+	fetchWeight = 6.0
 	// affinityBonus is the cost reduction of a prompt's affinity target. It decides where a
 	// prompt goes that no target has cached, so that successive owners select alike.
 	affinityBonus = 10 * time.Millisecond
@@ -109,11 +113,24 @@
 	if len(w.request.Prompt) > 1 {
 		caching = o.cacheIndex[w.request.Prompt[0].ID]
 	}
+	examined, truncated := 0, false
 	for t := range caching {
+		// Fetches may bring a part to all targets.
+		if examined++; examined > maxScannedTargets && len(o.sources.list) > 0 {
+			truncated = true
+			break
+		}
 		t.examinedIn = o.searches
-		if t != preferred && t.info.Service == w.request.Service && o.inService(t) {
-			keepBest(consider(t, t.cache.uncachedTokens(w.request.Prompt)))
+		if t == preferred || t.info.Service != w.request.Service || !o.inService(t) {
+			continue
 		}
+		uncached := t.cache.uncachedTokens(w.request.Prompt)
+		if len(o.sources.list) > 0 && best.target != nil && uncached > minUncached && !w.overloaded && !w.overShare {
+			if prefill, transfer := o.sources.minPrefill(t, uncached); o.minScore(t, w, prefill, transfer, now) > best.score {
+				continue
+			}
+		}
+		keepBest(consider(t, uncached))
 	}
 	promptTokens := 0
 	for _, p := range w.request.Prompt {
@@ -126,10 +143,14 @@
 			continue
 		}
 		uncached := promptTokens
-		if len(w.request.Prompt) == 1 {
+		if len(w.request.Prompt) == 1 || truncated {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		if best.target == nil || o.minScore(t, w, o.sources.minPrefill(t, uncached), now) <= best.score ||
+		prefill, transfer := t.prefillTime(float64(uncached)), time.Duration(0)
+		if len(o.sources.list) > 0 {
+			prefill, transfer = o.sources.minPrefill(t, uncached)
+		}
+		if best.target == nil || o.minScore(t, w, prefill, transfer, now) <= best.score ||
 			(w.overloaded && rested.target == nil && o.hasRested(t, uncached, now)) {
 			keepBest(consider(t, uncached))
 		} else {
@@ -167,11 +188,11 @@
 		(slots == 0 || 2*len(t.running) <= slots) && t.startWait(o.maxStarts(t, now), 0, now) == 0
 }
 
-// minScore returns a lower bound of the score of a request on a target, for a lower bound of
-// candidate.prefill.
-func (o *Owner) minScore(t *target, w *work, prefill, now time.Duration) time.Duration {
+// minScore returns a lower bound of the score of a request on a target, for lower bounds of
+// candidate.prefill and of the transfer in it.
+func (o *Owner) minScore(t *target, w *work, prefill, transfer, now time.Duration) time.Duration {
 	firstEventAfter := t.backlog(now) + prefill + baseLatency
-	score := firstEventAfter + time.Duration(prefillWeight*float64(prefill)) +
+	score := firstEventAfter + prefillCost(prefill, transfer) +
 		time.Duration(len(t.running))*runningRequestCost
 	if w.missesObjective(firstEventAfter, now) {
 		score += missedObjectivePenalty
@@ -182,6 +203,11 @@
 	return score
 }
 
+// prefillCost returns the cost of a prefill that includes a transfer.
+func prefillCost(prefill, transfer time.Duration) time.Duration {
+	return time.Duration(prefillWeight*float64(prefill-transfer) + fetchWeight*float64(transfer))
+}
+
 // predict estimates the times and the score of a request on a target that has to prefill a
 // number of uncached tokens, or to fetch some of them from one of the sources that were found last.
 func (o *Owner) predict(t *target, w *work, uncached int, now time.Duration) candidate {
@@ -193,10 +219,13 @@
 		c.wait = max(c.wait, t.capacityWait(pendingBefore.requests, o.meanRunTime(t.info.Service)))
 	}
 	c.wait = max(c.wait, t.startWait(o.maxStarts(t, now), pendingBefore.requests, now), t.pausedUntil-now)
-	c.fetch = o.sources.best(t, uncached, max(backlog, c.wait), now)
-	c.prefill = t.prefillTime(float64(uncached-c.fetch.tokens)) + c.fetch.transfer
+	c.prefill = t.prefillTime(float64(uncached))
+	if len(o.sources.list) > 0 {
+		c.fetch = o.sources.best(t, uncached, max(backlog, c.wait), now)
+		c.prefill = t.prefillTime(float64(uncached-c.fetch.tokens)) + c.fetch.transfer
+	}
 	c.firstEventAfter = max(backlog, c.wait) + c.fetch.wait + c.prefill + baseLatency
-	c.score = c.firstEventAfter + time.Duration(prefillWeight*float64(c.prefill)) +
+	c.score = c.firstEventAfter + prefillCost(c.prefill, c.fetch.transfer) +
 		time.Duration(len(t.running))*runningRequestCost +
 		time.Duration(t.health.failureRatio*float64(failureTimeCost))
 	if t.info.DataCentre != w.request.DataCentre {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -13,6 +13,9 @@
 func TestChooseMatchesFullScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSlotSim(rapid.Uint64().Draw(t, "seed"))
+		if rapid.Bool().Draw(t, "fetch") {
+			s.enableFetch()
+		}
 		generateSlotMix(s, "w", rapid.Float64Range(0.1, 2).Draw(t, "factor"), 0, second)
 		s.run(second)
 		for i := range 5 {
@@ -50,7 +53,7 @@
 				want = c
 			}
 		}
-		if got.target == nil || got.target != want.target || got.score != want.score || got.uncached != want.uncached {
+		if got.target == nil || got.target != want.target || got.score != want.score || got.uncached != want.uncached || got.fetch != want.fetch {
 			t.Fatalf("chose %s with score %v, want %s with score %v", got.target.info.ID, got.score, want.target.info.ID, want.score)
 		}
 		if (rested.target != nil) != wantRested || rested.wait != 0 {
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -124,10 +124,12 @@
 	f.list = slices.Insert(f.list, i, s)
 }
 
-// best returns the fetch by which a target is ready for a request soonest, none if prefilling all
-// of the uncached tokens is as fast. The target could begin with the prefill startAfter from now.
+// best returns the fetch with the lowest cost for a request on a target, none if no fetch costs
+// less than the prefill of all uncached tokens and is faster. The target could begin with the
+// prefill startAfter from now.
 func (f *fetchSources) best(t *target, uncached int, startAfter, now time.Duration) (best fetch) {
-	saved := time.Duration(0)
+	prefillAll := t.prefillTime(float64(uncached))
+	minCost := prefillAll + prefillCost(prefillAll, 0)
 	for _, s := range f.list {
 		tokens := s.tokens - (f.promptTokens - uncached)
 		if tokens < minFetchedTokens {
@@ -140,24 +142,31 @@
 			source: s.target, tokens: tokens, wait: max(0, transferWait(&s.target.link, &t.link, now)-startAfter),
 			transfer: transferTime(f.engine, tokens, s.target.info.DataCentre != t.info.DataCentre),
 		}
-		if saves := t.prefillTime(float64(uncached)) - t.prefillTime(float64(uncached-tokens)) - x.wait - x.transfer; saves > saved {
-			best, saved = x, saves
+		prefill := t.prefillTime(float64(uncached-tokens)) + x.transfer
+		if cost := x.wait + prefill + prefillCost(prefill, x.transfer); cost < minCost && x.wait+prefill < prefillAll {
+			best, minCost = x, cost
+			if x.wait == 0 && s.target.info.DataCentre == t.info.DataCentre {
+				break // the others have no more tokens, nor a shorter transfer
+			}
 		}
 	}
 	return best
 }
 
-// minPrefill returns a lower bound of candidate.prefill for a number of uncached tokens.
-func (f *fetchSources) minPrefill(t *target, uncached int) time.Duration {
-	prefill := t.prefillTime(float64(uncached))
-	if len(f.list) == 0 {
-		return prefill
-	}
+// minPrefill returns lower bounds of candidate.prefill for a number of uncached tokens, and of the
+// transfer in it: those of a fetch from the source with the most tokens, without a wait.
+func (f *fetchSources) minPrefill(t *target, uncached int) (prefill, transfer time.Duration) {
+	prefillAll := t.prefillTime(float64(uncached))
 	tokens := f.list[0].tokens - (f.promptTokens - uncached)
 	if tokens < minFetchedTokens {
-		return prefill
+		return prefillAll, 0
+	}
+	transfer = transferTime(f.engine, tokens, false)
+	prefill = t.prefillTime(float64(uncached-tokens)) + transfer
+	if prefill+prefillCost(prefill, transfer) >= prefillAll+prefillCost(prefillAll, 0) {
+		return prefillAll, 0
 	}
-	return min(prefill, t.prefillTime(float64(uncached-tokens))+transferTime(f.engine, tokens, false))
+	return prefill, transfer
 }
 
 // prefillTokens returns the tokens whose prefill takes as long as the candidate's fetch and prefill.
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -262,11 +262,11 @@
 	c.fetched = max(0, source.cache.prefilledTokens(c.request.Prompt)-(c.request.PromptTokens-c.prefilled))
 	c.prefilled -= c.fetched
 	takes := transferTime(s.view.Services["m"].Engine, c.fetched, source.dataCentre != e.dataCentre)
-	begin := s.now
-	if !s.overlapFetch {
-		begin = max(begin, e.busyUntil)
+	ends := reserveTransfer(&source.link, &e.link, takes, s.now)
+	if s.overlapFetch {
+		return ends
 	}
-	return reserveTransfer(&source.link, &e.link, takes, begin)
+	return max(ends, e.busyUntil+takes)
 }
 
 // enableFetch lets engines fetch prompt parts from one another, as fast as the platform's.
