placement: a transfer goes on while its target prefills other prompts

Change: a fetch delays a request only as far as it ends after the prefill could begin; its cost is three times its time, as that of a prefill. Measured: tests of the package.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -15,10 +15,9 @@
 	// prefillWeight is the cost of prefilling a part that another target has cached, as a
 	// multiple of the prefill time: the target could serve another request in that time.
 	prefillWeight = 3.0
-	// fetchWeight is the cost of fetching such a part, as a multiple of the transfer time. It is higher
-	// than prefillWeight because the transfer occupies two links and the copy evicts other parts:
-	// with an equal weight, overloaded targets served fewer requests in time than without fetches.
-	fetchWeight = 6.0
+	// fetchWeight is the cost of fetching such a part, as a multiple of the transfer time: it occupies
+	// two links, and the copy evicts other parts.
+	fetchWeight = 3.0
 	// affinityBonus is the cost reduction of a prompt's affinity target. It decides where a
 	// prompt goes that no target has cached, so that successive owners select alike.
 	affinityBonus = 10 * time.Millisecond
@@ -59,7 +58,7 @@
 	score           time.Duration // cost; the lowest wins
 	uncached        int           // prompt tokens that the target has not cached
 	fetch           fetch         // of some of them
-	prefill         time.Duration // of the others, and the transfer
+	prefill         time.Duration // of the others
 
 	// idleTarget reports whether an examined target is idle. It is set only for a request of a
 	// workspace that exceeds its share.
@@ -189,7 +188,7 @@
 }
 
 // minScore returns a lower bound of the score of a request on a target, for lower bounds of
-// candidate.prefill and of the transfer in it.
+// candidate.prefill and of the time of a transfer.
 func (o *Owner) minScore(t *target, w *work, prefill, transfer, now time.Duration) time.Duration {
 	firstEventAfter := t.backlog(now) + prefill + baseLatency
 	score := firstEventAfter + prefillCost(prefill, transfer) +
@@ -203,9 +202,9 @@
 	return score
 }
 
-// prefillCost returns the cost of a prefill that includes a transfer.
+// prefillCost returns the cost of a prefill and a transfer.
 func prefillCost(prefill, transfer time.Duration) time.Duration {
-	return time.Duration(prefillWeight*float64(prefill-transfer) + fetchWeight*float64(transfer))
+	return time.Duration(prefillWeight*float64(prefill) + fetchWeight*float64(transfer))
 }
 
 // predict estimates the times and the score of a request on a target that has to prefill a
@@ -222,9 +221,9 @@
 	c.prefill = t.prefillTime(float64(uncached))
 	if len(o.sources.list) > 0 {
 		c.fetch = o.sources.best(t, uncached, max(backlog, c.wait), now)
-		c.prefill = t.prefillTime(float64(uncached-c.fetch.tokens)) + c.fetch.transfer
+		c.prefill = t.prefillTime(float64(uncached - c.fetch.tokens))
 	}
-	c.firstEventAfter = max(backlog, c.wait) + c.fetch.wait + c.prefill + baseLatency
+	c.firstEventAfter = max(backlog, c.wait) + c.fetch.delay + c.prefill + baseLatency
 	c.score = c.firstEventAfter + prefillCost(c.prefill, c.fetch.transfer) +
 		time.Duration(len(t.running))*runningRequestCost +
 		time.Duration(t.health.failureRatio*float64(failureTimeCost))
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -57,8 +57,9 @@
 type fetch struct {
 	source   *target
 	tokens   int
-	wait     time.Duration // for the links, at the time at which the prefill could begin
 	transfer time.Duration
+	// delay is the time by which the fetch ends after the prefill could begin.
+	delay time.Duration
 }
 
 // source is a target that has prefilled the first tokens of a prompt.
@@ -125,8 +126,8 @@
 }
 
 // best returns the fetch with the lowest cost for a request on a target, none if no fetch costs
-// less than the prefill of all uncached tokens and is faster. The target could begin with the
-// prefill startAfter from now.
+// less than the prefill of all uncached tokens. The target could begin with the prefill startAfter
+// from now; a transfer goes on while it prefills other prompts.
 func (f *fetchSources) best(t *target, uncached int, startAfter, now time.Duration) (best fetch) {
 	prefillAll := t.prefillTime(float64(uncached))
 	minCost := prefillAll + prefillCost(prefillAll, 0)
@@ -138,23 +139,18 @@
 		if s.target == t || s.target.info.Version != t.info.Version {
 			continue
 		}
-		x := fetch{
-			source: s.target, tokens: tokens, wait: max(0, transferWait(&s.target.link, &t.link, now)-startAfter),
-			transfer: transferTime(f.engine, tokens, s.target.info.DataCentre != t.info.DataCentre),
-		}
-		prefill := t.prefillTime(float64(uncached-tokens)) + x.transfer
-		if cost := x.wait + prefill + prefillCost(prefill, x.transfer); cost < minCost && x.wait+prefill < prefillAll {
+		x := fetch{source: s.target, tokens: tokens, transfer: transferTime(f.engine, tokens, s.target.info.DataCentre != t.info.DataCentre)}
+		x.delay = max(0, transferWait(&s.target.link, &t.link, now)+x.transfer-startAfter)
+		prefill := t.prefillTime(float64(uncached - tokens))
+		if cost := x.delay + prefill + prefillCost(prefill, x.transfer); cost < minCost {
 			best, minCost = x, cost
-			if x.wait == 0 && s.target.info.DataCentre == t.info.DataCentre {
-				break // the others have no more tokens, nor a shorter transfer
-			}
 		}
 	}
 	return best
 }
 
 // minPrefill returns lower bounds of candidate.prefill for a number of uncached tokens, and of the
-// transfer in it: those of a fetch from the source with the most tokens, without a wait.
+// time of a transfer: those of a fetch from the source with the most tokens, without a delay.
 func (f *fetchSources) minPrefill(t *target, uncached int) (prefill, transfer time.Duration) {
 	prefillAll := t.prefillTime(float64(uncached))
 	tokens := f.list[0].tokens - (f.promptTokens - uncached)
@@ -162,20 +158,15 @@
 		return prefillAll, 0
 	}
 	transfer = transferTime(f.engine, tokens, false)
-	prefill = t.prefillTime(float64(uncached-tokens)) + transfer
+	prefill = t.prefillTime(float64(uncached - tokens))
 	if prefill+prefillCost(prefill, transfer) >= prefillAll+prefillCost(prefillAll, 0) {
 		return prefillAll, 0
 	}
 	return prefill, transfer
 }
 
-// prefillTokens returns the tokens whose prefill takes as long as the candidate's fetch and prefill.
-func (c candidate) prefillTokens() int {
-	if c.fetch.source == nil {
-		return c.uncached
-	}
-	return int(float64(c.prefill+c.fetch.wait) / float64(time.Millisecond) * c.target.prefillRate)
-}
+// prefillTokens returns the tokens that the target has to prefill.
+func (c candidate) prefillTokens() int { return c.uncached - c.fetch.tokens }
 
 // beginFetch records the fetch with which a request was granted its target.
 func (t *target) beginFetch(w *work, f fetch, now time.Duration) {
@@ -184,7 +175,6 @@
 	}
 	w.fetch = f
 	w.uncached -= f.tokens
-	w.fetchTime = f.wait + f.transfer
 	reserveTransfer(&f.source.link, &t.link, f.transfer, now)
 	t.invalidateBacklog()
 }
@@ -197,14 +187,14 @@
 func (t *target) recordFetched(w *work, took time.Duration, waited bool) (prefilled int, prefillTime time.Duration) {
 	all := w.uncached + w.fetch.tokens
 	takesAll := t.prefillTime(float64(all))
-	if took >= takesAll && takesAll-t.prefillTime(float64(w.uncached))-w.fetchTime >= baseLatency {
+	if took >= takesAll && takesAll-t.prefillTime(float64(w.uncached))-w.fetch.delay >= baseLatency {
 		w.fetch.source.cache.forget(w.request.Prompt)
 		return all, took
 	}
 	if waited {
-		return 0, 0 // the fetch may have run while the target prefilled other prompts
+		return 0, 0 // the fetch may have ended before the prefill could begin, or after
 	}
-	return w.uncached, took - w.fetchTime
+	return w.uncached, took - w.fetch.delay
 }
 
 // loseParts makes the owner assume that a target has lost its prompt cache, as far as fetches are
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -45,17 +45,16 @@
 	predictedMiss        bool    // the last decision or review predicted that it misses its objective
 
 	pendingOn       *target // target for which it is queued, or nil
-	pendingUncached int     // prompt tokens that need prefill there, or whose prefill takes as long as the fetch of others
+	pendingUncached int     // prompt tokens that need prefill there
 	pendingRank     rank    // rank under which the target counts it
 	reviewedAt      time.Duration
 
-	target        *target       // on which it runs; nil while queued
-	charge        charge        // against the share of its workspace
-	metered       bool          // counted against the target's rate limit
-	uncached      int           // prompt tokens that need prefill
-	fetch         fetch         // of further prompt tokens, which need no prefill
-	fetchTime     time.Duration // by which the fetch is expected to delay the prefill
-	fetchUnknown  bool          // another instance placed it, and it may fetch
+	target        *target // on which it runs; nil while queued
+	charge        charge  // against the share of its workspace
+	metered       bool    // counted against the target's rate limit
+	uncached      int     // prompt tokens that need prefill
+	fetch         fetch   // of further prompt tokens, which need no prefill
+	fetchUnknown  bool    // another instance placed it, and it may fetch
 	sentAt        time.Duration
 	gotFirstEvent bool
 	answered      bool // the target has begun to answer and did not crash
@@ -169,7 +168,7 @@
 		if w.overtaken {
 			continue
 		}
-		n := float64(w.uncached) + w.fetchTime.Seconds()*1e3*t.prefillRate
+		n := float64(w.uncached)
 		if first {
 			first = false
 			elapsed := now - max(w.sentAt, t.lastFirstEventAt)
