owner, placer: a new owner learns which prompts targets have prefilled lately

Cause: a new owner took all prompt caches for empty. Change: entry instances keep the shared parts of the prompts that targets have prefilled for them in the last 10 s, at most 512, and send them 0.3 to 1 s after the full report. The owner adds them to its model of the caches as the oldest parts.

--- /dev/null
+++ b/internal/placement/recent_test.go
@@ -0,0 +1,34 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a new owner that takes all prompt caches for empty, so that shared parts are prefilled again, and
+// against one that believes reports of another incarnation or evicts newer parts for them.
+func TestNewOwnerLearnsRecentPrompts(t *testing.T) {
+	is := is.New(t)
+	s := newFetchSim()
+	shared := []Part{{21, 1000}, {22, 4000}}
+	target := s.owner.targets["e01"]
+	s.owner.RecordRecentPrompts([]RecentPrompt{
+		{Target: "gone", Parts: shared},
+		{Target: "e01", StartedUnixMs: target.info.StartedUnixMs + 1, Parts: shared},
+	})
+	is.Equal(target.cache.usedTokens, 0)
+	s.owner.RecordRecentPrompts([]RecentPrompt{{Target: "e01", StartedUnixMs: target.info.StartedUnixMs, Parts: shared, Ago: time.Second}})
+	is.Equal(target.cache.prefilledTokens(shared), 5000)
+	req := fetchRequest(1)
+	req.Prompt = append(append([]Part{}, shared...), Part{23, 600})
+	s.owner.Submit(Key{"n", 1}, req, s.now)
+	is.Equal(s.owner.Decisions()[0].Target, "e01")
+
+	full := s.owner.targets["e02"]
+	full.cache.addOldest([]Part{{30, full.cache.capacity - 100}}, 0)
+	s.owner.RecordRecentPrompts([]RecentPrompt{{Target: "e02", StartedUnixMs: full.info.StartedUnixMs, Parts: shared}})
+	is.Equal(full.cache.prefilledTokens(shared), 0)
+	is.Equal(full.cache.prefilledTokens([]Part{{30, full.cache.capacity - 100}}), full.cache.capacity-100)
+}
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -143,6 +143,9 @@
 	// Shed is the number of tokens of the requests that the entry instance shed for
 	// lack of processor time or memory, by workspace. The tokens count as in Tokens.
 	Shed map[string]int `json:"y,omitempty"`
+	// Recent lists the shared parts of prompts that targets have prefilled lately for this entry instance. It
+	// is sent once to a new owner.
+	Recent []RecentPrompt `json:"w2,omitempty"`
 	// Rollouts lists what this entry instance has seen of running rollouts: those whose figures have
 	// changed, or in a full report all.
 	Rollouts []RolloutEvidence `json:"z2,omitempty"`
@@ -151,7 +154,7 @@
 // IsAck reports whether the message only acknowledges the owner's messages.
 func (u *EntryMessage) IsAck() bool {
 	return !u.FullReport && u.Share == nil && len(u.Requests)+len(u.Running)+len(u.Began)+len(u.Answered)+len(u.Ends)+
-		len(u.Rollouts)+len(u.Notices)+len(u.Crashes)+len(u.AnsweredSuspects)+len(u.Refused)+len(u.Shed) == 0
+		len(u.Rollouts)+len(u.Recent)+len(u.Notices)+len(u.Crashes)+len(u.AnsweredSuspects)+len(u.Refused)+len(u.Shed) == 0
 }
 
 // StartShare is a placement.StartReport. Ages are in milliseconds.
@@ -377,13 +380,17 @@
 	return out
 }
 
+func decodePrompt(parts [][2]uint64) []placement.Part {
+	out := make([]placement.Part, len(parts))
+	for i, p := range parts {
+		out[i] = placement.Part{ID: placement.PartID(p[0]), Tokens: int(p[1])}
+	}
+	return out
+}
+
 // ToPlacement converts the message to the owner's type for an entry instance in a data
 // centre.
 func (r *Request) ToPlacement(dataCentre string) placement.Request {
-	prompt := make([]placement.Part, len(r.Prompt))
-	for i, p := range r.Prompt {
-		prompt[i] = placement.Part{ID: placement.PartID(p[0]), Tokens: int(p[1])}
-	}
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	var fingerprint api.Fingerprint
 	if r.Fingerprint != nil {
@@ -391,7 +398,7 @@
 	}
 	return placement.Request{
 		Service: r.Service, Workspace: r.Workspace, DataCentre: dataCentre,
-		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: prompt,
+		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: decodePrompt(r.Prompt),
 		Objective: ms(r.TimesMs[0]), Deadline: ms(r.TimesMs[1]), RouteObjective: ms(r.TimesMs[2]), Tried: r.TriedTargets, Resumes: r.Resumed,
 		Plain: r.Plain, Candidates: r.Candidates, Fingerprint: fingerprint,
 	}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -476,6 +476,13 @@
 		r := &u.Running[i]
 		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, r.Answered, time.Duration(r.AgoMs)*time.Millisecond, now)
 	}
+	if len(u.Recent) > 0 {
+		recent := make([]placement.RecentPrompt, len(u.Recent))
+		for i := range u.Recent {
+			recent[i] = u.Recent[i].ToPlacement()
+		}
+		o.state.RecordRecentPrompts(recent)
+	}
 	if u.Share != nil && newest {
 		o.state.RecordStarts(from, u.Share.ToPlacement(), time.Duration(u.Heard), now)
 	}
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -299,6 +299,7 @@
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
 	a.responseStarted = true
+	a.recordPrefilled(a.placer.clock.Now())
 	a.placer.pending.Began = append(a.placer.pending.Began, a.number)
 	a.placer.signalSend()
 }
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -388,6 +389,7 @@
 	defer p.mu.Unlock()
 	p.keepStarts()
 	p.owner = ownerState{name: name, term: term}
+	p.scheduleRecentPrompts(rand.Float64())
 	p.contact.sampleSent = 0
 	p.owner.silence.reset(p.clock.Now())
 	p.throttle.Hold(p.clock.Now())
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -61,6 +61,7 @@
 	subsets          map[string]subset // by service
 	contact          ownerContact
 	starts           *placement.StartShare
+	recent           recentPrompts
 	pending          placewire.EntryMessage // message to the owner that is not sent yet
 	sendDueAt        time.Duration          // when pending is to be sent; -1 = it has no content
 	sendSignal       chan struct{}          // sendDueAt is earlier than before
@@ -108,7 +109,7 @@
 	}
 	p.clock, p.log, p.dataCentre = c.Clock, c.Log.With("plugin", "placer"), c.Settings.DataCentre
 	p.local, p.throttle = placement.NewLocal(p.dataCentre), placement.NewThrottle()
-	p.starts, p.process = placement.NewStartShare(), kernel.NewID()
+	p.starts, p.process, p.recent = placement.NewStartShare(), kernel.NewID(), newRecentPrompts()
 	p.blocked, p.notices, p.suspects = placement.NewBlockList(), placement.NewNotices(), placement.NewSuspectList()
 	p.instance, p.localByWorkspace, p.subsets = c.Settings.Instance, map[string]int{}, map[string]subset{}
 	p.listsKnown, p.startedAt = make(chan struct{}), p.clock.Now()
