--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if c.wait > 0 {
-		c.target.addPending(w, c.uncached)
+		c.target.addPending(w, c.prefillTokens())
 		w.reviewedAt = now
 		o.numPending++
 		return
@@ -176,12 +176,13 @@
 	}
 	var expected time.Duration
 	if r := o.rollouts[w.request.Service]; r != nil {
-		expected = r.expectedFirstEvent(c.target, c.uncached, now)
+		expected = r.expectedFirstEvent(c.target, c.prefillTokens(), now) + c.fetch.delay
 		if w.newVersion {
 			r.splitter.RecordGrant(now)
 		}
 	}
 	c.target.start(w, start{at: now, by: o.followers[w.key.Entry], granted: true})
+	c.target.beginFetch(w, c.fetch, now)
 	w.metered = c.target.countAgainstLimit(now)
 	o.crashes.recordSent(w.request.Prompt)
 	if !w.request.Resumes {
@@ -190,6 +191,9 @@
 	d := o.newDecision(w, c)
 	d.Target, d.Metered, d.QueueDelay = c.target.info.ID, w.metered, now-w.submittedAt
 	d.NewVersion, d.Expected = w.newVersion || o.hasMovedTo(c.target.info.Service, c.target.info.Version), expected
+	if s := c.fetch.source; s != nil {
+		d.FetchFrom, d.FetchStartedUnixMs = s.info.ID, s.info.StartedUnixMs
+	}
 	o.decisions = append(o.decisions, d)
 	return true
 }
@@ -218,6 +222,7 @@
 			return
 		}
 		o.dropPending(w)
+		o.findSources(w, now)
 		c := o.predict(t, w, t.cache.uncachedTokens(w.request.Prompt), now)
 		c.wait, c.minUncached = 0, c.uncached
 		if !w.request.Resumes {
@@ -272,6 +277,7 @@
 			continue
 		}
 		w.reviewedAt = now
+		o.findSources(w, now)
 		if !w.predictedMiss && !w.missesObjective(o.predict(t, w, t.cache.uncachedTokens(w.request.Prompt), now).firstEventAfter, now) {
 			continue
 		}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -344,7 +345,7 @@
 func (p *Placer) acceptGrant(w *api.PlacementRequest, resp ownerResponse) *assignment {
 	g := resp.decision
 	p.ownerGrants.Inc()
-	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target,
+	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target, "fetch_from", g.FetchFrom,
 		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "least_missing_tokens", g.MinUncachedTokens, "least_wait_ms", g.MinUncachedWaitMs, "term", g.Term)
 	return resp.granted
 }
@@ -353,7 +354,8 @@
 // new owner from now on. The lock must be held.
 func (p *Placer) startGranted(w *api.PlacementRequest, g placewire.Decision) *assignment {
 	a := &assignment{placer: p, work: w, startedAt: p.clock.Now(), chosenBy: "owner", chosenAt: p.readClocks(), metered: g.Metered,
-		newVersion: g.NewVersion, expected: time.Duration(g.ExpectedMs) * time.Millisecond}
+		newVersion: g.NewVersion, expected: time.Duration(g.ExpectedMs) * time.Millisecond,
+		fetchSource: g.FetchFrom, fetchSourceStartedUnixMs: g.FetchStartedUnixMs}
 	a.target, _ = p.directory.Target(g.Target) // checkTarget rejects a removed target later
 	if w.Engine != nil {
 		a.number = g.Number
@@ -390,6 +392,7 @@
 	defer p.mu.Unlock()
 	p.keepStarts()
 	p.owner = ownerState{name: name, term: term}
+	p.scheduleRecentPrompts(rand.Float64())
 	p.contact.sampleSent = 0
 	p.owner.silence.reset(p.clock.Now())
 	p.throttle.Hold(p.clock.Now())
