fleetstate: a repeated order does not start a rollout again that was rolled back meanwhile

An operator whose response was lost sends the same order again for 5 s, and each call reads a new base. The same order within 7 s of the start, by the time of the log, is a repeat now.

--- a/internal/fleetstate/rollouts.go
+++ b/internal/fleetstate/rollouts.go
@@ -10,12 +10,20 @@
 type rollout struct {
 	api.Rollout
 	StartID string `json:"start_id"` // change id of the start
+	// StartedMs is the time of the log at the start, Unix time in milliseconds; 0 in snapshots of earlier builds.
+	StartedMs int64 `json:"started_ms,omitempty"`
 	// Ended is the revision at which it ended; 0 = it runs.
 	Ended   uint64             `json:"ended,omitempty"`
 	EndID   string             `json:"end_id,omitempty"` // change id of the end
 	Account api.RolloutAccount `json:"account"`
 }
 
+// repeatWindowMs is the time after the start of a rollout for which the same order repeats it, even if it has ended. An
+// operator who gets no response sends the order again for 5 s, and the call may take another second. A bad version can
+// be rolled back within a second, and the repeated order must not start it again. The rest is for differences between
+// the clocks of leaders.
+const repeatWindowMs = 7000
+
 // RolloutAccounts returns the accounts of the running rollouts by service.
 func (s *State) RolloutAccounts() map[string]api.RolloutAccount {
 	out := map[string]api.RolloutAccount{}
@@ -36,9 +44,9 @@
 }
 
 // startRollout starts a rollout. A start that repeats the newest rollout of the service is accepted and
-// changes nothing: the same order while it runs, a message of the order that was delayed beyond its end, and an
-// order for the version to which the service has moved already. A start conflicts with another rollout that runs, and with one that
-// started or ended after the start was ordered.
+// changes nothing: the same order while it runs or within repeatWindowMs, a message of the order that was delayed
+// beyond its end, and an order for the version to which the service has moved already. A start conflicts with another
+// rollout that runs, and with one that started or ended after the start was ordered.
 func (s *State) startRollout(c *Submit) api.SubmitResult {
 	order := c.Rollout
 	if order.Service == "" || order.Version == "" || order.DurationMs <= 0 {
@@ -47,7 +55,7 @@
 	if last, ok := s.rollouts[order.Service]; ok {
 		same := last.Version == order.Version && last.DurationMs == order.DurationMs
 		switch {
-		case same && (last.State == api.RolloutRunning || c.BaseRevision < last.Ended),
+		case same && (last.State == api.RolloutRunning || c.BaseRevision < last.Ended || s.nowMs-last.StartedMs < repeatWindowMs),
 			last.State == api.RolloutSucceeded && last.Version == order.Version:
 			return api.SubmitResult{Revision: s.revision}
 		case last.State == api.RolloutRunning:
@@ -60,7 +68,7 @@
 		Service: order.Service, Version: order.Version, DurationMs: order.DurationMs, Started: s.revision + 1, State: api.RolloutRunning,
 	}
 	s.rollouts[order.Service] = rollout{
-		Rollout: started, StartID: c.ChangeID, Account: api.RolloutAccount{Service: started.Service, Started: started.Started},
+		Rollout: started, StartID: c.ChangeID, StartedMs: s.nowMs, Account: api.RolloutAccount{Service: started.Service, Started: started.Started},
 	}
 	s.addRevision(c.ChangeID, c.Author, fmt.Sprintf("rollout of %s to %s", order.Service, order.Version))
 	return api.SubmitResult{Revision: s.revision}
