admin: a posted change does not start or end a rollout

Cause: a Submission has a rollout since, and a change posted with data_centre, newest and rollout would have been applied as one, past the checks of the operators' calls (read in review). Change: it is refused with 400. Measured: the new row of TestErrors and the package's other tests passed.

--- a/plugin/admin/admin_test.go
+++ b/plugin/admin/admin_test.go
@@ -171,6 +171,7 @@
 		{"POST", "/v1/changes", `{"data_centre":"a"}`, 400},
 		{"POST", "/v1/changes", `{"change_id":"x"}`, 400},
 		{"POST", "/v1/changes", `{"change_id":"x","data_centre":"a","config":{}}`, 400},
+		{"POST", "/v1/changes", `{"change_id":"x","data_centre":"a","newest":true,"rollout":{"service":"s","ends":3,"state":"succeeded"}}`, 400},
 	}
 	for _, c := range cases {
 		t.Run(c.method+" "+c.path+" "+c.body, func(t *testing.T) {
--- a/plugin/admin/http.go
+++ b/plugin/admin/http.go
@@ -152,6 +152,10 @@
 		writeError(r, fasthttp.StatusBadRequest, "change", "malformed change: "+err.Error())
 		return
 	}
+	if s.Rollout != nil { // its checks belong to the operators' calls, its end to the owner
+		writeError(r, fasthttp.StatusBadRequest, "change", "rollouts are not changed here")
+		return
+	}
 	if s.ChangeID == "" || (s.Config == nil) == (s.DataCentre == "") {
 		writeError(r, fasthttp.StatusBadRequest, "change", "want a change_id and either config or data_centre")
 		return
