operators: a name in a path is decoded once

Cause: the server passed the decoded path to the dialect, which decodes names itself: a service or data centre with a percent sign or a slash in its name could not be named (read in review). Change: the path as it was sent. Measured: TestReadRolloutDecodesNameOnce failed before (404), passes now; the package's other tests passed.

--- a/plugin/operators/rollout_test.go
+++ b/plugin/operators/rollout_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -311,3 +312,17 @@
 	is.Equal(len(l.submitted), 2)
 	is.Equal(l.state.View().Rollouts["s"].Started, l.state.Revision())
 }
+
+// Guards against a name in a path that is decoded twice, so that the state of a service with a percent sign in its
+// name cannot be read.
+func TestReadRolloutDecodesNameOnce(t *testing.T) {
+	is := is.New(t)
+	l, address := serveRollouts(t, &testBounds)
+	l.configure("100%25/a")
+	status, _, _ := call(t, "POST", address, "/rollouts/start", `{"service":"100%25/a","target":"v2","duration_s":12}`)
+	is.Equal(status, 200)
+	resp, err := http.Get("http://" + address + "/rollouts/100%2525%2Fa/get") // fasthttp's client would change the path
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, 200)
+}
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -83,9 +83,10 @@
 	return nil
 }
 
-// handle serves one call. The dialect defines the methods and paths.
+// handle serves one call. The dialect defines the methods and paths. It decodes names in the path itself, so
+// it gets the path as it was sent.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	order, ok := s.dialect.ParseOrder(string(ctx.Method()), string(ctx.Path()))
+	order, ok := s.dialect.ParseOrder(string(ctx.Method()), string(ctx.URI().PathOriginal()))
 	switch {
 	case !ok:
 		s.refuse(ctx, fasthttp.StatusNotFound, "no such call")
