--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -126,7 +126,7 @@
 		}
 		uncached := t.cache.uncachedTokens(w.request.Prompt)
 		if len(o.sources.list) > 0 && best.target != nil && uncached > minUncached && !w.overloaded && !w.overShare {
-			if prefill, transfer := o.sources.minPrefill(t, uncached); o.minScore(t, w, prefill, transfer, now) > best.score {
+			if prefill, cost := o.sources.minPrefill(t, uncached); o.minScore(t, w, prefill, cost, now) > best.score {
 				continue
 			}
 		}
@@ -136,7 +136,7 @@
 	for _, p := range w.request.Prompt {
 		promptTokens += p.Tokens
 	}
-	others := o.usable[w.request.Service]
+	others, hasSources := o.usable[w.request.Service], len(o.sources.list) > 0
 	for i := range min(len(others), maxScannedTargets) {
 		t := others[(o.scanFrom+i)%len(others)]
 		if t.examinedIn == o.searches || t == preferred { // among those that have cached a part, or preferred
@@ -146,11 +146,12 @@
 		if len(w.request.Prompt) == 1 || truncated {
 			uncached = t.cache.uncachedTokens(w.request.Prompt)
 		}
-		prefill, transfer := t.prefillTime(float64(uncached)), time.Duration(0)
-		if len(o.sources.list) > 0 {
-			prefill, transfer = o.sources.minPrefill(t, uncached)
+		prefill := t.prefillTime(float64(uncached))
+		cost := prefillCost(prefill)
+		if hasSources {
+			prefill, cost = o.sources.minPrefill(t, uncached)
 		}
-		if best.target == nil || o.minScore(t, w, prefill, transfer, now) <= best.score ||
+		if best.target == nil || o.minScore(t, w, prefill, cost, now) <= best.score ||
 			(w.overloaded && rested.target == nil && o.hasRested(t, uncached, now)) {
 			keepBest(consider(t, uncached))
 		} else {
@@ -189,10 +190,10 @@
 }
 
 // minScore returns a lower bound of the score of a request on a target, for lower bounds of
-// candidate.prefill and of the transfer in it.
-func (o *Owner) minScore(t *target, w *work, prefill, transfer, now time.Duration) time.Duration {
+// candidate.prefill and of its cost.
+func (o *Owner) minScore(t *target, w *work, prefill, cost, now time.Duration) time.Duration {
 	firstEventAfter := t.backlog(now) + prefill + baseLatency
-	score := firstEventAfter + prefillCost(prefill, transfer) +
+	score := firstEventAfter + cost +
 		time.Duration(len(t.running))*runningRequestCost
 	if w.missesObjective(firstEventAfter, now) {
 		score += missedObjectivePenalty
@@ -203,9 +204,9 @@
 	return score
 }
 
-// prefillCost returns the cost of a prefill that includes a transfer.
-func prefillCost(prefill, transfer time.Duration) time.Duration {
-	return time.Duration(prefillWeight*float64(prefill-transfer) + fetchWeight*float64(transfer))
+// prefillCost returns the cost of a prefill without a fetch.
+func prefillCost(prefill time.Duration) time.Duration {
+	return time.Duration(prefillWeight * float64(prefill))
 }
 
 // predict estimates the times and the score of a request on a target that has to prefill a
@@ -220,12 +221,14 @@
 	}
 	c.wait = max(c.wait, t.startWait(o.maxStarts(t, now), pendingBefore.requests, now), t.pausedUntil-now)
 	c.prefill = t.prefillTime(float64(uncached))
+	cost := prefillCost(c.prefill)
 	if len(o.sources.list) > 0 {
 		c.fetch = o.sources.best(t, uncached, max(backlog, c.wait), now)
 		c.prefill = t.prefillTime(float64(uncached-c.fetch.tokens)) + c.fetch.transfer
+		cost = c.fetch.cost(c.prefill)
 	}
 	c.firstEventAfter = max(backlog, c.wait) + c.fetch.wait + c.prefill + baseLatency
-	c.score = c.firstEventAfter + prefillCost(c.prefill, c.fetch.transfer) +
+	c.score = c.firstEventAfter + cost +
 		time.Duration(len(t.running))*runningRequestCost +
 		time.Duration(t.health.failureRatio*float64(failureTimeCost))
 	if t.info.DataCentre != w.request.DataCentre {
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -61,6 +61,11 @@
 	transfer time.Duration
 }
 
+// cost returns the cost of a prefill that includes the transfer.
+func (f *fetch) cost(prefill time.Duration) time.Duration {
+	return time.Duration(prefillWeight*float64(prefill-f.transfer) + fetchWeight*float64(f.transfer))
+}
+
 // source is a target that has prefilled the first tokens of a prompt.
 type source struct {
 	target *target
@@ -75,16 +80,25 @@
 
 // fetchSources holds the best sources for one request.
 type fetchSources struct {
+	enabled      bool // a service can fetch
 	engine       *routing.Engine
 	promptTokens int
 	list         []source // in the order of source.compare, at most maxSources
 }
 
+// setServices replaces the services.
+func (f *fetchSources) setServices(services map[string]*routing.Service) {
+	f.enabled = false
+	for _, s := range services {
+		f.enabled = f.enabled || s.Engine != nil && s.Engine.CanFetch()
+	}
+}
+
 // findSources finds the sources for a request. Predictions for it use them until the next call.
 func (o *Owner) findSources(w *work, now time.Duration) {
 	f := &o.sources
 	f.list = f.list[:0]
-	if len(w.request.Prompt) < 2 {
+	if !f.enabled || len(w.request.Prompt) < 2 {
 		return
 	}
 	s := o.view.Services[w.request.Service]
@@ -129,7 +143,7 @@
 // prefill startAfter from now.
 func (f *fetchSources) best(t *target, uncached int, startAfter, now time.Duration) (best fetch) {
 	prefillAll := t.prefillTime(float64(uncached))
-	minCost := prefillAll + prefillCost(prefillAll, 0)
+	minCost := prefillAll + prefillCost(prefillAll)
 	for _, s := range f.list {
 		tokens := s.tokens - (f.promptTokens - uncached)
 		if tokens < minFetchedTokens {
@@ -143,7 +157,7 @@
 			transfer: transferTime(f.engine, tokens, s.target.info.DataCentre != t.info.DataCentre),
 		}
 		prefill := t.prefillTime(float64(uncached-tokens)) + x.transfer
-		if cost := x.wait + prefill + prefillCost(prefill, x.transfer); cost < minCost && x.wait+prefill < prefillAll {
+		if cost := x.wait + prefill + x.cost(prefill); cost < minCost && x.wait+prefill < prefillAll {
 			best, minCost = x, cost
 			if x.wait == 0 && s.target.info.DataCentre == t.info.DataCentre {
 				break // the others have no more tokens, nor a shorter transfer
@@ -153,20 +167,20 @@
 	return best
 }
 
-// minPrefill returns lower bounds of candidate.prefill for a number of uncached tokens, and of the
-// transfer in it: those of a fetch from the source with the most tokens, without a wait.
-func (f *fetchSources) minPrefill(t *target, uncached int) (prefill, transfer time.Duration) {
+// minPrefill returns lower bounds of candidate.prefill for a number of uncached tokens, and of its
+// cost: those of a fetch from the source with the most tokens, without a wait. There must be a source.
+func (f *fetchSources) minPrefill(t *target, uncached int) (prefill, cost time.Duration) {
 	prefillAll := t.prefillTime(float64(uncached))
 	tokens := f.list[0].tokens - (f.promptTokens - uncached)
 	if tokens < minFetchedTokens {
-		return prefillAll, 0
+		return prefillAll, prefillCost(prefillAll)
 	}
-	transfer = transferTime(f.engine, tokens, false)
-	prefill = t.prefillTime(float64(uncached-tokens)) + transfer
-	if prefill+prefillCost(prefill, transfer) >= prefillAll+prefillCost(prefillAll, 0) {
-		return prefillAll, 0
+	x := fetch{transfer: transferTime(f.engine, tokens, false)}
+	prefill = t.prefillTime(float64(uncached-tokens)) + x.transfer
+	if cost = x.cost(prefill); prefill+cost >= prefillAll+prefillCost(prefillAll) {
+		return prefillAll, prefillCost(prefillAll)
 	}
-	return prefill, transfer
+	return prefill, cost
 }
 
 // prefillTokens returns the tokens whose prefill takes as long as the candidate's fetch and prefill.
@@ -182,7 +196,7 @@
 	if f.source == nil {
 		return
 	}
-	w.fetch = f
+	w.fetchSource, w.fetchedTokens = f.source, f.tokens
 	w.uncached -= f.tokens
 	w.fetchTime = f.wait + f.transfer
 	reserveTransfer(&f.source.link, &t.link, f.transfer, now)
@@ -195,10 +209,10 @@
 // source has probably not had the parts any more. The time includes the latency without prefill,
 // so that this cannot be distinguished where the fetch saves less than that.
 func (t *target) recordFetched(w *work, took time.Duration, waited bool) (prefilled int, prefillTime time.Duration) {
-	all := w.uncached + w.fetch.tokens
+	all := w.uncached + w.fetchedTokens
 	takesAll := t.prefillTime(float64(all))
 	if took >= takesAll && takesAll-t.prefillTime(float64(w.uncached))-w.fetchTime >= baseLatency {
-		w.fetch.source.cache.forget(w.request.Prompt)
+		w.fetchSource.cache.forget(w.request.Prompt)
 		return all, took
 	}
 	if waited {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -160,6 +160,7 @@
 // end. Requests queued for targets that are removed or accept no requests are decided anew.
 func (o *Owner) SetView(v View, now time.Duration) {
 	o.view = v
+	o.sources.setServices(v.Services)
 	o.retainLimits(v.Targets)
 	current := make(map[string]*target, len(v.Targets))
 	for _, info := range v.Targets {
--- a/internal/placement/promptcache.go
+++ b/internal/placement/promptcache.go
@@ -25,16 +25,16 @@
 	target   *target
 	unpinned *list.List // parts without running requests, most recently used first
 	// generation is increased when the target may have lost the parts that it has prefilled.
-	generation uint64
+	generation uint32
 }
 
 // cachedPart is a part in a prompt cache.
 type cachedPart struct {
 	Part
-	pins    int
+	pins    int32
 	indexed bool // first part of a longer prompt, which other prompts may share
 	// prefilledIn is the generation of the cache in which the part was prefilled; 0 = not yet.
-	prefilledIn uint64
+	prefilledIn uint32
 }
 
 // cacheIndex maps a prompt part to the targets that have cached it.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -49,11 +49,12 @@
 	pendingRank     rank    // rank under which the target counts it
 	reviewedAt      time.Duration
 
-	target        *target       // on which it runs; nil while queued
-	charge        charge        // against the share of its workspace
-	metered       bool          // counted against the target's rate limit
-	uncached      int           // prompt tokens that need prefill
-	fetch         fetch         // of further prompt tokens, which need no prefill
+	target        *target // on which it runs; nil while queued
+	charge        charge  // against the share of its workspace
+	metered       bool    // counted against the target's rate limit
+	uncached      int     // prompt tokens that need prefill
+	fetchSource   *target // from which it fetches fetchedTokens further prompt tokens; nil = none
+	fetchedTokens int
 	fetchTime     time.Duration // by which the fetch is expected to delay the prefill
 	fetchUnknown  bool          // another instance placed it, and it may fetch
 	sentAt        time.Duration
@@ -300,9 +301,11 @@
 	waitedForPrevious := t.lastFirstEventAt > w.sentAt
 	t.removeFromPrefill(w, true)
 	t.lastFirstEventAt = now
-	t.cache.markPrefilled(w.request.Prompt)
+	if t.engine.CanFetch() {
+		t.cache.markPrefilled(w.request.Prompt)
+	}
 	took, prefilled := now-prefillFrom, w.uncached
-	if w.fetch.source != nil && !w.overtaken {
+	if w.fetchSource != nil && !w.overtaken {
 		prefilled, took = t.recordFetched(w, took, waitedForPrevious)
 	}
 	if w.overtaken || w.fetchUnknown || prefilled < minRateSample {
