--- a/internal/placement/fetch_test.go
+++ b/internal/placement/fetch_test.go
@@ -282,6 +282,37 @@
 	}
 }
 
+// Guards against a load that is served worse because the owner goes on fetching from targets that have
+// lost their caches without a new incarnation.
+func TestFetchFromTargetsThatLostTheirCaches(t *testing.T) {
+	play := func(fetch bool) (o outcome) {
+		for seed := range uint64(6) {
+			s := newSlotSim(seed)
+			if fetch {
+				s.enableFetch()
+			}
+			generateSlotMix(s, "w", 0.9, 0, 10*second)
+			for at := 2; at < 10; at += 2 {
+				s.after(time.Duration(at)*second, func() {
+					for i := range 12 {
+						e := s.engines[fmt.Sprintf("e%02d", (at*5+3*i)%35)]
+						e.cache = newPromptCache(e.cache.capacity)
+					}
+				})
+			}
+			s.run(25 * second)
+			o.add(s.summarize(2*second, 10*second, func(*call) bool { return true }))
+		}
+		return o
+	}
+	without, with := play(false), play(true)
+	t.Logf("%.4f on time, %.4f without fetches; %d tokens fetched, %d prefilled, %d without fetches",
+		with.onTimeShare(), without.onTimeShare(), with.fetched, with.prefilled, without.prefilled)
+	if with.onTimeShare() < without.onTimeShare() {
+		t.Errorf("%.4f of the requests on time, %.4f without fetches", with.onTimeShare(), without.onTimeShare())
+	}
+}
+
 // Guards against a choice of fetches that callers get worse service from. Loads with shared prompt
 // parts are played without fetches, and with engines that fetch for a request before they begin to
 // prefill it, or already while they prefill others.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -170,7 +170,10 @@
 		if w.overtaken {
 			continue
 		}
-		n := float64(w.uncached) + w.fetchTime.Seconds()*1e3*t.prefillRate
+		n := float64(w.uncached)
+		if w.fetchTime > 0 {
+			n += w.fetchTime.Seconds() * 1e3 * t.prefillRate
+		}
 		if first {
 			first = false
 			elapsed := now - max(w.sentAt, t.lastFirstEventAt)
