owner: tests of rollouts describe each attempt by a request of its own

Cause: a data race of the test: it changed a request that the placer still reported as running. Change: as plugin/forward, it creates one for each attempt.

--- a/plugin/owner/rollout_test.go
+++ b/plugin/owner/rollout_test.go
@@ -191,14 +191,17 @@
 func (f *fleet) serve(e *node, service string, number int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	w := &api.PlacementRequest{RequestID: fmt.Sprint(number), Service: service, Workspace: fmt.Sprint("w", number%8), Route: &routing.Route{Name: fmt.Sprint("r", number%3), Objective: time.Second}}
+	var tried []string
 	for attempt := range 3 {
 		f.mu.Lock()
 		running := time.Duration(20+f.rng.IntN(200)) * time.Millisecond
 		f.rollouts.asked++
 		f.mu.Unlock()
 		now := e.clock.Now()
-		w.Objective, w.Deadline, w.Resumed = now+time.Second, now+3*time.Second, attempt == 2
+		w := &api.PlacementRequest{
+			RequestID: fmt.Sprint(number), Service: service, Workspace: fmt.Sprint("w", number%8), Route: &routing.Route{Name: fmt.Sprint("r", number%3), Objective: time.Second},
+			Objective: now + time.Second, Deadline: now + 3*time.Second, TriedTargets: slices.Clone(tried), Resumed: attempt == 2,
+		}
 		if service == "m" {
 			w.Engine, w.PromptTokens, w.ExpectedOutputTokens, w.Prompt = engine, 10, 5, []api.PromptPart{{ID: fmt.Sprint(number), Tokens: 10}}
 		}
@@ -209,7 +212,7 @@
 			f.mu.Unlock()
 			return
 		}
-		w.TriedTargets = append(w.TriedTargets, p.Target().ID)
+		tried = append(tried, p.Target().ID)
 		if e.duties.Context().Err() != nil {
 			return
 		}
