--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -91,6 +91,7 @@
 	c.sawOld = c.sawOld || t.OldListed
 	if c.phase == PhaseBefore && len(t.New) > 0 {
 		c.phase = PhaseCanary
+		c.evidence.rampAt = now
 	}
 	c.canary.setListed(t.New)
 	c.updateCanary()
@@ -98,7 +99,7 @@
 
 // updateCanary fits the canary set to the load: each target gets about as many requests as an old one.
 func (c *Controller) updateCanary() {
-	c.canary.resize(int(math.Ceil(canaryShare*c.config.ExposureShare*float64(c.targets.Old))), &c.evidence)
+	c.canary.resize(int(math.Ceil(canaryShare*c.config.ExposureShare*float64(c.targets.Old))), c.evidence.suspects())
 }
 
 // IsCanary reports whether a target of the new version may get requests in the present phase.
@@ -179,12 +180,11 @@
 		return
 	}
 	c.nextStep = now + stepInterval
-	c.evidence.moved = c.phase == PhaseMoved
 	active := len(c.canary.chosen)
 	if c.phase == PhaseMoved {
 		active = len(c.targets.New)
 	}
-	c.evidence.evaluate(len(c.targets.New), active)
+	c.evidence.evaluate(now, len(c.targets.New), active)
 	if v, ok := c.decide(now); ok {
 		c.verdict = &v
 		c.phase = PhaseDecided
@@ -196,6 +196,7 @@
 	c.updateCanary()
 	if c.moveDue(now) {
 		c.phase = PhaseMoved
+		c.evidence.rampAt, c.evidence.moved = now, true
 		return
 	}
 	rate := c.rates.total(now)
@@ -212,8 +213,20 @@
 	if float64(elapsed) < earliestMove*float64(c.config.Duration) || now-c.startedAt < minRateTime {
 		return false
 	}
-	return c.evidence.answered() && c.evidence.result.strength < doubtStrength &&
-		c.fits(loadGrowth, now)
+	_, doubt := c.strengths()
+	return c.evidence.answered() && c.evidence.result.strength < doubt && c.fits(loadGrowth, now)
+}
+
+// strengths returns the strength of the evidence that decides against the version, and the one that does so at the end.
+func (c *Controller) strengths() (verdict, doubt float64) {
+	verdict, doubt = verdictStrength, doubtStrength
+	if c.evidence.numWindows <= shortWindows {
+		verdict, doubt = shortVerdictStrength, shortDoubtStrength
+	}
+	if bad := c.evidence.result.newBad; bad >= limitedFrom && bad <= limitedTo {
+		verdict = limitedStrength
+	}
+	return verdict, doubt
 }
 
 // fits reports whether all requests until the deadline, at a multiple of the present rate, fit into the bound.
@@ -246,11 +259,14 @@
 func (c *Controller) decide(now time.Duration) (Verdict, bool) {
 	result := &c.evidence.result
 	atEnd := c.Elapsed(now) >= c.endAt()
+	verdict, doubt := c.strengths()
 	switch {
 	case !c.sawOld && len(c.targets.New) > 0 && c.account.Requests == 0:
 		return Verdict{Succeeded: true, Reason: ReasonNoOtherVersion}, true
-	case result.strength >= verdictStrength, atEnd && result.strength >= doubtStrength:
-		return result.verdict(), true
+	case result.strength >= verdict, atEnd && result.strength >= doubt:
+		v := result.verdict()
+		v.Attrs = append(v.Attrs, "bound", verdict, "bound_at_end", doubt)
+		return v, true
 	case atEnd && !c.evidence.answered():
 		return Verdict{Reason: ReasonNoResponses}, true
 	case atEnd:
