rollout: the exposure bound leaves room for the requests between the end and the deadline

Cause: the model stopped sending at the end of a rollout; the version gets all requests from then to the deadline, and at 5 s and 100/s it came to 1.00 of the bound. Change: no grant beyond the bound less those requests; the model sends them.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -52,6 +52,7 @@
 	phase    Phase
 	// canaryPart is the part of the bound for the canary phase.
 	canaryPart float64
+	afterEnd   float64 // requests expected between the end and the deadline
 	nextStep   time.Duration
 	lastOldAt  time.Duration // last request that was not granted on the new version
 
@@ -138,9 +139,10 @@
 	}
 }
 
-// mayGrant reports whether the account and the bound leave room for one more grant.
+// mayGrant reports whether the account and the bound leave room for one more grant, and for the requests between the end
+// and the deadline: after the end the version gets all of them.
 func (c *Controller) mayGrant() bool {
-	return c.used < c.allowed && float64(c.used+1) <= grantedShare*c.bound(float64(c.requests))
+	return c.used < c.allowed && float64(c.used+1)+c.afterEnd <= grantedShare*c.bound(float64(c.requests))
 }
 
 // wantsNew reports whether the schedule gives the present request of a route to the new version.
@@ -180,6 +182,7 @@
 		return
 	}
 	c.nextStep = now + stepInterval
+	c.afterEnd = loadGrowth * c.rates.total(now) * (c.config.Duration - c.endAt()).Seconds()
 	active := len(c.canary.chosen)
 	if c.phase == PhaseMoved {
 		active = len(c.targets.New)
