--- a/plugin/owner/rollout_test.go
+++ b/plugin/owner/rollout_test.go
@@ -129,12 +129,6 @@
 	}
 }
 
-func (c *control) leads() bool {
-	c.f.mu.Lock()
-	defer c.f.mu.Unlock()
-	return c.f.leader == (*node)(c)
-}
-
 // ReadRolloutAccounts implements api.Control.
 func (c *control) ReadRolloutAccounts(context.Context) (map[string]api.RolloutAccount, error) {
 	time.Sleep(5 * time.Millisecond)
@@ -329,7 +323,6 @@
 // testController is a simple controller: a fixed share of the bound goes to the new version until a time at which
 // all requests move; the version is bad once three of its attempts have failed.
 type testController struct {
-	mu                sync.Mutex
 	config            rollout.Config
 	account           rollout.Account
 	used              uint64
