placer: test of one crash that breaks off several attempts

Cause: only the collector was tested, not the report of a crash by plugin/forward. Change: the test.

--- a/plugin/placer/rollout_test.go
+++ b/plugin/placer/rollout_test.go
@@ -343,3 +343,24 @@
 	is.Equal(bucketOf(oldStreams, stream(newTarget, 100*time.Millisecond, 35*time.Millisecond)), 8)
 	is.Equal(bucketOf(func(*rolloutEvidence) {}, stream(newTarget, 350*time.Millisecond, 0)), 8)
 }
+
+// Guards against the attempts that break off when a target crashes and count as failures of its version each, also those
+// that the target had begun to answer.
+func TestCrashOfTargetIsOneObservation(t *testing.T) {
+	r, _ := newRolloutHarness(t, oldTarget, newTarget)
+	var broken []*assignment
+	for n := range uint64(6) {
+		a := r.p.startGranted(modelOnRoute("r1"), placewire.Decision{Number: n + 1, Target: "new", NewVersion: true})
+		r.NoErr(a.BeforeSend())
+		a.answered = n%2 == 0
+		broken = append(broken, a)
+	}
+	for _, a := range broken {
+		a.End(api.AttemptIncomplete)
+	}
+	for _, a := range broken {
+		a.ReportCrash(api.Fingerprint{Selector: 1})
+	}
+	r.Advance(crashCheckTime, crashCheckTime)
+	r.Equal(r.sendPendingMessage().Rollouts[0].Counts, []placewire.RolloutOutcomes{{Route: "r1", Target: "new", Crashes: 1, Pace: []int{}}})
+}
