--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -124,7 +124,7 @@
 	awaitsReports bool                       // new versions get nothing until these have been evaluated
 	metrics       *metrics.Set
 
-	grants, refusals, searches, blocks, blockedRequests *metrics.Counter
+	grants, fetches, refusals, searches, blocks, blockedRequests *metrics.Counter
 	decideSeconds                                       *metrics.Histogram
 }
 
@@ -157,6 +157,7 @@
 	o.grants = c.Metrics.NewCounter("nutmeg_owner_grants_total")
 	o.blocks = c.Metrics.NewCounter("nutmeg_owner_parts_blocked_total")
 	o.blockedRequests = c.Metrics.NewCounter("nutmeg_owner_requests_blocked_total")
+	o.fetches = c.Metrics.NewCounter("nutmeg_owner_fetches_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
 	o.searches = c.Metrics.GetOrCreateCounter("nutmeg_owner_searches_total")
 	o.decideSeconds = c.Metrics.NewHistogram("nutmeg_owner_decide_seconds")
@@ -560,6 +561,9 @@
 		if d.Target != "" || d.Permitted {
 			o.grants.Inc()
 			o.load.granted++
+			if d.FetchFrom != "" {
+				o.fetches.Inc()
+			}
 		} else {
 			o.refusals.Inc()
 			o.load.declined++
