--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -182,7 +182,9 @@
 		return
 	}
 	c.nextStep = now + stepInterval
-	c.afterEnd = loadGrowth * c.rates.total(now) * (c.config.Duration - c.endAt()).Seconds()
+	// At a few requests a second their number varies by much: two standard deviations besides the growth.
+	last := c.rates.total(now) * (c.config.Duration - c.endAt()).Seconds()
+	c.afterEnd = loadGrowth*last + 2*math.Sqrt(last)
 	active := len(c.canary.chosen)
 	if c.phase == PhaseMoved {
 		active = len(c.targets.New)
