rollout: the room for requests after the end does not delay the canary phase

Cause: it was compared with the bound so far, which at 1,600/s is smaller than the room for the first seconds. Change: it is compared with the bound expected at the deadline.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -52,7 +52,8 @@
 	phase    Phase
 	// canaryPart is the part of the bound for the canary phase.
 	canaryPart float64
-	afterEnd   float64 // requests expected between the end and the deadline
+	coming     float64 // requests expected until the deadline
+	afterEnd   float64 // those of them after the end
 	nextStep   time.Duration
 	lastOldAt  time.Duration // last request that was not granted on the new version
 
@@ -142,7 +143,9 @@
 // mayGrant reports whether the account and the bound leave room for one more grant, and for the requests between the end
 // and the deadline: after the end the version gets all of them.
 func (c *Controller) mayGrant() bool {
-	return c.used < c.allowed && float64(c.used+1)+c.afterEnd <= grantedShare*c.bound(float64(c.requests))
+	used, requests := float64(c.used+1), float64(c.requests)
+	return c.used < c.allowed && used <= grantedShare*c.bound(requests) &&
+		used+c.afterEnd <= grantedShare*c.bound(requests+c.coming)
 }
 
 // wantsNew reports whether the schedule gives the present request of a route to the new version.
@@ -184,6 +187,7 @@
 	c.nextStep = now + stepInterval
 	// At a few requests a second their number varies by much: two standard deviations besides the growth.
 	last := c.rates.total(now) * (c.config.Duration - c.endAt()).Seconds()
+	c.coming = c.rates.total(now) * max(0, c.config.Duration-c.Elapsed(now)).Seconds()
 	c.afterEnd = loadGrowth*last + 2*math.Sqrt(last)
 	active := len(c.canary.chosen)
 	if c.phase == PhaseMoved {
