--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -125,7 +125,7 @@
 	metrics       *metrics.Set
 
 	grants, fetches, refusals, searches, blocks, blockedRequests *metrics.Counter
-	decideSeconds                                       *metrics.Histogram
+	decideSeconds                                                *metrics.Histogram
 }
 
 // Provision implements kernel.Plugin.
