--- a/plugin/owner/rollout_test.go
+++ b/plugin/owner/rollout_test.go
@@ -276,6 +276,8 @@
 // checkAccount fails if targets of the new version have got more than the stored account allowed at the time.
 func (f *fleet) checkAccount(t *testing.T) {
 	t.Helper()
+	f.mu.Lock() // owners go on saving accounts
+	defer f.mu.Unlock()
 	n := 0
 	for _, s := range f.rollouts.sends {
 		if s.newVersion && s.running {
@@ -291,6 +293,8 @@
 // checkRefusals fails if more than one of twenty requests was refused.
 func (f *fleet) checkRefusals(t *testing.T) {
 	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.rollouts.refused > f.rollouts.asked/20 {
 		t.Errorf("%d of %d requests refused", f.rollouts.refused, f.rollouts.asked)
 	}
@@ -300,6 +304,8 @@
 // ran.
 func (f *fleet) checkExposure(t *testing.T) {
 	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	n, all := 0, 0
 	for _, s := range f.rollouts.sends {
 		if s.running {
