--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"time"
@@ -24,7 +25,8 @@
 	Directory Directory `json:"directory"`
 	// Bounds are the service levels promised to callers and operators.
 	Bounds Bounds `json:"bounds"`
-	// Rollouts bounds rollouts; nil = the fleet serves no orders for rollouts.
+	// Rollouts bounds rollouts; nil = the fleet serves no orders for rollouts. Bounds that are all null or 0
+	// count as nil: a template may give them where the platform states none.
 	Rollouts *Rollouts `json:"rollouts,omitempty"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB float64 `json:"memoryMB"`
@@ -137,7 +139,11 @@
 	if r.LossesTolerated < 0 {
 		p.addProblem(p.fieldOffset("lossesTolerated"), "routes.lossesTolerated", "must not be negative")
 	}
-	if r.Rollouts != nil {
+	switch {
+	case r.Rollouts == nil:
+	case *r.Rollouts == Rollouts{} && bytes.Contains(p.raw, []byte(`"exposureShare"`)):
+		s.Routes.Rollouts = nil
+	default:
 		p.checkRollouts(*r.Rollouts)
 	}
 }
--- a/internal/settings/routes_test.go
+++ b/internal/settings/routes_test.go
@@ -42,6 +42,7 @@
 // misspelt, and against an error without line or field.
 func TestParseRolloutsProblems(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
+		{`0.1`, `null`, "routes.rollouts.exposureShare: must be above 0 and at most 1"},
 		{`0.1`, `0`, "f.json:5: routes.rollouts.exposureShare: must be above 0 and at most 1"},
 		{`0.1`, `-0.1`, "f.json:5: routes.rollouts.exposureShare: must be above 0 and at most 1"},
 		{`0.1`, `1.01`, "f.json:5: routes.rollouts.exposureShare: must be above 0 and at most 1"},
@@ -78,6 +79,9 @@
 	`{{#bounds.exposure_share}}`, ``, `{{/bounds.exposure_share}}`, ``,
 )
 
+// bounds fills in the bounds on rollouts where the platform names none and knows no sections of this kind.
+var bounds = strings.NewReplacer(`{{bounds.exposure_share|json}}`, `null`, `{{bounds.exposure_slack|json}}`, `null`, `{{bounds.rollback_ms|json}}`, `null`)
+
 // Guards against templates whose result cannot be parsed, on a platform that bounds rollouts or on one that does
 // not.
 func TestDeployTemplates(t *testing.T) {
@@ -88,8 +92,8 @@
 		section, end, ok2 := strings.Cut(rest, "{{/bounds.exposure_share}}")
 		is.New(t).True(ok && ok2)
 		for want, template := range map[*Rollouts]string{
-			nil:             begin + end,
-			{0.1, 50, 5000}: begin + section + end,
+			nil: begin + end,
+			{ExposureShare: 0.1, ExposureSlack: 50, RollbackMs: 5000}: begin + section + end,
 		} {
 			is := is.New(t)
 			s, err := Parse(name+".json", []byte(fillNumbers(deployValues.Replace(template))))
@@ -97,6 +101,11 @@
 			is.Equal(s.Routes.Rollouts, want)
 			is.Equal(s.Routes.MaxFiles, 4096) // stands behind the section
 		}
+		// A program that fills in values only gives null for those that it does not know.
+		is := is.New(t)
+		s, err := Parse(name+".json", []byte(fillNumbers(deployValues.Replace(bounds.Replace(string(raw))))))
+		is.NoErr(err)
+		is.True(s.Routes.Rollouts == nil)
 	}
 }
 
