rollout, owner, placer: wording of comments; when recent prompts are dropped

Cause: a last read of the change. A full report replaces the pending message and with it recent prompts that were not sent yet, which no page said. Measured: formatter, vet and staticcheck; tests of placer, operators, doccheck, and rollout without TestVerdicts passed.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -216,7 +216,7 @@
 	c.rates.divide(max(0, c.canaryPart*c.config.ExposureShare*rate+missing/catchUp.Seconds()), now)
 }
 
-// moveDue reports whether all requests until the deadline fit into the bound and nothing speaks against the version.
+// moveDue reports whether all requests until the deadline fit into the bound and there is no evidence against the version.
 func (c *Controller) moveDue(now time.Duration) bool {
 	elapsed := c.Elapsed(now)
 	if float64(elapsed) < earliestMove*float64(c.config.Duration) || now-c.startedAt < minRateTime {
--- a/plugin/owner/rollout.go
+++ b/plugin/owner/rollout.go
@@ -24,7 +24,7 @@
 	// rolloutMetricsInterval is how often the metrics of the evidence are computed.
 	rolloutMetricsInterval = time.Second
 	// maxReportWait is the longest time for which a new owner gives new versions nothing because it waits for the full
-	// reports of entry instances, without which it knows nothing that speaks against a version. evidenceTime is the
+	// reports of entry instances, without which it has no evidence against a version. evidenceTime is the
 	// time from the last of them until the controller has evaluated them, which it does ten times a second.
 	maxReportWait = time.Second
 	evidenceTime  = 150 * time.Millisecond
@@ -438,7 +438,7 @@
 	return n
 }
 
-// splitter implements placement.Splitter for a running rollout. An owner in doubt gives the new version nothing,
+// splitter implements placement.Splitter for a running rollout. An owner whose leadership is unconfirmed gives the new version nothing,
 // because another one may have been elected.
 type splitter struct {
 	o *Owner
--- a/plugin/placer/recent.go
+++ b/plugin/placer/recent.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// scheduleRecentPrompts has the recent prompts sent to the present owner a while after it has become the owner. The lock must be
-// held.
+// scheduleRecentPrompts has the recent prompts sent to the present owner after recentPromptsDelay. A full report that is
+// queued before they are sent drops them: then the owner has shared parts prefilled again. The lock must be held.
 func (p *Placer) scheduleRecentPrompts(random float64) {
 	term := p.owner.term
 	time.AfterFunc(recentPromptsDelay+time.Duration(random*float64(recentPromptsSpread)), func() {
--- a/plugin/placer/rollout.go
+++ b/plugin/placer/rollout.go
@@ -245,7 +245,7 @@
 	return at
 }
 
-// viewChanged begins to collect the evidence of rollouts that run in a view, and forgets those that have ended.
+// viewChanged begins to collect the evidence of rollouts that run in a view, and drops that of rollouts that have ended.
 func (p *Placer) viewChanged(v *api.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
