exchange, dispatch, clients: a response with status 000 is not passed on

Seen by callers: a target's response with status 000 arrived as an answer with status 200. With a header that says that the request has not run, it was believed: a request that the route does not retry was refused as not run, or sent to a second target.

Cause: fasthttp's StatusCode() returns 200 for the parsed number 0, and the head written for the caller says the same, so the parsed head does not show it. Every reader of responses took the parsed head on trust: internal/exchange, plugin/dispatch, and the clients of plugin/directory, plugin/orders, plugin/scheduler and internal/adminapi. The same holds for heads that are skipped: interim responses, responses to an earlier request, early error responses.

Change: internal/responsehead checks the status line in the bytes before fasthttp parses it: three digits from 100 to 599 (RFC 9110, section 15). Exchanges check the buffered head; fasthttp's clients get a connection that checks it while it is read. The attempt counts as broken, the log line and the refusal name the status, and retries follow the route: 502 if the request may have run. A failed order now records why, and a load report with such a head counts as one that could not be read.

--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/responsehead"
 )
 
 // Client is a client of the HTTP interface for operators. It calls one instance and
@@ -145,6 +146,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	c.http.DialTimeout = responsehead.DialTimeout
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
--- /dev/null
+++ b/internal/adminapi/client_test.go
@@ -0,0 +1,59 @@
+package adminapi
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/api"
+)
+
+// serveText starts an instance that responds to each request with a text and then closes the
+// connection. It returns its address.
+func serveText(t *testing.T, text string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, text)
+			}
+			c.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a broken response of an instance that an operator gets as an answer: reads and
+// changes go on to the next address.
+func TestBrokenResponseIsNoAnswer(t *testing.T) {
+	const sound = "HTTP/1.1 200\r\n\r\n" // no reason, ends with its connection
+	for name, head := range map[string]string{
+		"status 000":            "HTTP/1.1 000 OK\r\nContent-Length: 17",
+		"status 000, no length": "HTTP/1.1 000 OK",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &Client{Addresses: []string{
+				serveText(t, head+"\r\n\r\n"+`{"revision":  66}`), serveText(t, sound+`{"revision":7}`)}}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			result, err := c.Submit(ctx, api.Submission{})
+			is.NoErr(err)
+			is.Equal(result.Revision, uint64(7))
+			c.preferred = 0
+			text, err := c.Metrics(ctx)
+			is.NoErr(err)
+			is.Equal(text, `{"revision":7}`)
+		})
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"nutmegrouter/internal/responsehead"
 	"nutmegrouter/internal/targetconn"
 )
 
@@ -91,8 +92,12 @@
 		x.writeDone = make(chan error, 1)
 		go func() { x.writeDone <- x.write(r) }()
 	} else if err := x.write(r); err != nil {
-		if x.readEarlyRefusal() {
+		refused, headErr := x.readEarlyRefusal()
+		switch {
+		case refused:
 			return "", nil
+		case errors.Is(headErr, responsehead.ErrMalformed):
+			return "head", headErr
 		}
 		return "send", err
 	}
@@ -115,21 +120,24 @@
 }
 
 func (x *Exchange) readHeader() error {
-	err := x.Resp.ReadLimitBody(x.Conn.R, 0)
+	err := responsehead.Read(x.Resp, x.Conn.R)
 	x.body = x.Resp.BodyStream()
 	return err
 }
 
 // readEarlyRefusal reads the response header of a target that refused a request and closed
 // the connection before it had read the whole request. It reports whether there is such a
-// response; only one with an error status is accepted.
-func (x *Exchange) readEarlyRefusal() bool {
+// response, or why its header could not be read; only one with an error status is accepted.
+func (x *Exchange) readEarlyRefusal() (refused bool, err error) {
 	c := x.Conn
 	if c.Sent == 0 || (!errors.Is(c.WriteFailure, syscall.EPIPE) && !errors.Is(c.WriteFailure, syscall.ECONNRESET)) {
-		return false
+		return false, nil
 	}
 	x.writeIncomplete = true
-	return x.readHeader() == nil && x.Resp.StatusCode() >= fasthttp.StatusBadRequest
+	if err := x.readHeader(); err != nil {
+		return false, err
+	}
+	return x.Resp.StatusCode() >= fasthttp.StatusBadRequest, nil
 }
 
 // SkipResponse discards the response, which belongs to an earlier request, and reads the
@@ -154,11 +162,11 @@
 }
 
 // fail closes an exchange that has no response header. The first error of the connection
-// itself replaces err.
+// itself replaces err, unless the header is malformed.
 func (x *Exchange) fail(step string, err error) *Failure {
 	_ = x.Conn.Conn.Close() // unblocks the writing goroutine
 	x.awaitWrite()
-	if f := x.Conn.Failure(); f != nil {
+	if f := x.Conn.Failure(); f != nil && !errors.Is(err, responsehead.ErrMalformed) {
 		err = f
 	}
 	f := &Failure{Step: step, Cause: err, Sent: x.Conn.Sent, Received: x.Conn.Received, Reused: x.Conn.Reused}
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -14,6 +14,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/logqueue"
+	"nutmegrouter/internal/responsehead"
 	"nutmegrouter/internal/routing"
 	"nutmegrouter/internal/targetlist"
 )
@@ -88,6 +89,7 @@
 	d.client = &fasthttp.HostClient{
 		Addr: c.Settings.Routes.Directory.Address, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }, NoDefaultUserAgentHeader: true,
+		DialTimeout: responsehead.DialTimeout,
 	}
 	d.reads = c.Metrics.NewCounter("nutmeg_directory_reads_total")
 	d.readFailures = c.Metrics.NewCounter("nutmeg_directory_read_failures_total")
--- /dev/null
+++ b/plugin/dispatch/broken_answers_test.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"nutmegrouter/internal/api"
+)
+
+// malformedHeads are heads of responses, each with one fault, without the empty line at the end. All
+// have the body "ok".
+var malformedHeads = map[string]string{
+	"status 000":              "HTTP/1.1 000 OK\r\nContent-Length: 2",
+	"status 000, no length":   "HTTP/1.1 000 OK",
+	"status 999":              "HTTP/1.1 999 X\r\nContent-Length: 2",
+	"interim with status 000": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
+}
+
+// respondMalformed returns a script that responds with a head and the body "ok".
+func respondMalformed(head string) script {
+	return func(w *scriptConn, _ *receivedRequest, _ int) {
+		w.raw(head + "\r\n\r\nok")
+		w.Close()
+	}
+}
+
+// Guards against a response with a malformed head that reaches a caller, and against a retry of a
+// request that may have run.
+func TestMalformedHeads(t *testing.T) {
+	for name, head := range malformedHeads {
+		bad := respondMalformed(head)
+		runFaults(t, []faultCase{
+			{name: name + ", GET", method: "GET", t1Script: bad, t2Script: respondOK, body: "ok", results: "failed ok", sends: "1 1"},
+			{name: name + ", GET everywhere", method: "GET", t1Script: bad, code: codeTargetFailed, run: api.RunUnknown,
+				results: "failed failed failed failed", sends: "4 0"},
+			{name: name + ", POST", method: "POST", t1Script: bad, t2Script: respondOK, code: codeTargetFailed, run: api.RunUnknown, results: "failed", sends: "1 0"},
+			{name: name + ", stream", t1Script: bad, t2Script: streamFiveEvents, body: wholeStreamText(5), results: "failed ok", sends: "1 1"},
+			{name: name + ", resume", t1Script: closesAfter(3, func(w *scriptConn, r *receivedRequest, n int) {
+				if n == 2 {
+					bad(w, r, n)
+					return
+				}
+				resumes(w, r, n)
+			}), body: wholeStreamText(5), results: "ok", sends: "3 0"},
+		})
+	}
+}
+
+// Guards against a refusal that does not say what was wrong with the response.
+func TestRefusalNamesMalformedHead(t *testing.T) {
+	for name, head := range malformedHeads {
+		is := is.New(t)
+		env := newTestEnv(t, newTarget(t, "t1", runScript(respondMalformed(head))))
+		_, _, err := env.do(serviceRequest("POST"))
+		var refusal *api.Refusal
+		is.True(errors.As(err, &refusal))
+		if !strings.Contains(refusal.Message, "malformed response head") {
+			t.Errorf("%s: %q", name, refusal.Message)
+		}
+	}
+}
--- a/plugin/dispatch/exchange.go
+++ b/plugin/dispatch/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/responsehead"
 	"nutmegrouter/internal/targetconn"
 )
 
@@ -75,12 +76,16 @@
 // request id is an error, because it may be a duplicate of an earlier response.
 func (x *exchange) roundTrip(m *targetRequest) (step string, err error) {
 	if err := x.send(m); err != nil {
-		if x.readEarlyRefusal() {
+		refused, headErr := x.readEarlyRefusal()
+		switch {
+		case refused:
 			return "", nil
+		case errors.Is(headErr, responsehead.ErrMalformed):
+			return "head", headErr
 		}
 		return "send", err
 	}
-	if err := x.resp.ReadLimitBody(x.conn.R, 0); err != nil {
+	if err := responsehead.Read(x.resp, x.conn.R); err != nil {
 		return "head", err
 	}
 	x.idEchoed = x.requestID != "" && string(x.resp.Header.Peek(headerRequestID)) == x.requestID
@@ -92,14 +97,18 @@
 
 // readEarlyRefusal reads the response of a target that refused a request and closed
 // the connection before it had read the whole request. It reports whether there is
-// one with a status of 400 or higher; other statuses are not accepted.
-func (x *exchange) readEarlyRefusal() bool {
+// one with a status of 400 or higher, or why its header could not be read; other
+// statuses are not accepted.
+func (x *exchange) readEarlyRefusal() (refused bool, err error) {
 	c := x.conn
 	if c.Sent == 0 || (!errors.Is(c.Failure(), syscall.EPIPE) && !errors.Is(c.Failure(), syscall.ECONNRESET)) {
-		return false
+		return false, nil
 	}
 	x.requestIncomplete = true
-	return x.resp.ReadLimitBody(c.R, 0) == nil && x.resp.StatusCode() >= fasthttp.StatusBadRequest
+	if err := responsehead.Read(x.resp, c.R); err != nil {
+		return false, err
+	}
+	return x.resp.StatusCode() >= fasthttp.StatusBadRequest, nil
 }
 
 // connect returns an idle connection to the host, or a new one if there is none or
@@ -140,9 +149,9 @@
 
 // fail closes an exchange that has no response header and returns its fault. The
 // first error of the connection takes precedence over err, because fasthttp reports
-// some read errors as the end of the stream.
+// some read errors as the end of the stream, but not over a malformed header.
 func (x *exchange) fail(step string, err error) *fault {
-	if x.conn.Failure() != nil {
+	if x.conn.Failure() != nil && !errors.Is(err, responsehead.ErrMalformed) {
 		err = x.conn.Failure()
 	}
 	f := &fault{step: step, cause: err, sentBytes: x.conn.Sent, receivedBytes: x.conn.Received, reusedConnection: x.conn.Reused}
--- a/plugin/orders/send.go
+++ b/plugin/orders/send.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"nutmegrouter/internal/kernel"
@@ -36,14 +37,14 @@
 	out := outcome{pool: pool, epoch: state.epoch, order: order}
 	fence := state.token
 	go func() {
-		out.outcome = o.post(order, fence)
+		out.outcome, out.err = o.post(order, fence)
 		o.outcomes.Push(out)
 	}()
 }
 
 // post sends an order and waits for the response. Status 2xx is Accepted, 409 is
-// TokenOutdated; any other status or error is Failed.
-func (o *Orders) post(order planner.Order, fence uint64) planner.Outcome {
+// TokenOutdated; any other status or error is Failed, with an error that says why.
+func (o *Orders) post(order planner.Order, fence uint64) (planner.Outcome, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -53,15 +54,16 @@
 	req.Header.SetContentType("application/json")
 	req.SetBody(raw)
 	if err := o.client.DoTimeout(req, resp, orderTimeout); err != nil {
-		return planner.Failed
+		return planner.Failed, err
 	}
 	switch code := resp.StatusCode(); {
 	case code >= 200 && code < 300:
-		return planner.Accepted
+		return planner.Accepted, nil
 	case code == fasthttp.StatusConflict:
-		return planner.TokenOutdated
+		return planner.TokenOutdated, nil
+	default:
+		return planner.Failed, errors.Errorf("status %d", code)
 	}
-	return planner.Failed
 }
 
 // handleOutcome applies the result of an order or of a request for a token. Results from
@@ -96,6 +98,9 @@
 	case planner.Failed:
 		o.failed.Inc()
 		event.Detail = "failed"
+		if out.err != nil {
+			event.Detail += ": " + out.err.Error()
+		}
 	case planner.TokenOutdated:
 		o.stale.Inc()
 		event.Detail = "refused: stale fencing token"
--- a/plugin/orders/setup.go
+++ b/plugin/orders/setup.go
@@ -14,6 +14,7 @@
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	planner "nutmegrouter/internal/orders"
+	"nutmegrouter/internal/responsehead"
 )
 
 func init() {
@@ -69,6 +70,7 @@
 	epoch       uint64 // ownership epoch at the time of sending
 	order       planner.Order
 	outcome     planner.Outcome
+	err         error // why the order failed, if that is known
 	token       uint64
 	tokenFailed bool
 }
@@ -82,7 +84,7 @@
 	o.sent = c.Metrics.NewCounter("nutmeg_orders_sent_total")
 	o.failed = c.Metrics.NewCounter("nutmeg_orders_failed_total")
 	o.stale = c.Metrics.NewCounter("nutmeg_orders_stale_total")
-	o.client = fasthttp.Client{ReadTimeout: orderTimeout, WriteTimeout: orderTimeout, MaxIdemponentCallAttempts: 1}
+	o.client = fasthttp.Client{ReadTimeout: orderTimeout, WriteTimeout: orderTimeout, MaxIdemponentCallAttempts: 1, DialTimeout: responsehead.DialTimeout}
 	if o.lease, err = kernel.Lookup[api.Lease](c); err != nil {
 		return err
 	}
--- a/plugin/scheduler/polls.go
+++ b/plugin/scheduler/polls.go
@@ -12,6 +12,7 @@
 
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/limits"
+	"nutmegrouter/internal/responsehead"
 )
 
 const (
@@ -68,6 +69,7 @@
 		ReadTimeout: pollTimeout, WriteTimeout: pollTimeout,
 		MaxResponseBodySize:       maxListBytes,
 		MaxIdemponentCallAttempts: 1,
+		DialTimeout:               responsehead.DialTimeout,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
 	}
@@ -131,6 +133,9 @@
 	body, err := s.get("http://"+t.address+"/load", maxLoadBytes)
 	if err != nil {
 		out.refused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		if errors.Is(err, responsehead.ErrMalformed) {
+			s.failures.badLoadReports.Inc()
+		}
 		return out
 	}
 	var a loadResponse
