responsehead: a response with a blank or a control byte in a field's name is not passed on

Seen by callers: a response in whose head the name of a field held a blank arrived as an answer. The line was passed on (profile "routes") or dropped in silence ("pools"). In the name of a field that frames the body, the body was another than the target's: "Content Length: 2" is no length, so the body ran to the end of the connection. A head that says that the request has not run was believed.

Cause: fasthttp accepts blanks in names, ignores them before the colon and joins a line that begins with a blank to the one before it. Nobody looked at the names after that, except plugin/dispatch, which dropped them.

Change: the check of the head's bytes covers names: one or more token bytes (RFC 9110, section 5.6.2) up to the colon. A blank before the colon or at the start of a line is refused, too: it can't be told from a damaged name, RFC 9112 lets no sender write it, and section 5.2 allows a 502 for continued lines. Control bytes in the reason, which were passed on to callers, are refused; tabs and other bytes are not.

Handled before: a control byte inside a name (NUL, 0x01, 0x1f, 0x7f, tab, CR) and in a value is refused by fasthttp's parser in each place and profile tried; only the error text is now the same as for the other cases. Names in trailers: a trailer reaches no caller and changes no body. The tests stay.

--- a/internal/adminapi/client_test.go
+++ b/internal/adminapi/client_test.go
@@ -38,8 +38,14 @@
 func TestBrokenResponseIsNoAnswer(t *testing.T) {
 	const sound = "HTTP/1.1 200\r\n\r\n" // no reason, ends with its connection
 	for name, head := range map[string]string{
-		"status 000":            "HTTP/1.1 000 OK\r\nContent-Length: 17",
-		"status 000, no length": "HTTP/1.1 000 OK",
+		"status 000":               "HTTP/1.1 000 OK\r\nContent-Length: 17",
+		"status 000, no length":    "HTTP/1.1 000 OK",
+		"blank in a name":          "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 17",
+		"blank in an error's name": "HTTP/1.1 400 X\r\nX Bad: 1\r\nContent-Length: 17",
+		"blank in a length's name": "HTTP/1.1 200 OK\r\nContent Length: 2",
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 17",
+		"continued line":           "HTTP/1.1 200 OK\r\nX-Bad: 1\r\n Content-Length: 17",
+		"control byte in a name":   "HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: 17",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -19,8 +19,8 @@
 
 // soundHead matches a head at the start of a text, by the grammar of RFC 9112 with the exceptions that
 // fasthttp makes: empty lines before the head, several blanks before the status, and line feeds alone.
-var soundHead = regexp.MustCompile(`^[\r\n]*HTTP/[0-9]\.[0-9] +([1-5][0-9]{2})(?: [^\n]*|\r)?\n` +
-	"(?:[^\r\n][^\n]*\n)*\r?\n")
+var soundHead = regexp.MustCompile(`^[\r\n]*HTTP/[0-9]\.[0-9] +([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n` +
+	"(?:[!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[^\n]*\n)*\r?\n")
 
 // soundHeads returns the length of the heads at the start of a text up to the final one, or -1 if one of
 // them is malformed or missing.
@@ -96,8 +96,16 @@
 	"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nX-Bad: 1\r\n Content-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nX\x00Bad: 1\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
 }
 
 // servePerRequest starts a server that responds to the n-th request of a connection with the n-th text,
@@ -190,6 +198,11 @@
 	var resp fasthttp.Response
 	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok")), 0))
 	is.Equal(resp.StatusCode(), 200)
+	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nokmore")), 0))
+	is.Equal(string(resp.Body()), "okmore")
+	is.Equal(string(resp.Header.Peek("Content Length")), "2")
+	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.1 200 O\x00K\r\nContent-Length: 2\r\n\r\nok")), 0))
+	is.Equal(string(resp.Header.StatusMessage()), "O\x00K")
 }
 
 // Guards against a response head that exceeds the reader's buffer and is taken for a malformed one.
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -1,6 +1,7 @@
 // Package responsehead refuses HTTP/1.1 responses whose head is malformed. fasthttp accepts some
-// of them and changes what they say: it reads status 000 as 200, so a parsed head does not show what
-// the target sent. The package checks the bytes themselves, before fasthttp parses them.
+// of them and changes what they say: it reads status 000 as 200 and keeps field names with blanks,
+// so a parsed head does not show what the target sent. The package checks the bytes themselves,
+// before fasthttp parses them.
 package responsehead
 
 import (
@@ -20,7 +21,9 @@
 	stepStatus
 	stepReason
 	stepNameStart // of a field, or the empty line that ends the head
-	stepField
+	stepName
+	stepValue
+	stepLineEnd // after CR in the status line
 	stepHeadEnd // after CR in the empty line
 	stepDone
 )
@@ -28,12 +31,19 @@
 // version is the pattern of a protocol version; # is any digit.
 const version = "HTTP/#.#"
 
-// scanner checks the status line of one head as its bytes arrive (RFC 9112, section 4). Fields are
-// checked by the parser. The zero value is ready for the first byte.
+// maxQuotedName is the length up to which an error quotes a field name.
+const maxQuotedName = 40 // bytes
+
+// scanner checks the bytes of one head as they arrive. It checks the status line (RFC 9112,
+// section 4) and the names of fields (section 5). Values are checked by the parser. The zero value
+// is ready for the first byte.
 type scanner struct {
 	step    step
 	matched int // bytes of the version or digits of the status
 	status  int // 100 to 599 once the status has ended
+
+	name       [maxQuotedName]byte // beginning of the current field's name
+	nameLength int                 // bytes used in name
 }
 
 // scan checks the next bytes, up to the end of the head. It returns how many of them belong to a
@@ -41,7 +51,7 @@
 // ErrMalformed.
 func (s *scanner) scan(b []byte) (n int, err error) {
 	for n < len(b) && s.step != stepDone {
-		if s.step == stepReason || s.step == stepField {
+		if s.step == stepValue {
 			end := bytes.IndexByte(b[n:], '\n')
 			if end < 0 {
 				return len(b), nil
@@ -71,15 +81,15 @@
 		return s.nextOfVersion(c)
 	case stepStatus:
 		return s.nextOfStatus(c)
-	case stepNameStart:
-		switch c {
-		case '\r':
-			s.step = stepHeadEnd
-		case '\n':
-			s.step = stepDone
-		default:
-			s.step = stepField
+	case stepReason:
+		return s.nextOfReason(c)
+	case stepLineEnd:
+		if c != '\n' {
+			return errors.New("carriage return in the status line")
 		}
+		s.step = stepNameStart
+	case stepNameStart, stepName:
+		return s.nextOfName(c)
 	case stepHeadEnd:
 		if c != '\n' {
 			return errors.New("carriage return at the start of a field")
@@ -120,14 +130,68 @@
 		return nil
 	case s.matched == 3:
 		s.step = stepReason
-		if c == '\n' {
-			s.step = stepNameStart
-		}
-		if c == ' ' || c == '\r' || c == '\n' {
+		if c == ' ' {
 			return nil
 		}
+		if c == '\r' || c == '\n' {
+			return s.nextOfReason(c)
+		}
 	}
 	return errors.New("the status is not a number of three digits")
 }
 
+func (s *scanner) nextOfReason(c byte) error {
+	switch {
+	case c == '\r':
+		s.step = stepLineEnd
+	case c == '\n':
+		s.step = stepNameStart
+	case c < ' ' && c != '\t' || c == 0x7f:
+		return errors.Errorf("control byte 0x%02x in the reason", c)
+	}
+	return nil
+}
+
+// nextOfName refuses any blank in or beside a name. One before the colon can be a damaged name, and a
+// line that begins with a blank can be a field of its own or a continued value, which RFC 9112 no
+// longer allows.
+func (s *scanner) nextOfName(c byte) error {
+	switch {
+	case isTokenByte(c):
+		if s.step == stepNameStart {
+			s.step, s.nameLength = stepName, 0
+		}
+		if s.nameLength < maxQuotedName {
+			s.name[s.nameLength] = c
+			s.nameLength++
+		}
+		return nil
+	case s.step == stepName && c == ':':
+		s.step = stepValue
+		return nil
+	case s.step == stepName:
+		return errors.Errorf("byte 0x%02x in or after the field name %q", c, string(s.name[:s.nameLength]))
+	case c == '\r':
+		s.step = stepHeadEnd
+		return nil
+	case c == '\n':
+		s.step = stepDone
+		return nil
+	}
+	return errors.Errorf("a field line begins with byte 0x%02x", c)
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// tokenBytes has the bytes of which names of fields consist (RFC 9110, section 5.6.2).
+var tokenBytes = func() (t [256]bool) {
+	for c := range t {
+		t[c] = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	}
+	for _, c := range "!#$%&'*+-.^_`|~" {
+		t[c] = true
+	}
+	return t
+}()
+
+func isTokenByte(c byte) bool { return tokenBytes[c] }
--- a/plugin/directory/broken_answers_test.go
+++ b/plugin/directory/broken_answers_test.go
@@ -44,9 +44,14 @@
 func TestBrokenPageIsNotRead(t *testing.T) {
 	length := fmt.Sprintf("Content-Length: %d", len(page))
 	for name, head := range map[string]string{
-		"status 000":              "HTTP/1.1 000 OK\r\n" + length,
-		"interim with status 000": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
-		"reset without length":    "HTTP/1.1 200 OK",
+		"status 000":               "HTTP/1.1 000 OK\r\n" + length,
+		"interim with status 000":  "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
+		"blank in a name":          "HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + length,
+		"blank in a length's name": "HTTP/1.1 200 OK\r\nContent Length: 2",
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nX-Bad : 1\r\n" + length,
+		"continued line":           "HTTP/1.1 200 OK\r\nX-Bad: 1\r\n Content-Length: 2",
+		"control byte in a name":   "HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\n" + length,
+		"reset without length":     "HTTP/1.1 200 OK",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/plugin/dispatch/broken_answers_test.go
+++ b/plugin/dispatch/broken_answers_test.go
@@ -13,10 +13,20 @@
 // malformedHeads are heads of responses, each with one fault, without the empty line at the end. All
 // have the body "ok".
 var malformedHeads = map[string]string{
-	"status 000":              "HTTP/1.1 000 OK\r\nContent-Length: 2",
-	"status 000, no length":   "HTTP/1.1 000 OK",
-	"status 999":              "HTTP/1.1 999 X\r\nContent-Length: 2",
-	"interim with status 000": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
+	"status 000":               "HTTP/1.1 000 OK\r\nContent-Length: 2",
+	"status 000, no length":    "HTTP/1.1 000 OK",
+	"status 999":               "HTTP/1.1 999 X\r\nContent-Length: 2",
+	"interim with status 000":  "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
+	"control byte in reason":   "HTTP/1.1 200 O\x01K\r\nContent-Length: 2",
+	"blank in a name":          "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2",
+	"blank before the colon":   "HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 2",
+	"blank in a length's name": "HTTP/1.1 200 OK\r\nContent Length: 2",
+	"blank in a coding's name": "HTTP/1.1 200 OK\r\nTransfer -Encoding: chunked",
+	"interim with a blank":     "HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
+	"continued line":           "HTTP/1.1 200 OK\r\nX-Bad: 1\r\n Content-Length: 2",
+	"NUL in a name":            "HTTP/1.1 200 OK\r\nX\x00Bad: 1\r\nContent-Length: 2",
+	"CR in a name":             "HTTP/1.1 200 OK\r\nX\rBad: 1\r\nContent-Length: 2",
+	"0x7f in a length's name":  "HTTP/1.1 200 OK\r\nContent\x7f-Length: 2",
 }
 
 // respondMalformed returns a script that responds with a head and the body "ok".
--- a/plugin/gateway/broken_answers_test.go
+++ b/plugin/gateway/broken_answers_test.go
@@ -13,11 +13,22 @@
 // malformedHeads are signed heads of responses to a request, each with one fault. ID stands for the
 // request's id. All have the body "ok".
 var malformedHeads = map[string]string{
-	"status 000":              "HTTP/1.1 000 OK\r\nIDContent-Length: 2",
-	"status 000, not run":     "HTTP/1.1 000 OK\r\n" + standin.HeaderNotRun + ": 1\r\nIDContent-Length: 2",
-	"status 000, no length":   "HTTP/1.1 000 OK\r\nIDX-Other: 1",
-	"status 999":              "HTTP/1.1 999 X\r\nIDContent-Length: 2",
-	"interim with status 000": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 2",
+	"status 000":               "HTTP/1.1 000 OK\r\nIDContent-Length: 2",
+	"status 000, not run":      "HTTP/1.1 000 OK\r\n" + standin.HeaderNotRun + ": 1\r\nIDContent-Length: 2",
+	"status 000, no length":    "HTTP/1.1 000 OK\r\nIDX-Other: 1",
+	"status 999":               "HTTP/1.1 999 X\r\nIDContent-Length: 2",
+	"interim with status 000":  "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 2",
+	"control byte in reason":   "HTTP/1.1 200 O\x01K\r\nIDContent-Length: 2",
+	"blank in a name":          "HTTP/1.1 200 OK\r\nIDX Bad: 1\r\nContent-Length: 2",
+	"blank before the colon":   "HTTP/1.1 200 OK\r\nIDX-Bad : 1\r\nContent-Length: 2",
+	"blank in a length's name": "HTTP/1.1 200 OK\r\nIDContent Length: 2",
+	"blank in a coding's name": "HTTP/1.1 200 OK\r\nIDTransfer -Encoding: chunked",
+	"blank, not run":           "HTTP/1.1 503 X\r\n" + standin.HeaderNotRun + ": 1\r\nIDX Bad: 1\r\nContent-Length: 2",
+	"interim with a blank":     "HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 2",
+	"continued line":           "HTTP/1.1 200 OK\r\nIDX-Bad: 1\r\n Content-Length: 2",
+	"NUL in a name":            "HTTP/1.1 200 OK\r\nIDX\x00Bad: 1\r\nContent-Length: 2",
+	"CR in a name":             "HTTP/1.1 200 OK\r\nIDX\rBad: 1\r\nContent-Length: 2",
+	"0x7f in a length's name":  "HTTP/1.1 200 OK\r\nIDContent\x7f-Length: 2",
 }
 
 // Guards against a response with a malformed head that reaches a caller, as a response, as an event
@@ -56,3 +67,34 @@
 		})
 	}
 }
+
+// Guards against a trailer that reaches a caller, or changes the body before it.
+func TestTrailersAreNotPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		trailer string
+		status  int // of a request that is not retried
+	}{
+		"sound":                    {"X-Sum: 1\r\n", 200},
+		"blank in a name":          {"X Bad: 1\r\n", 200},
+		"blank in a length's name": {"Content Length: 1\r\n", 200},
+		"length":                   {"Content-Length: 1\r\n", 502},
+		"control byte in a name":   {"X\x01Bad: 1\r\n", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newTarget(t, "t1", func(conn net.Conn, r *http.Request, _ int) {
+				write(conn, responseHeader(200, attemptID(r), "Transfer-Encoding: chunked")+"\r\n"+chunk("whole")+"0\r\n"+c.trailer+"\r\n")
+			})
+			r := newRig(t, x).configure(1)
+			caller := r.dial()
+			caller.send(request("POST", "/order/1", "id1", "x"))
+			resp := caller.want(c.status, "*")
+			r.is.Equal(len(resp.Trailer), 0)
+			for _, header := range []string{"X-Sum", "X Bad", "Content Length"} {
+				r.is.Equal(len(resp.Header[header]), 0)
+			}
+			if c.status == 200 {
+				r.is.Equal(resp.ContentLength, int64(len("whole")))
+			}
+		})
+	}
+}
--- a/plugin/orders/orders_test.go
+++ b/plugin/orders/orders_test.go
@@ -63,6 +63,13 @@
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n":                     planner.Failed,
 		"HTTP/1.1 000\r\n\r\n":                                             planner.Failed,
 		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                    planner.Failed,
+		"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n":         planner.Failed,
+		"HTTP/1.1 200 OK\r\nContent Length: 0\r\n\r\n":                     planner.Failed,
+		"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 0\r\n\r\n":        planner.Failed,
+		"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: 0\r\n\r\n":      planner.Failed,
+		"HTTP/1.1 409 X\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n":          planner.Failed,
+		"HTTP/1.1 200 OK\r\nX-Bad: 1\r\n Content-Length: 0\r\n\r\n":        planner.Failed,
+		"HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":        planner.Failed,
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart":                 planner.Failed,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r": planner.Failed,
 	} {
--- a/scenario/broken_answers_test.go
+++ b/scenario/broken_answers_test.go
@@ -67,8 +67,11 @@
 		upload   bool
 		reset    bool
 	}{
-		"status 000":          {"HTTP/1.1 000 OK\r\nIDContent-Length: 2\r\n\r\nok", false, false},
-		"status 000, not run": {"HTTP/1.1 000 OK\r\n" + standin.HeaderNotRun + ": 1\r\nIDContent-Length: 2\r\n\r\nok", false, false},
+		"status 000":               {"HTTP/1.1 000 OK\r\nIDContent-Length: 2\r\n\r\nok", false, false},
+		"status 000, not run":      {"HTTP/1.1 000 OK\r\n" + standin.HeaderNotRun + ": 1\r\nIDContent-Length: 2\r\n\r\nok", false, false},
+		"blank in a name":          {"HTTP/1.1 200 OK\r\nIDX Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, false},
+		"blank in a length's name": {"HTTP/1.1 200 OK\r\nIDContent Length: 2\r\n\r\nok", false, false},
+		"control byte in a name":   {"HTTP/1.1 200 OK\r\nIDX\x01Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
