exchange: a body that a reset cuts off during the upload is not complete

Seen by callers: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part as a complete answer, also as an event stream.

Cause: the kernel reports a reset once, to the reader or to the writer. While the request is being written, its writer gets it, and the reader gets a plain end of the stream, by which a body without a length ends. Exchange.Read looked only at the reader's error. An error response (400 and above) to a short request that was reset while it was written has the same fault: the writer in line got the reset.

Change: at the end of such a body the writer is stopped and its error counts too. The body is complete if the request was written, if the writer was only stopped, or if it got EPIPE: then the target had ended its direction before the reset. A reset makes the attempt broken, with the connection's error in the log line; it is retried where the route allows, otherwise the caller gets 502.

Why it works: at a plain end after a reset the writer has got the error already, because nobody else reads the socket's errors. A target that ends its direction in order and does not read on is served at once, as before: the writer is stopped, not waited for.

Handled before: profile "pools" takes no body without a length as complete; fasthttp's clients (directory, orders, polls, adminapi) read no response after a failed write. The tests stay. Between instances, frames have a length.

--- a/internal/adminapi/client_test.go
+++ b/internal/adminapi/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,3 +64,29 @@
 		})
 	}
 }
+
+// Guards against a part of a response that an operator gets as a whole one: the instance responds
+// without a length while a long change is still being written, and resets the connection.
+func TestResetDuringChange(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			_, _ = c.Read(make([]byte, 1000))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+`{"revision":66}`)
+			time.Sleep(30 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	for range 10 {
+		c := &Client{Addresses: []string{ln.Addr().String(), serveText(t, "HTTP/1.1 200 OK\r\n\r\n"+`{"revision":7}`)}}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		result, err := c.Submit(ctx, api.Submission{Author: strings.Repeat("a", 16<<20)})
+		cancel()
+		is.NoErr(err)
+		is.Equal(result.Revision, uint64(7))
+	}
+}
--- a/internal/exchange/answers_test.go
+++ b/internal/exchange/answers_test.go
@@ -231,6 +231,78 @@
 	}
 }
 
+// Guards against a part of a body that is taken for the whole one: the target responds without a
+// length, sends a part of the body and resets the connection while the request is still being written.
+// The kernel reports a reset once, to the reader or to the writer.
+func TestResetDuringUpload(t *testing.T) {
+	for delay, tries := range map[time.Duration]int{0: 15, 100 * time.Millisecond: 5} {
+		complete := 0
+		for range tries {
+			x, failure := open(t, serveRaw(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 2000))
+				time.Sleep(30 * time.Millisecond)
+				_ = c.SetLinger(0)
+				c.Close()
+			}), largeBody)
+			if failure != nil {
+				continue
+			}
+			time.Sleep(delay)
+			if _, err := readBody(x); err == nil {
+				complete++
+			}
+		}
+		if complete > 0 {
+			t.Errorf("read %v late: %d of %d broken responses are complete", delay, complete, tries)
+		}
+	}
+}
+
+// slowWriter delays each write but the first, so that a reset arrives between the first and the second.
+type slowWriter struct {
+	net.Conn
+	written bool
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	if w.written {
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.written = true
+	return w.Conn.Write(p)
+}
+
+// Guards against the same at an error response: the target resets the connection while a short request
+// is being written, before the response is read.
+func TestResetOfEarlyRefusal(t *testing.T) {
+	for text, whole := range map[string]bool{
+		"HTTP/1.1 400 X\r\n\r\npart":                                    false,
+		"HTTP/1.1 400 X\r\nContent-Length: 9\r\n\r\npart":               false,
+		"HTTP/1.1 400 X\r\nContent-Length: 4\r\n\r\npart":               true,
+		"HTTP/1.1 400 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart": false,
+		"HTTP/1.1 400 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": true,
+		"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\npart":               false, // not an error response
+	} {
+		t.Run(text, func(t *testing.T) {
+			address := serveRaw(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, text)
+				time.Sleep(30 * time.Millisecond)
+				_ = c.SetLinger(0)
+				c.Close()
+			})
+			x, failure := openOver(t, address, maxInlineBody, func(c net.Conn) net.Conn { return &slowWriter{Conn: c} })
+			if failure == nil {
+				var err error
+				if _, err = readBody(x); (err == nil) != whole {
+					t.Fatalf("complete: %v, want %v", err == nil, whole)
+				}
+			} else if whole {
+				t.Fatalf("refused: %v", failure.Cause)
+			}
+		})
+	}
+}
+
 // Guards against refusing a sound answer to a request that is still being written.
 func TestEarlyAnswers(t *testing.T) {
 	half := func(read bool) func(c *net.TCPConn, r *http.Request) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -237,8 +238,8 @@
 }
 
 // Read implements io.Reader on the response body. It returns io.EOF only after the whole
-// body. A body that ends with its connection is complete only if the connection ended
-// without an error.
+// body. A body that ends with its connection is complete only if the connection was not
+// reset.
 func (x *Exchange) Read(p []byte) (int, error) {
 	if x.body == nil {
 		return 0, io.EOF
@@ -247,12 +248,34 @@
 	if n > 0 {
 		x.Conn.BodyRead()
 	}
-	if err == io.EOF && x.EndsWithConnection() && x.Conn.ReadFailure != io.EOF {
-		err = io.ErrUnexpectedEOF
+	if err == io.EOF && x.EndsWithConnection() {
+		if cause := x.connectionError(); cause != nil {
+			err = errors.WithMessagef(io.ErrUnexpectedEOF, "the response ended with its connection, %v", cause)
+		}
 	}
 	return n, err
 }
 
+// connectionError returns why the connection did not end in order, or nil if the target has
+// ended its direction without a reset. The kernel reports a reset once: if the writer of the
+// request got it, the reader gets a plain end of the stream. It must be called at that end
+// only, because it stops the writer.
+func (x *Exchange) connectionError() error {
+	if x.Conn.ReadFailure != io.EOF {
+		return errors.Errorf("read: %v", x.Conn.ReadFailure)
+	}
+	_ = x.Conn.Conn.Close() // unblocks the writing goroutine
+	x.awaitWrite()
+	err := x.Conn.WriteFailure
+	switch {
+	case errors.Is(err, net.ErrClosed): // the writer was stopped here
+		return nil
+	case errors.Is(err, syscall.EPIPE): // a reset after the target had ended its direction
+		return nil
+	}
+	return err
+}
+
 // LastChunkReceived reports whether only the last chunk of a chunked body is left and has
 // already been received. It does not wait for the target.
 func (x *Exchange) LastChunkReceived() bool {
--- a/plugin/dispatch/broken_answers_test.go
+++ b/plugin/dispatch/broken_answers_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -72,3 +74,46 @@
 		}
 	}
 }
+
+// newRawTarget returns a target that reads the beginning of each request and then runs a script.
+func newRawTarget(t *testing.T, script func(w *scriptConn)) *fakeTarget {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { ln.Close() })
+	f := &fakeTarget{name: "t1", addr: ln.Addr().String()}
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			go func() {
+				defer c.Close()
+				_, _ = c.Read(make([]byte, 100))
+				script(&scriptConn{c, f})
+			}()
+		}
+	}()
+	return f
+}
+
+// Guards against a part of a body that is taken for the whole one: the target responds without a
+// length while the request is still being written, and resets the connection.
+func TestResetDuringUpload(t *testing.T) {
+	for name, head := range map[string]string{
+		"body": "HTTP/1.1 200 OK\r\n\r\n", "error": "HTTP/1.1 400 X\r\n\r\n", "JSON": "HTTP/1.1 400 X\r\nContent-Type: application/json\r\n\r\n",
+	} {
+		for _, method := range []string{"GET", "POST"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				target := newRawTarget(t, func(w *scriptConn) {
+					w.raw(head + strings.Repeat("x", 2000))
+					time.Sleep(30 * time.Millisecond)
+					w.reset()
+				})
+				env := newTestEnv(t, target)
+				req := serviceRequest(method)
+				req.Body = make([]byte, 32<<20)
+				body, _, err := env.do(req)
+				if err == nil {
+					t.Fatalf("a complete response of %d bytes", len(body))
+				}
+			})
+		}
+	}
+}
--- a/plugin/gateway/broken_answers_test.go
+++ b/plugin/gateway/broken_answers_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"nutmegrouter/platform/standin"
 )
@@ -98,3 +99,59 @@
 		})
 	}
 }
+
+// Guards against a part of a body that reaches a caller as a complete response: the target responds
+// without a length while the request is still being written, and resets the connection.
+func TestResetDuringUpload(t *testing.T) {
+	const uploadBytes = 8 << 20 // more than the buffers of a connection
+	cfg := configOf(1)
+	cfg.Callers.BodyBytes = 2 * uploadBytes
+	for kind, header := range map[string]string{"body": "", "event stream": "Content-Type: text/event-stream\r\n"} {
+		t.Run(kind, func(t *testing.T) {
+			part := strings.Repeat(event(1), 100)
+			bad := newTarget(t, "t1", func(c net.Conn, r *http.Request, _ int) {
+				write(c, responseHeader(200, attemptID(r))+header+"\r\n"+part)
+				time.Sleep(30 * time.Millisecond)
+				resetConn(c)
+			})
+			good := newTarget(t, "t2", func(c net.Conn, r *http.Request, _ int) { write(c, fullResponse(200, attemptID(r), "good")) })
+			r := newRig(t, bad, good)
+			r.fleet.Install(newView(1, cfg.Document()))
+			upload := strings.Repeat("b", uploadBytes)
+			if kind == "body" {
+				c := r.dial()
+				c.send(request("POST", "/look/early", "id1", upload))
+				c.want(200, "good") // retried on the other target
+				c.send(request("POST", "/order/early", "id2", upload))
+				c.want(502, "*")
+				return
+			}
+			c := r.dial()
+			c.send(request("POST", "/chat/early", "id1", upload))
+			resp, body, err := c.readResponse()
+			if err == nil && resp.StatusCode < 300 {
+				t.Fatalf("a complete response of %d bytes", len(body))
+			}
+		})
+	}
+}
+
+// Guards against refusing the response of a target that responds without a length before it has read
+// the request, and ends its direction of the connection in order.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	const uploadBytes = 8 << 20 // more than the buffers of a connection
+	cfg := configOf(1)
+	cfg.Callers.BodyBytes = 2 * uploadBytes
+	x := newTarget(t, "t1", func(c net.Conn, r *http.Request, _ int) {
+		write(c, responseHeader(200, attemptID(r))+"\r\nall of it")
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(300 * time.Millisecond)
+	})
+	r := newRig(t, x)
+	r.fleet.Install(newView(1, cfg.Document()))
+	c := r.dial()
+	begin := time.Now()
+	c.send(request("POST", "/order/early", "id1", strings.Repeat("b", uploadBytes)))
+	c.want(200, "all of it")
+	r.is.True(time.Since(begin) < time.Second) // the route allows 1.5 s
+}
--- a/scenario/broken_answers_test.go
+++ b/scenario/broken_answers_test.go
@@ -72,6 +72,7 @@
 		"blank in a name":          {"HTTP/1.1 200 OK\r\nIDX Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, false},
 		"blank in a length's name": {"HTTP/1.1 200 OK\r\nIDContent Length: 2\r\n\r\nok", false, false},
 		"control byte in a name":   {"HTTP/1.1 200 OK\r\nIDX\x01Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, false},
+		"reset during an upload":   {"HTTP/1.1 200 OK\r\nID\r\n" + strings.Repeat("part", 500), true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
