responsehead: 100 interim responses are allowed, as before

Cause: fasthttp reads 100 interim responses before the final one; the check that replaced its loop allowed 99. Measured: TestInterimResponsesAreLimited at 100 and 101.

--- a/internal/responsehead/read.go
+++ b/internal/responsehead/read.go
@@ -16,7 +16,7 @@
 // resp.ReadLimitBody(r, 0) does. Heads of interim responses are checked and dropped. The error has the
 // cause ErrMalformed if a head is malformed; otherwise it is that of r or of fasthttp.
 func Read(resp *fasthttp.Response, r *bufio.Reader) error {
-	for range maxInterim {
+	for range maxInterim + 1 {
 		interim, err := check(r)
 		if err != nil {
 			return err
