responsehead: chunks in HTTP/1.0 are no body

A response in HTTP/1.0 that announces chunks reached the caller of a route (profile "routes") with the chunk sizes as part of the body, as a complete answer.

Cause: as with status 000, the parsed head does not show what the target sent: fasthttp drops Transfer-Encoding in any version but HTTP/1.1 and reads the body to the end of the connection.

Change: such a head is malformed. RFC 9112, section 6.1, takes its framing for faulty. HTTP/1.0 with a length, or with a body that ends with its connection, passes as before.

--- a/internal/exchange/answers_test.go
+++ b/internal/exchange/answers_test.go
@@ -89,6 +89,8 @@
 	"status 000, no reason":        "HTTP/1.1 000\r\nContent-Length: 2",
 	"status 000, HTTP/1.0":         "HTTP/1.0 000 OK\r\nContent-Length: 2",
 	"status 000 without length":    "HTTP/1.1 000 OK",
+	"chunks in HTTP/1.0":           "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+	"chunks in HTTP/1.0, length":   "HTTP/1.0 200 OK\r\nContent-Length: 2\r\ntransfer-encoding: chunked",
 	"status 099":                   "HTTP/1.1 099 X\r\nContent-Length: 2",
 	"status 600":                   "HTTP/1.1 600 X\r\nContent-Length: 2",
 	"status 999":                   "HTTP/1.1 999 X\r\nContent-Length: 2",
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -19,9 +19,12 @@
 
 // soundHead matches a head at the start of a text, by the grammar of RFC 9112 with the exceptions that
 // fasthttp makes: empty lines before the head, several blanks before the status, and line feeds alone.
-var soundHead = regexp.MustCompile(`^[\r\n]*HTTP/[0-9]\.[0-9] +([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n` +
+var soundHead = regexp.MustCompile(`^[\r\n]*HTTP/([0-9]\.[0-9]) +([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n` +
 	"(?:[!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[^\n]*\n)*\r?\n")
 
+// transferCoding matches a head that announces a transfer coding, which only HTTP/1.1 has.
+var transferCoding = regexp.MustCompile("(?im)^transfer-encoding:")
+
 // soundHeads returns the length of the heads at the start of a text up to the final one, or -1 if one of
 // them is malformed or missing.
 func soundHeads(text []byte) int {
@@ -35,8 +38,11 @@
 		if m == nil {
 			return -1
 		}
-		status := s[m[2]:m[3]]
-		length += len([]rune(s[:m[1]]))
+		head, version, status := s[:m[1]], s[m[2]:m[3]], s[m[4]:m[5]]
+		if version != "1.1" && transferCoding.MatchString(head) {
+			return -1
+		}
+		length += len([]rune(head))
 		s = s[m[1]:]
 		if status[0] != '1' || status == "101" {
 			return length
@@ -53,6 +59,7 @@
 		"\r\nHTTP/1.0  404 Not Found\nX: \t y \n\nbody\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"HTTP/1.1 101 X\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nX Bad: 1\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nX-Bad: 1\r\n continued: 2\r\n\r\nok",
@@ -95,6 +102,7 @@
 var malformed = []string{
 	"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nok",
 	"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
 	"HTTP/1.1200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -201,6 +209,8 @@
 	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nokmore")), 0))
 	is.Equal(string(resp.Body()), "okmore")
 	is.Equal(string(resp.Header.Peek("Content Length")), "2")
+	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")), 0))
+	is.Equal(string(resp.Body()), "0\r\n\r\n")
 	is.NoErr(resp.ReadLimitBody(bufio.NewReader(strings.NewReader("HTTP/1.1 200 O\x00K\r\nContent-Length: 2\r\n\r\nok")), 0))
 	is.Equal(string(resp.Header.StatusMessage()), "O\x00K")
 }
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -1,7 +1,7 @@
 // Package responsehead refuses HTTP/1.1 responses whose head is malformed. fasthttp accepts some
-// of them and changes what they say: it reads status 000 as 200 and keeps field names with blanks,
-// so a parsed head does not show what the target sent. The package checks the bytes themselves,
-// before fasthttp parses them.
+// of them and changes what they say: it reads status 000 as 200, keeps field names with blanks and
+// drops a transfer coding in HTTP/1.0, so a parsed head does not show what the target sent. The
+// package checks the bytes themselves, before fasthttp parses them.
 package responsehead
 
 import (
@@ -28,22 +28,30 @@
 	stepDone
 )
 
-// version is the pattern of a protocol version; # is any digit.
-const version = "HTTP/#.#"
+// Patterns of protocol versions; # is any digit.
+const (
+	version = "HTTP/#.#"
+	http11  = "HTTP/1.1"
+)
 
-// maxQuotedName is the length up to which an error quotes a field name.
-const maxQuotedName = 40 // bytes
+// transferEncoding is the name of the field that announces chunks.
+const transferEncoding = "transfer-encoding"
+
+// maxKeptName is the length up to which a field's name is kept, to compare it and for errors.
+const maxKeptName = 40 // bytes
 
 // scanner checks the bytes of one head as they arrive. It checks the status line (RFC 9112,
-// section 4) and the names of fields (section 5). Values are checked by the parser. The zero value
-// is ready for the first byte.
+// section 4) and the names of fields (sections 5 and 6.1). Values are checked by the parser. The
+// zero value is ready for the first byte.
 type scanner struct {
 	step    step
 	matched int // bytes of the version or digits of the status
 	status  int // 100 to 599 once the status has ended
+	// otherVersion reports that the version is not HTTP/1.1.
+	otherVersion bool
 
-	name       [maxQuotedName]byte // beginning of the current field's name
-	nameLength int                 // bytes used in name
+	name       [maxKeptName]byte // beginning of the current field's name
+	nameLength int               // bytes used in name
 }
 
 // scan checks the next bytes, up to the end of the head. It returns how many of them belong to a
@@ -113,6 +121,7 @@
 	if want := version[s.matched]; c != want && (want != '#' || !isDigit(c)) {
 		return errors.New("no protocol version")
 	}
+	s.otherVersion = s.otherVersion || c != http11[s.matched]
 	s.matched++
 	return nil
 }
@@ -154,19 +163,23 @@
 
 // nextOfName refuses any blank in or beside a name. One before the colon can be a damaged name, and a
 // line that begins with a blank can be a field of its own or a continued value, which RFC 9112 no
-// longer allows.
+// longer allows. It also refuses a transfer coding before HTTP/1.1 (RFC 9112, section 6.1), which
+// fasthttp ignores.
 func (s *scanner) nextOfName(c byte) error {
 	switch {
 	case isTokenByte(c):
 		if s.step == stepNameStart {
 			s.step, s.nameLength = stepName, 0
 		}
-		if s.nameLength < maxQuotedName {
+		if s.nameLength < maxKeptName {
 			s.name[s.nameLength] = c
 			s.nameLength++
 		}
 		return nil
 	case s.step == stepName && c == ':':
+		if s.otherVersion && bytes.EqualFold(s.name[:s.nameLength], []byte(transferEncoding)) {
+			return errors.New("a transfer coding in a version other than HTTP/1.1")
+		}
 		s.step = stepValue
 		return nil
 	case s.step == stepName:
--- a/plugin/dispatch/broken_answers_test.go
+++ b/plugin/dispatch/broken_answers_test.go
@@ -17,6 +17,7 @@
 var malformedHeads = map[string]string{
 	"status 000":               "HTTP/1.1 000 OK\r\nContent-Length: 2",
 	"status 000, no length":    "HTTP/1.1 000 OK",
+	"chunks in HTTP/1.0":       "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
 	"status 999":               "HTTP/1.1 999 X\r\nContent-Length: 2",
 	"interim with status 000":  "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
 	"control byte in reason":   "HTTP/1.1 200 O\x01K\r\nContent-Length: 2",
