--- a/internal/exchange/answers_test.go
+++ b/internal/exchange/answers_test.go
@@ -203,21 +203,21 @@
 		status int
 		body   string
 	}{
-		"length":            {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"},
-		"trailer":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", 200, "ok"},
-		"ends with its end": {"HTTP/1.1 200 OK\r\n\r\nok", 200, "ok"},
-		"no reason":         {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"empty reason":      {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"reason in UTF-8":   {"HTTP/1.1 200 gr\u00fcn\tX\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"no headers":        {"HTTP/1.0 200 OK\r\n\r\nok", 200, "ok"},
-		"interim responses": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"all token bytes":   {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"odd values":        {"HTTP/1.1 200 OK\r\nX-A:\r\nX-B:b\r\nX-C: \t a b:c \x80 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
-		"no content":        {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
-		"not modified":      {"HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", 304, ""},
-		"lowest error":      {"HTTP/1.1 400 X\r\nContent-Length: 2\r\n\r\nno", 400, "no"},
-		"highest status":    {"HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nno", 599, "no"},
+		"length":                   {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"chunks":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"},
+		"trailer":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", 200, "ok"},
+		"ends with its connection": {"HTTP/1.1 200 OK\r\n\r\nok", 200, "ok"},
+		"no reason":                {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"empty reason":             {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"reason in UTF-8":          {"HTTP/1.1 200 gr\u00fcn\tX\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"no headers":               {"HTTP/1.0 200 OK\r\n\r\nok", 200, "ok"},
+		"interim responses":        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"all token bytes":          {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"odd values":               {"HTTP/1.1 200 OK\r\nX-A:\r\nX-B:b\r\nX-C: \t a b:c \x80 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"no content":               {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+		"not modified":             {"HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", 304, ""},
+		"lowest error":             {"HTTP/1.1 400 X\r\nContent-Length: 2\r\n\r\nno", 400, "no"},
+		"highest status":           {"HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nno", 599, "no"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/plugin/pool/broken_polls_test.go
+++ b/plugin/pool/broken_polls_test.go
@@ -45,14 +45,14 @@
 		head  string
 		sound bool
 	}{
-		"sound, no reason":         {"HTTP/1.1 200\r\nContent-Length: LENGTH", true},
-		"sound, ends with its end": {"HTTP/1.1 200 OK", true},
-		"status 000":               {"HTTP/1.1 000 OK\r\nContent-Length: LENGTH", false},
-		"interim with status 000":  {"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: LENGTH", false},
-		"blank in a name":          {"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: LENGTH", false},
-		"blank in a length's name": {"HTTP/1.1 200 OK\r\nContent Length: 2", false},
-		"blank before the colon":   {"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: LENGTH", false},
-		"control byte in a name":   {"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: LENGTH", false},
+		"sound, no reason":                {"HTTP/1.1 200\r\nContent-Length: LENGTH", true},
+		"sound, ends with its connection": {"HTTP/1.1 200 OK", true},
+		"status 000":                      {"HTTP/1.1 000 OK\r\nContent-Length: LENGTH", false},
+		"interim with status 000":         {"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: LENGTH", false},
+		"blank in a name":                 {"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: LENGTH", false},
+		"blank in a length's name":        {"HTTP/1.1 200 OK\r\nContent Length: 2", false},
+		"blank before the colon":          {"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: LENGTH", false},
+		"control byte in a name":          {"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: LENGTH", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := servePolls(t, c.head)
