--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -146,7 +146,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	c.http.DialTimeout = responsehead.DialTimeout
+	c.http.DialTimeout = responsehead.DialTimeout // set here, because callers create a Client without a constructor
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,7 +1,8 @@
 // Package exchange performs one HTTP/1.1 exchange, a request and its response, over a
 // connection to a target. It reports how many bytes of the request the kernel accepted and
 // whether the response is provably complete. A connection returns to the pool only if no
-// byte of the exchange is left on it.
+// byte of the exchange is left on it. A response with a malformed head is an error (package
+// responsehead).
 package exchange
 
 import (
@@ -270,7 +271,7 @@
 	switch {
 	case errors.Is(err, net.ErrClosed): // the writer was stopped here
 		return nil
-	case errors.Is(err, syscall.EPIPE): // a reset after the target had ended its direction
+	case errors.Is(err, syscall.EPIPE): // the target ended its direction, then reset the connection
 		return nil
 	}
 	return err
