--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 
 var scenarios = map[string]scenario{
 	"second-answers": secondAnswers,
+	"sessions":       sessions,
 }
 
 func main() {
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 	slots             int
 	faulty            bool // it may answer as faulty replicas do
 	rec               *record
+	running           atomic.Int64
 	listener          net.Listener
 	born              time.Time
 	serve             func(r *replica, c net.Conn, req *http.Request, body []byte) (keep bool)
