--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"second-answers": secondAnswers,
 	"sessions":       sessions,
+	"last-tenant":    lastTenant,
 }
 
 func main() {
