review: case 9, callers that state a shorter deadline are refused first

Of two tenants with the same demand, the one whose callers wait 7 s in place of 12 s is served less than half as often under load.

The wait estimator takes the longest deadline ever seen on a route for what each caller states at first, and so takes the first attempts of less patient callers for retries that have waited for seconds; the owner then refuses them as soon as they would have to wait.

--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -53,6 +53,7 @@
 	controls    []*process
 	entries     []*process
 	config      map[string]any
+	replicas    []*replica // that close ends too
 	rec         *record
 	mu          sync.Mutex // held while a process is started again
 	client      *http.Client
@@ -300,6 +301,9 @@
 			<-p.exited
 		}
 	}
+	for _, r := range f.replicas {
+		r.close()
+	}
 	f.list.close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,6 +22,7 @@
 	"second-answers": secondAnswers,
 	"sessions":       sessions,
 	"last-tenant":    lastTenant,
+	"patience":       patience,
 }
 
 func main() {
--- a/review/rig2/sessions.go
+++ b/review/rig2/sessions.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,22 +85,23 @@
 	return false, "", 0
 }
 
-// sessions has clients with sessions ask again and again, and one tenant send 9.9 times its usual for a while.
-func sessions(rec *record, trouble bool) (bool, error) {
-	f, err := newFleet(rec, 3, 2)
+// startStreams starts a small fleet with replicas that answer with streams, and tenants with one key each. most is the
+// highest number of runs at once.
+func startStreams(rec *record, tenantCount int) (f *fleet, log *fairLog, most *atomic.Int64, err error) {
+	f, err = newFleet(rec, 3, 2)
 	if err != nil {
-		return false, err
+		return nil, nil, nil, err
 	}
-	defer f.close()
 	f.config = configuration(1)
 	f.config["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)["slots"] = sessionSlots
 	var tenants []any
-	for i := range sessionTenants {
+	for i := range tenantCount {
 		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("tenant%d", i), "api_keys": []string{fmt.Sprintf("key-of-tenant-%d", i)}, "priority": 1})
 	}
 	f.config["tenants"] = tenants
-	log := &fairLog{seconds: map[string][]second{}}
-	var running, most atomic.Int64
+	log = &fairLog{seconds: map[string][]second{}}
+	var running atomic.Int64
+	most = &atomic.Int64{}
 	serve := func(r *replica, c net.Conn, req *http.Request, body []byte) bool {
 		id := req.Header.Get("X-Attempt-Id")
 		if r.running.Add(1) > int64(r.slots) {
@@ -127,13 +130,25 @@
 	for i := range sessionReplicas {
 		r, err := startReplica(f, fmt.Sprintf("i-%d", i), "tiza", zones[i], sessionSlots, serve)
 		if err != nil {
-			return false, err
+			f.close()
+			return nil, nil, nil, err
 		}
-		defer r.close()
+		f.replicas = append(f.replicas, r)
 	}
 	if err := f.startAll(); err != nil {
+		f.close()
+		return nil, nil, nil, err
+	}
+	return f, log, most, nil
+}
+
+// sessions has clients with sessions ask again and again, and one tenant send 9.9 times its usual for a while.
+func sessions(rec *record, trouble bool) (bool, error) {
+	f, log, most, err := startStreams(rec, sessionTenants)
+	if err != nil {
 		return false, err
 	}
+	defer f.close()
 	log.start = time.Now()
 	hotFrom := log.start.Add(usualTime)
 	hotTo := hotFrom.Add(hotTime)
@@ -150,7 +165,8 @@
 			wg.Go(func() {
 				time.Sleep(sessionInterval * time.Duration(n) / usualSessions)
 				for k := 0; time.Now().Before(end); k++ {
-					wg.Go(func() { askInSession(rec, log, client, f.entries[k%len(f.entries)], t, n, k) })
+					m := modelRequest{t, fmt.Sprintf("%d%02d%08d", t, n, k), fmt.Sprintf("e440%02x%02x:400", t, n), sessionDeadline}
+					wg.Go(func() { m.ask(rec, log, client, f.entries[k%len(f.entries)]) })
 					pause := sessionInterval*3/4 + time.Duration(rand.Int64N(int64(sessionInterval/2)))
 					if isHot(t) {
 						pause = pause * 10 / hotTenths
@@ -162,10 +178,14 @@
 	}
 	wg.Wait()
 	from, to := int((usualTime + hotTime + settleTime).Seconds()), int(end.Sub(log.start).Seconds())-1
-	found, tenant, begin := log.breaks(from, to)
-	for t := range sessionTenants {
-		name := fmt.Sprintf("tenant%d", t)
-		for s, v := range log.seconds[name] {
+	return log.report(rec, from, to, most.Load()), nil
+}
+
+// report writes what each tenant asked and got into the record, and reports whether FAIR is broken between two seconds.
+func (l *fairLog) report(rec *record, from, to int, most int64) bool {
+	found, tenant, begin := l.breaks(from, to)
+	for _, name := range slices.Sorted(maps.Keys(l.seconds)) {
+		for s, v := range l.seconds[name] {
 			rec.note("check", name, fmt.Sprintf("second %d: asked %d, began %d, refused or past the aim %d", s, v.asked, v.got, v.unwell))
 		}
 	}
@@ -174,24 +194,32 @@
 		summary = fmt.Sprintf("FAIR broken for %s in the six calm seconds from %d on", tenant, begin)
 	}
 	rec.note("check", "summary", summary)
-	fmt.Println(summary, "- most runs at once:", most.Load(), "of", sessionReplicas*sessionSlots)
-	return found, nil
+	fmt.Println(summary, "- most runs at once:", most, "of", sessionReplicas*sessionSlots)
+	return found
+}
+
+// modelRequest is one request of a tenant for a stream.
+type modelRequest struct {
+	tenant   int
+	id       string
+	lastPart string // of the prompt, with its tokens
+	deadline time.Duration
 }
 
-// askInSession sends one request of a session, whose prompt ends with the part of the session, and reads its stream.
-func askInSession(rec *record, log *fairLog, client *http.Client, e *process, tenant, session, n int) {
-	name, id := fmt.Sprintf("tenant%d", tenant), fmt.Sprintf("%d%02d%08d", tenant, session, n)
+// ask sends a request to an entry, reads its stream and records how it went.
+func (m modelRequest) ask(rec *record, log *fairLog, client *http.Client, e *process) {
+	name := fmt.Sprintf("tenant%d", m.tenant)
 	sent := time.Now()
 	log.at(name, sent, func(s *second) { s.asked++ })
-	req, err := http.NewRequest(http.MethodPost, "http://"+e.front()+"/chat/"+id, nil)
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.front()+"/chat/"+m.id, nil)
 	if err != nil {
 		return
 	}
 	req.Host = "fleet.example"
 	for k, v := range map[string]string{
-		"X-Attempt-Id": id, "X-Deadline-Ms": fmt.Sprint(sessionDeadline.Milliseconds()), "Authorization": fmt.Sprintf("Bearer key-of-tenant-%d", tenant),
+		"X-Attempt-Id": m.id, "X-Deadline-Ms": fmt.Sprint(m.deadline.Milliseconds()), "Authorization": fmt.Sprintf("Bearer key-of-tenant-%d", m.tenant),
 		"X-Model": "m", "X-Token-Usage": sessionUsage,
-		"X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:300,91bd3f%02x:200,e440%02x%02x:400", tenant, tenant, session),
+		"X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:300,91bd3f%02x:200,%s", m.tenant, m.lastPart),
 	} {
 		req.Header.Set(k, v)
 	}
@@ -213,5 +241,5 @@
 	if unwell {
 		log.at(name, sent, func(s *second) { s.unwell++ })
 	}
-	rec.note("client", fmt.Sprintf("%s.%d", name, session), fmt.Sprintf("id=%s sent at %.3f s: %s", id, sent.Sub(rec.start).Seconds(), text))
+	rec.note("client", name, fmt.Sprintf("id=%s deadline %d ms, last part %s, sent at %.3f s: %s", m.id, m.deadline.Milliseconds(), m.lastPart, sent.Sub(rec.start).Seconds(), text))
 }
