review: keep rig2 out of the default test run

review/rig2 was listed by go list ./..., so that the default test run built and vetted it; the cases are to stay out of it. Its files now carry the build tag review, which review/build-2.sh sets. No other line changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Builds the program that the scripts of review/6 and later start, into target/.
+# The tag keeps it out of go list ./..., and so of the default test run.
 set -eu
 cd "$(dirname "$0")/.."
-go build -ldflags=-linkmode=external -o target/ ./review/rig2
+go build -tags=review -ldflags=-linkmode=external -o target/ ./review/rig2
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig2 plays the cases of review/N/run.sh. It starts the project's nutmegd as the
 // deploy file does, as separate processes on loopback addresses, with stand-ins of the
 // platform's list, of targets and of clients around them.
