owner, placer: lines and a counter tell which requests were taken for retries

Change: the decision says so; "placed" and "refused" have retry, the owner counts nutmeg_owner_retries_total. Old and new builds ignore or omit the field.

Conclusion: nothing is decided differently.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -200,7 +200,7 @@
 
 func (o *Owner) newDecision(w *work, c candidate) Decision {
 	return Decision{
-		Key: w.key, Excess: w.excess, ForwardShare: o.shares.forwardShare(w.request.Workspace), QueueDelay: c.wait,
+		Key: w.key, Excess: w.excess, Retry: w.isRetry, ForwardShare: o.shares.forwardShare(w.request.Workspace), QueueDelay: c.wait,
 		UncachedTokens: c.uncached, MinUncachedTokens: c.minUncached, MinUncachedWait: c.minUncachedWait, IdleTarget: c.idleTarget,
 	}
 }
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -75,6 +75,8 @@
 	// included, to its share; 0 within the share.
 	QueueDelay time.Duration
 	Excess     float64
+	// Retry reports that the request was taken for a retry of a refused one.
+	Retry bool
 	// ForwardShare is the share of the workspace's requests that the entry instance forwards to
 	// the owner from now on; 1 = all.
 	ForwardShare float64
@@ -263,7 +265,7 @@
 	if firstObjectiveAt, isRetry := o.retries.firstObjective(uniquePart(req.Prompt)); isRetry && !req.Resumes {
 		w.objectiveAt = min(w.objectiveAt, firstObjectiveAt)
 		// It is late because of its first attempt, not for lack of capacity.
-		w.effectiveObjectiveAt, w.missCounted = w.objectiveAt, true
+		w.effectiveObjectiveAt, w.missCounted, w.isRetry = w.objectiveAt, true, true
 	} else if !req.Resumes {
 		o.shares.recordRequested(req.Workspace, w.cost)
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -40,6 +40,7 @@
 	excess               float64 // ratio of the workspace's grants to its share; 0 within the share
 	overloaded           bool    // the workspace asks for more than its share
 	overShare            bool    // with it, the workspace exceeds its share of the configured throughput
+	isRetry              bool    // of a refused request
 	arrivedLate          bool    // no target could have met its objective when it arrived
 	missCounted          bool    // recorded once as a request that no target could begin in time
 	predictedMiss        bool    // the last decision or review predicted that it misses its objective
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -236,6 +236,8 @@
 	// IdleTarget reports that a target was idle when a request beyond its workspace's share was
 	// decided on.
 	IdleTarget bool `json:"i,omitempty"`
+	// Retry reports that the request was taken for a retry of a refused one.
+	Retry bool `json:"q,omitempty"`
 	// NewVersion reports that the request goes to the new version of a service whose rollout runs: a plain
 	// request is permitted there, the target of a model request has it. It is good for one send.
 	NewVersion bool `json:"v,omitempty"`
@@ -411,7 +413,7 @@
 	return Decision{
 		Number: d.Key.Number, Target: d.Target, Metered: d.Metered, Permitted: d.Permitted, Code: d.Code, RetryMs: d.RetryAfter.Milliseconds(),
 		WaitMs: d.QueueDelay.Milliseconds(), Excess: float64(int(d.Excess*100)) / 100, UncachedTokens: d.UncachedTokens, ThrottledPerMille: int((1 - d.ForwardShare) * 1000),
-		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget,
+		MinUncachedTokens: d.MinUncachedTokens, MinUncachedWaitMs: d.MinUncachedWait.Milliseconds(), IdleTarget: d.IdleTarget, Retry: d.Retry,
 		NewVersion: d.NewVersion, ExpectedMs: d.Expected.Milliseconds(),
 		FetchFrom: d.FetchFrom, FetchStartedUnixMs: d.FetchStartedUnixMs,
 	}
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -124,8 +124,8 @@
 	awaitsReports bool                       // new versions get nothing until these have been evaluated
 	metrics       *metrics.Set
 
-	grants, fetches, refusals, searches, blocks, blockedRequests *metrics.Counter
-	decideSeconds                                                *metrics.Histogram
+	grants, fetches, refusals, retries, searches, blocks, blockedRequests *metrics.Counter
+	decideSeconds                                                         *metrics.Histogram
 }
 
 // Provision implements kernel.Plugin.
@@ -159,6 +159,7 @@
 	o.blockedRequests = c.Metrics.NewCounter("nutmeg_owner_requests_blocked_total")
 	o.fetches = c.Metrics.NewCounter("nutmeg_owner_fetches_total")
 	o.refusals = c.Metrics.NewCounter("nutmeg_owner_refusals_total")
+	o.retries = c.Metrics.NewCounter("nutmeg_owner_retries_total")
 	o.searches = c.Metrics.GetOrCreateCounter("nutmeg_owner_searches_total")
 	o.decideSeconds = c.Metrics.NewHistogram("nutmeg_owner_decide_seconds")
 	o.mesh.Handle(placewire.MethodUp, o.handleEntryMessage)
@@ -568,6 +569,9 @@
 			o.refusals.Inc()
 			o.load.declined++
 		}
+		if d.Retry {
+			o.retries.Inc()
+		}
 		m := to(d.Key.Entry)
 		m.Decisions = append(m.Decisions, placewire.NewDecision(d))
 	}
--- a/plugin/owner/suspension_test.go
+++ b/plugin/owner/suspension_test.go
@@ -81,7 +81,7 @@
 	o := &Owner{
 		mesh: r, control: r, clock: r, readClocks: r.ReadClocks, log: slog.New(slog.DiscardHandler), term: 7,
 		inbox:  kernel.NewRing[func()](set, "owner", inboxSize),
-		grants: set.NewCounter("a"), refusals: set.NewCounter("b"), searches: set.NewCounter("s"), blocks: set.NewCounter("d"), blockedRequests: set.NewCounter("e"),
+		grants: set.NewCounter("a"), refusals: set.NewCounter("b"), retries: set.NewCounter("retries"), searches: set.NewCounter("s"), blocks: set.NewCounter("d"), blockedRequests: set.NewCounter("e"),
 		entries: map[string]bool{}, peers: map[string]peer{}, reportsDue: map[string]time.Duration{}, blockedParts: newBroadcast(), suspects: newBroadcast(), limitsDue: map[string]bool{}, suspectsDue: map[string]bool{}, dropped: map[string]uint64{}, decideSeconds: set.NewHistogram("c"),
 		state: placement.NewOwner(placement.Config{ShareWindow: 4 * time.Second}),
 	}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -346,7 +346,7 @@
 	g := resp.decision
 	p.ownerGrants.Inc()
 	p.log.Info("placed", "step", "place", "request", w.RequestID, "by", "owner", "target", g.Target, "fetch_from", g.FetchFrom,
-		"wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "least_missing_tokens", g.MinUncachedTokens, "least_wait_ms", g.MinUncachedWaitMs, "term", g.Term)
+		"wait_ms", g.WaitMs, "excess", g.Excess, "retry", g.Retry, "missing_tokens", g.UncachedTokens, "least_missing_tokens", g.MinUncachedTokens, "least_wait_ms", g.MinUncachedWaitMs, "term", g.Term)
 	return resp.granted
 }
 
@@ -381,7 +381,7 @@
 	return &api.Refusal{
 		Code: g.Code, Status: 503, Run: api.NotRun, Step: "place",
 		Message: message, RetryAfter: time.Duration(g.RetryMs) * time.Millisecond,
-		LogAttrs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "missing_tokens", g.UncachedTokens, "idle_target", g.IdleTarget, "term", g.Term},
+		LogAttrs: []any{"by", "owner", "wait_ms", g.WaitMs, "excess", g.Excess, "retry", g.Retry, "missing_tokens", g.UncachedTokens, "idle_target", g.IdleTarget, "term", g.Term},
 	}
 }
 
