placement: a request is recognised by its own identity, not by the last prompt part

Cause: the owner took the last prompt part for one request's. A session's next request counted as a retry: it got the first one's objective, was too late, and its refusal renewed the record.

Change: RequestIdentity is a hash of what the attempts of a request have in common (workspace, method, host, URL, prompt) with the moment at which its caller stops waiting, which each attempt states as the time that is left. A renewed record keeps the first attempt's times. Without a stated deadline a request counts as new. Messages carry hash and deadline in a way that earlier builds ignore; what these send counts as new.

Conclusion: fixed for the records of refusals.

--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -55,6 +55,9 @@
 	// Objective is when the response, or the first event of a stream, is due.
 	// Deadline is when the response becomes useless. Both are on the kernel clock.
 	Objective, Deadline time.Duration
+	// CallerDeadline is when the caller stops waiting, on the kernel clock; 0 = it has
+	// not stated it. The route may set an earlier Deadline.
+	CallerDeadline time.Duration
 	// TriedTargets lists the IDs of the targets to which the request was already
 	// sent.
 	TriedTargets []string
--- a/internal/api/identity.go
+++ b/internal/api/identity.go
@@ -27,7 +27,7 @@
 type RequestIdentity struct {
 	workspace, method, host, url string
 	body                         []byte
-	selector                     uint64
+	headHash, selector           uint64
 	fingerprint                  Fingerprint // zero until it is computed
 }
 
@@ -36,12 +36,15 @@
 func NewRequestIdentity(workspace string, method, host, url, body []byte) *RequestIdentity {
 	i := &RequestIdentity{workspace: workspace, method: string(method), host: string(host), url: string(url), body: body}
 	h := xxhash.New()
-	i.writeHead(func(b []byte) { _, _ = h.Write(b) })
+	write := func(b []byte) { _, _ = h.Write(b) }
+	i.writeHead(write)
+	i.headHash = h.Sum64()
+	i.writeBodyLength(write)
 	i.selector = h.Sum64()
 	return i
 }
 
-// writeHead writes all but the contents of the body, each part after its length.
+// writeHead writes all that is known before the body has arrived, each part after its length.
 func (i *RequestIdentity) writeHead(write func([]byte)) {
 	var length [8]byte
 	for _, part := range []string{i.workspace, i.method, i.host, i.url} {
@@ -49,10 +52,18 @@
 		write(length[:])
 		write([]byte(part))
 	}
+}
+
+func (i *RequestIdentity) writeBodyLength(write func([]byte)) {
+	var length [8]byte
 	binary.BigEndian.PutUint64(length[:], uint64(len(i.body)))
 	write(length[:])
 }
 
+// HeadHash returns a cheap hash of the workspace, method, host and URL. Other than the selector it is the same
+// before and after the body has arrived.
+func (i *RequestIdentity) HeadHash() uint64 { return i.headHash }
+
 // Selector returns the selector of the fingerprint. It is cheap.
 func (i *RequestIdentity) Selector() uint64 { return i.selector }
 
@@ -60,8 +71,10 @@
 func (i *RequestIdentity) Fingerprint() Fingerprint {
 	if i.fingerprint == (Fingerprint{}) {
 		h := sha256.New()
-		i.writeHead(func(b []byte) { _, _ = h.Write(b) })
-		_, _ = h.Write(i.body)
+		write := func(b []byte) { _, _ = h.Write(b) }
+		i.writeHead(write)
+		i.writeBodyLength(write)
+		write(i.body)
 		sum := h.Sum(nil)
 		i.fingerprint = Fingerprint{Selector: i.selector, Digest: [2]uint64{binary.BigEndian.Uint64(sum), binary.BigEndian.Uint64(sum[8:])}}
 	}
--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -91,6 +91,14 @@
 	return prompt[:min(len(prompt)-1, maxPartsPerPrompt)]
 }
 
+// uniquePart returns the last part of a prompt, which no other request has. 0 = none.
+func uniquePart(prompt []Part) PartID {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].ID
+}
+
 // recordCrash records that a target failed before it had answered the requests with some prompts.
 // It returns the parts that are blocked from now on.
 func (c *crashTracker) recordCrash(targetID string, now time.Duration, prompts ...[]Part) (blocked []PartID) {
--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -29,7 +29,7 @@
 		req := Request{
 			Service: "m", Workspace: "w", PromptTokens: 1200, OutputTokens: 200,
 			Prompt:    []Part{{rootPart, 500}, {second, 500}, {hashPart("own", int(n)), 200}},
-			Objective: time.Second, Deadline: 15 * time.Second, RouteObjective: time.Second,
+			Objective: time.Second, Deadline: 15 * time.Second, RouteObjective: time.Second, Hash: RequestHash(n), CallerDeadline: 15 * time.Second,
 		}
 		s.after(at-s.now, func() {
 			s.calls[k] = &call{request: req, workspace: "w", kind: "draft", submittedAt: s.now}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -137,7 +137,7 @@
 func (o *Owner) refuse(w *work, c candidate, code string, wait, now time.Duration) {
 	delete(o.requests, w.key)
 	if !w.request.Resumes {
-		o.retries.recordRefusal(uniquePart(w.request.Prompt), w.objectiveAt, now)
+		o.retries.recordRefusal(w.identity, w.objectiveAt, now)
 	}
 	if !w.arrivedLate {
 		o.shares.usageOf(w.request.Workspace).forwardControl.recordRefused(w.cost)
--- a/internal/placement/intake.go
+++ b/internal/placement/intake.go
@@ -168,6 +168,9 @@
 	req := a.request
 	req.Lateness = now - a.askedAt
 	req.Objective, req.Deadline = req.Objective-req.Lateness, req.Deadline-req.Lateness
+	if req.CallerDeadline > 0 {
+		req.CallerDeadline = max(1, req.CallerDeadline-req.Lateness)
+	}
 	return o.submit(a.key, req, now)
 }
 
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -97,7 +97,7 @@
 		is := is.New(t)
 		s := newSim(1, 2, 12, 100_000, 1000)
 		now := 3 * second
-		s.owner.CountThrottled("flood", 50_000, 7, 100*time.Millisecond, now)
+		s.owner.CountThrottled("flood", ThrottledRequest{50_000, 7, 5 * second, 100 * time.Millisecond}, now)
 		s.owner.advanceShares(now + second)
 		now += second
 		req := Request{Service: "m", Workspace: "other", PromptTokens: 3500, Objective: second, RouteObjective: second, Deadline: 4 * second,
@@ -115,6 +115,7 @@
 			req.Tried = []string{"e00"}
 		}
 		req.Workspace, req.Prompt = "flood", []Part{{ID: 7, Tokens: 3500}} // takes 100 ms
+		req.Hash, req.CallerDeadline = 7, 3*second+5*second-now
 		s.owner.Submit(Key{"n", 2}, req, now)
 		d := s.owner.Decisions()
 		is.Equal(len(d), 1)
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -30,7 +30,7 @@
 	// is of no use any more. Both are relative to the call of Owner.Submit.
 	Objective, Deadline time.Duration
 	// Lateness is how long ago the entry instance asked, if the owner has been busy with other work.
-	// Objective and Deadline allow for it.
+	// Objective, Deadline and CallerDeadline allow for it.
 	Lateness time.Duration
 	// RouteObjective is the whole objective of the route, from the caller's request on.
 	RouteObjective time.Duration
@@ -44,6 +44,10 @@
 	Candidates []string
 	// Fingerprint is set if several targets have crashed with the request.
 	Fingerprint api.Fingerprint
+	// Hash identifies the request together with CallerDeadline, the time from the call of Owner.Submit until the caller
+	// stops waiting, as it has stated; 0 = not stated. Deadline may be earlier.
+	Hash           RequestHash
+	CallerDeadline time.Duration
 	// Route is the name of its route; "" if the entry instance knows of no running rollout of the service.
 	Route string
 }
@@ -262,8 +266,8 @@
 	}
 	o.requests[k] = w
 	w.effectiveObjectiveAt = max(w.objectiveAt, now-req.Lateness+time.Duration(longPromptFactor*float64(o.typicalPrefillTime(req)+baseLatency)))
-	if firstObjectiveAt, isRetry := o.retries.firstObjective(uniquePart(req.Prompt)); isRetry && !req.Resumes {
-		w.objectiveAt = min(w.objectiveAt, firstObjectiveAt)
+	if first, isRetry := o.retries.firstAttempt(w.identity); isRetry && !req.Resumes {
+		w.objectiveAt = min(w.objectiveAt, first.objectiveAt)
 		// It is late because of its first attempt, not for lack of capacity.
 		w.effectiveObjectiveAt, w.missCounted, w.isRetry = w.objectiveAt, true, true
 	} else if !req.Resumes {
@@ -317,17 +321,26 @@
 }
 
 // CountThrottled counts a request that a throttling entry instance refused on the owner's
-// behalf: its tokens as in View.TokensPerSecond, its unique prompt part, and the time left until
-// its first event is due (objective).
-func (o *Owner) CountThrottled(workspace string, tokens int, uniquePart PartID, objective, now time.Duration) {
+// behalf.
+func (o *Owner) CountThrottled(workspace string, r ThrottledRequest, now time.Duration) {
 	o.advanceShares(now)
-	if _, isRetry := o.retries.firstObjective(uniquePart); !isRetry {
-		o.shares.recordRequested(workspace, float64(tokens))
+	id := newIdentity(r.Hash, r.CallerDeadline, now)
+	if _, isRetry := o.retries.firstAttempt(id); !isRetry {
+		o.shares.recordRequested(workspace, float64(r.Tokens))
 	}
-	o.retries.recordRefusal(uniquePart, now+objective, now)
+	o.retries.recordRefusal(id, now+r.Objective, now)
 	o.shares.recordUnmet(workspace, now)
 }
 
+// ThrottledRequest is a request that an entry instance refused.
+type ThrottledRequest struct {
+	Tokens int // as in View.TokensPerSecond
+	// Hash and CallerDeadline are as in Request.
+	Hash           RequestHash
+	CallerDeadline time.Duration
+	Objective      time.Duration // time left until its first event is due
+}
+
 // CountShed counts requests of a workspace that an entry instance shed for lack of processor
 // time or memory, in tokens as in View.TokensPerSecond.
 func (o *Owner) CountShed(workspace string, tokens int, now time.Duration) {
--- a/internal/placement/retries.go
+++ b/internal/placement/retries.go
@@ -12,37 +12,63 @@
 )
 
 // retryTracker detects retries of refused requests, because an attempt does not tell how
-// long its caller has already waited. It identifies a request by the last part of its
-// prompt, which no other request has.
+// long its caller has already waited. A retry has the hash of a refused request, and its
+// caller's deadline is that request's. A request without a stated deadline counts as new: if
+// it were taken for a retry, the requests of a session could be refused without an end.
 type retryTracker struct {
-	current, previous map[PartID]time.Duration // objective of the first attempt
+	current, previous map[refusalKey]refusedRequest
 	rotatedAt         time.Duration
 }
 
+// refusalKey finds the record of a refused request.
+type refusalKey struct {
+	hash         RequestHash
+	deadlineSlot int64
+}
+
+// refusedRequest is what the first attempt of a refused request has told.
+type refusedRequest struct {
+	identity    RequestIdentity
+	objectiveAt time.Duration // when its first event was due
+}
+
 func newRetryTracker() *retryTracker {
-	return &retryTracker{current: map[PartID]time.Duration{}, previous: map[PartID]time.Duration{}}
+	return &retryTracker{current: map[refusalKey]refusedRequest{}, previous: map[refusalKey]refusedRequest{}}
 }
 
 // recordRefusal stores a refused request with the time at which its first event was due. For a
-// retry it keeps the earlier time.
-func (r *retryTracker) recordRefusal(uniquePart PartID, objectiveAt, now time.Duration) {
+// retry it keeps the first attempt's times, so that a record describes no other request than
+// that one however often it is renewed.
+func (r *retryTracker) recordRefusal(id RequestIdentity, objectiveAt, now time.Duration) {
 	r.rotate(now)
-	if first, ok := r.firstObjective(uniquePart); ok {
-		objectiveAt = min(objectiveAt, first)
+	if id.Hash == 0 || id.CallerDeadline == 0 {
+		return
 	}
-	if uniquePart != 0 && len(r.current) < maxTrackedRefusals {
-		r.current[uniquePart] = objectiveAt
+	refused, isRetry := r.firstAttempt(id)
+	if !isRetry {
+		refused = refusedRequest{id, objectiveAt}
+	}
+	if len(r.current) < maxTrackedRefusals {
+		r.current[refusalKey{refused.identity.Hash, refused.identity.deadlineSlot()}] = refused
 	}
 }
 
-// firstObjective returns when the first event was due for the first attempt of a request, if
-// an attempt was refused recently.
-func (r *retryTracker) firstObjective(uniquePart PartID) (time.Duration, bool) {
-	if objectiveAt, ok := r.current[uniquePart]; ok {
-		return objectiveAt, true
+// firstAttempt returns the refused request of which a request is a retry, if there is one. Of
+// several it is the one with the nearest deadline.
+func (r *retryTracker) firstAttempt(id RequestIdentity) (first refusedRequest, isRetry bool) {
+	if id.Hash == 0 || id.CallerDeadline == 0 {
+		return refusedRequest{}, false
+	}
+	nearest := deadlineTolerance
+	for _, generation := range [...]map[refusalKey]refusedRequest{r.current, r.previous} {
+		for slot := id.deadlineSlot() - 1; slot <= id.deadlineSlot()+1; slot++ {
+			refused, ok := generation[refusalKey{id.Hash, slot}]
+			if difference := refused.identity.deadlineDifference(id); ok && difference <= nearest {
+				first, isRetry, nearest = refused, true, difference
+			}
+		}
 	}
-	objectiveAt, ok := r.previous[uniquePart]
-	return objectiveAt, ok
+	return first, isRetry
 }
 
 // rotate starts a new generation every refusalTTL and drops the oldest one.
@@ -51,13 +77,5 @@
 		return
 	}
 	r.rotatedAt = now
-	r.previous, r.current = r.current, make(map[PartID]time.Duration, len(r.current))
-}
-
-// uniquePart returns the last part of a prompt, which no other request has. 0 = none.
-func uniquePart(prompt []Part) PartID {
-	if len(prompt) == 0 {
-		return 0
-	}
-	return prompt[len(prompt)-1].ID
+	r.previous, r.current = r.current, make(map[refusalKey]refusedRequest, len(r.current))
 }
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -29,6 +29,7 @@
 	shedShare    map[string]float64   // share of a workspace's requests that entry instances shed
 	onRefused    func(*call)          // called for each refused attempt; nil = none
 	deadly       PartID               // part that crashes each engine that begins to answer it; 0 = none
+	sameHash     bool                 // the requests of a session are word for word the same
 	failShare    float64              // share of the requests with which engines fail at their first event
 	crashes      []time.Duration
 	overlapFetch bool            // engines fetch for one request while they prefill others
@@ -156,7 +157,7 @@
 		s.owner.Submit(k, req, s.now)
 		return
 	}
-	s.owner.CountThrottled(req.Workspace, req.PromptTokens+2*req.OutputTokens, uniquePart(req.Prompt), req.Objective, s.now)
+	s.owner.CountThrottled(req.Workspace, ThrottledRequest{req.PromptTokens + 2*req.OutputTokens, req.Hash, req.CallerDeadline, req.Objective}, s.now)
 	s.endRefused(k, "throttled", throttle.RetryAfter(req.Workspace))
 }
 
@@ -180,7 +181,7 @@
 	}
 }
 
-// retry schedules a second attempt, which carries no reference to the first one. Its outcome
+// retry schedules a second attempt, which states the time that is left to its caller. Its outcome
 // counts from the first attempt on.
 func (s *sim) retry(k Key, wait time.Duration) {
 	previous := s.calls[k]
@@ -189,6 +190,7 @@
 		next := Key{Entry: k.Entry, Number: s.number}
 		req := previous.request
 		req.Deadline -= s.now - previous.submittedAt
+		req.CallerDeadline = max(1, req.Deadline)
 		c := *previous
 		c.retried, c.refused, c.done = true, "", false
 		delete(s.calls, k)
@@ -341,7 +343,7 @@
 	workspace    string
 	kind         string
 	perSecond    float64
-	uniqueTokens int // mean length of the part that only this request has
+	uniqueTokens int // mean length of the last part, which only this request or its session has
 	sharedTokens int // length of the shared part
 	sharedParts  int // number of different shared parts
 	output       int
@@ -349,8 +351,11 @@
 	last         time.Duration
 }
 
-// generate schedules the requests of a workload in a span of time.
-func (s *sim) generate(load workload, from, to time.Duration) {
+// generate schedules the requests of a workload in a span of time. Each has a last prompt part of its own.
+func (s *sim) generate(load workload, from, to time.Duration) { s.generateSessions(load, 0, from, to) }
+
+// generateSessions is generate with the requests of a number of sessions, each of which has one last prompt part.
+func (s *sim) generateSessions(load workload, sessions int, from, to time.Duration) {
 	at := from
 	for {
 		at += time.Duration(s.rng.ExpFloat64() / load.perSecond * float64(time.Second))
@@ -361,10 +366,17 @@
 		k := Key{Entry: fmt.Sprint("n", s.number%numEntries), Number: s.number}
 		uniqueTokens := max(10, int(float64(load.uniqueTokens)*s.rng.ExpFloat64()))
 		part := s.rng.IntN(max(1, load.sharedParts))
+		owner, session := "own", int(s.number)
+		if sessions > 0 {
+			owner, session, uniqueTokens = load.workspace, s.rng.IntN(sessions), load.uniqueTokens
+		}
 		req := Request{
 			Service: "m", Workspace: load.workspace, DataCentre: fmt.Sprint("z", s.number%4), PromptTokens: uniqueTokens + load.sharedTokens, OutputTokens: load.output,
-			Prompt:    []Part{{ID: hashPart(load.kind, part), Tokens: load.sharedTokens}, {ID: hashPart("own", int(s.number)), Tokens: uniqueTokens}},
-			Objective: load.objective, Deadline: load.last, RouteObjective: load.objective,
+			Prompt:    []Part{{ID: hashPart(load.kind, part), Tokens: load.sharedTokens}, {ID: hashPart(owner, session), Tokens: uniqueTokens}},
+			Objective: load.objective, Deadline: load.last, RouteObjective: load.objective, Hash: RequestHash(s.number), CallerDeadline: load.last,
+		}
+		if s.sameHash {
+			req.Hash = RequestHash(req.Prompt[1].ID)
 		}
 		heap.Push(&s.events, event{at + s.messageDelay, func() {
 			s.calls[k] = &call{request: req, workspace: load.workspace, kind: load.kind, submittedAt: s.now}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -31,6 +31,7 @@
 type work struct {
 	key         Key
 	request     Request
+	identity    RequestIdentity
 	cost        float64       // in tokens of the share: prompt tokens plus twice the output tokens
 	submittedAt time.Duration // on the owner's clock, like all times here
 	objectiveAt time.Duration // when the first event is due
@@ -69,7 +70,7 @@
 
 func newWork(k Key, req Request, now time.Duration) *work {
 	return &work{
-		key: k, request: req, submittedAt: now, objectiveAt: now + req.Objective, deadline: now + req.Deadline,
+		key: k, request: req, identity: newIdentity(req.Hash, req.CallerDeadline, now), submittedAt: now, objectiveAt: now + req.Objective, deadline: now + req.Deadline,
 		cost: req.cost(),
 	}
 }
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -4,10 +4,13 @@
 package placewire
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"hash/fnv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/placement"
 )
@@ -26,15 +29,17 @@
 	Workspace string      `json:"w,omitempty"`
 	Tokens    [2]int      `json:"k"`           // of the prompt, and the estimate of those generated
 	Prompt    [][2]uint64 `json:"p,omitempty"` // PartID and tokens of each prompt part
-	// TimesMs holds the time to the objective, the time to the deadline, and the route's
-	// objective, in milliseconds.
-	TimesMs      [3]int64 `json:"d"`
+	// TimesMs holds the time to the objective, the time to the deadline, the route's objective, and
+	// the time to the caller's own deadline (0 = not stated), in milliseconds.
+	TimesMs      [4]int64 `json:"d"`
 	TriedTargets []string `json:"t,omitempty"` // IDs of the targets of earlier attempts
 	Resumed      bool     `json:"r,omitempty"` // a stream that was already begun is resumed
 	// Plain, Candidates and Fingerprint are as in placement.Request.
 	Plain       bool         `json:"y,omitempty"`
 	Candidates  []string     `json:"c,omitempty"`
 	Fingerprint *Fingerprint `json:"f,omitempty"` // nil = none
+	// Hash is as in placement.Request.
+	Hash uint32 `json:"q,omitempty"`
 	// Route is the name of the route, set only if a rollout of the service runs in the view of the entry instance.
 	Route string `json:"h,omitempty"`
 }
@@ -187,9 +192,11 @@
 	return out
 }
 
-// Refused is a request that an entry instance refused: its tokens as returned by Tokens, the
-// ID of its last prompt part, and the milliseconds to its objective.
-type Refused [3]int64
+// Refused is a request that an entry instance refused: its tokens as returned by Tokens, its
+// RequestHash, the milliseconds to its objective, and those to its caller's own deadline (0 = not
+// stated). Entry instances of earlier versions send the ID of the last prompt part in place of the
+// hash, and no deadline; such a request is taken for a new one.
+type Refused [4]int64
 
 // Tokens returns the tokens of a request as they count towards its workspace's share: a
 // prompt token counts once, a generated token twice.
@@ -197,17 +204,24 @@
 
 // NewRefused returns the message for a request that was refused at time now.
 func NewRefused(w *api.PlacementRequest, now time.Duration) Refused {
-	return Refused{int64(Tokens(w)), int64(LastPartID(w.Prompt)), (w.Objective - now).Milliseconds()}
+	return Refused{int64(Tokens(w)), int64(RequestHash(w)), (w.Objective - now).Milliseconds(), callerDeadlineMs(w, now)}
 }
 
-// Tokens returns the tokens of the request as they count towards its workspace's share.
-func (r Refused) Tokens() int { return int(r[0]) }
-
-// LastPart returns the ID of the prompt's last part, which only this request has; 0 = none.
-func (r Refused) LastPart() placement.PartID { return placement.PartID(r[1]) }
+// ToPlacement converts the message to the type of package placement.
+func (r Refused) ToPlacement() placement.ThrottledRequest {
+	return placement.ThrottledRequest{
+		Tokens: int(r[0]), Hash: placement.RequestHash(r[1]),
+		Objective: time.Duration(r[2]) * time.Millisecond, CallerDeadline: time.Duration(r[3]) * time.Millisecond,
+	}
+}
 
-// Objective returns the time from the refusal to the request's objective.
-func (r Refused) Objective() time.Duration { return time.Duration(r[2]) * time.Millisecond }
+// callerDeadlineMs returns the time until the caller stops waiting, at least 1 if it has stated it, else 0.
+func callerDeadlineMs(w *api.PlacementRequest, now time.Duration) int64 {
+	if w.CallerDeadline == 0 {
+		return 0
+	}
+	return max(1, (w.CallerDeadline - now).Milliseconds())
+}
 
 // Decision is the owner's decision on a Request. Without a Target it is a refusal with Code,
 // and RetryMs is when the caller should retry, in milliseconds.
@@ -355,8 +369,8 @@
 	return Request{
 		Number: number, Service: w.Service, Workspace: w.Workspace,
 		Tokens: [2]int{w.PromptTokens, w.ExpectedOutputTokens}, Prompt: encodePrompt(w.Prompt),
-		TimesMs:      [3]int64{(w.Objective - now).Milliseconds(), (w.Deadline - now).Milliseconds(), w.Route.Objective.Milliseconds()},
-		TriedTargets: w.TriedTargets, Resumed: w.Resumed,
+		TimesMs:      [4]int64{(w.Objective - now).Milliseconds(), (w.Deadline - now).Milliseconds(), w.Route.Objective.Milliseconds(), callerDeadlineMs(w, now)},
+		TriedTargets: w.TriedTargets, Resumed: w.Resumed, Hash: uint32(RequestHash(w)),
 	}
 }
 
@@ -368,6 +382,26 @@
 	return placement.PartID(h.Sum32())
 }
 
+// RequestHash returns the hash by which the attempts of a model request are recognised; 0 = not known. It depends on
+// nothing that comes after the head.
+func RequestHash(w *api.PlacementRequest) placement.RequestHash {
+	if w.Identity == nil || w.Engine == nil {
+		return 0
+	}
+	h := xxhash.New()
+	write := func(n uint64) {
+		var b [8]byte
+		binary.BigEndian.PutUint64(b[:], n)
+		_, _ = h.Write(b[:])
+	}
+	write(w.Identity.HeadHash())
+	write(uint64(w.PromptTokens))
+	for _, p := range w.Prompt {
+		write(uint64(PartID(p.ID)))
+	}
+	return placement.RequestHash(max(1, uint32(h.Sum64())))
+}
+
 // LastPartID returns the ID of a prompt's last part, which only its request has; 0 = none.
 func LastPartID(prompt []api.PromptPart) placement.PartID {
 	if len(prompt) == 0 {
@@ -405,6 +439,7 @@
 		PromptTokens: r.Tokens[0], OutputTokens: r.Tokens[1], Prompt: decodePrompt(r.Prompt),
 		Objective: ms(r.TimesMs[0]), Deadline: ms(r.TimesMs[1]), RouteObjective: ms(r.TimesMs[2]), Tried: r.TriedTargets, Resumes: r.Resumed,
 		Plain: r.Plain, Candidates: r.Candidates, Fingerprint: fingerprint, Route: r.Route,
+		Hash: placement.RequestHash(r.Hash), CallerDeadline: ms(r.TimesMs[3]),
 	}
 }
 
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -160,12 +160,16 @@
 
 // work describes the request to the placer.
 func (c *call) work() *api.PlacementRequest {
-	return &api.PlacementRequest{
+	w := &api.PlacementRequest{
 		RequestID: c.req.ID, Workspace: c.req.Workspace, Route: c.req.Route, Service: c.req.Service, Engine: c.req.Engine, ColdPerSecond: c.req.ColdPerSecond,
 		PromptTokens: c.req.Fields.PromptTokens, ExpectedOutputTokens: c.fwd.outputLengths.estimate(c.req), Prompt: c.req.Fields.Prompt,
 		Objective: c.req.ReceivedAt - c.req.PriorWait + c.req.Route.Objective, Deadline: c.req.Deadline,
 		TriedTargets: c.triedTargets, Resumed: c.lastEventID != "", Identity: c.identity(),
 	}
+	if timeout := c.req.Fields.Timeout; timeout > 0 {
+		w.CallerDeadline = c.req.ReceivedAt + timeout
+	}
+	return w
 }
 
 // remaining returns the time until the deadline.
--- a/plugin/owner/dropped_test.go
+++ b/plugin/owner/dropped_test.go
@@ -25,7 +25,7 @@
 	r.NoErr(err)
 	close(blocked)
 	r.nextWith(func(m placewire.OwnerMessage) bool { return m.ReportFully })
-	r.send(placewire.EntryMessage{FullReport: true, Requests: []placewire.Request{{Number: 2, Service: "m", TimesMs: [3]int64{1000, 4000, 1000}}}})
+	r.send(placewire.EntryMessage{FullReport: true, Requests: []placewire.Request{{Number: 2, Service: "m", TimesMs: [4]int64{1000, 4000, 1000}}}})
 	m := r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 })
 	r.Equal(m.Decisions[0].Target, "t1") // its only slot is free
 }
@@ -60,7 +60,7 @@
 	r := newHarness(t)
 	running := []placewire.Running{{Request: placewire.Request{Number: 1, Service: "m"}, Target: "t1"}}
 	grantedTo := func(n uint64) string {
-		r.send(placewire.EntryMessage{Requests: []placewire.Request{{Number: n, Service: "m", TimesMs: [3]int64{1000, 4000, 1000}}}})
+		r.send(placewire.EntryMessage{Requests: []placewire.Request{{Number: n, Service: "m", TimesMs: [4]int64{1000, 4000, 1000}}}})
 		m := r.nextWith(func(m placewire.OwnerMessage) bool { return len(m.Decisions) > 0 })
 		return m.Decisions[0].Target
 	}
