placer: what an instance refuses is reported with the times that are left

Callers saw: nothing by itself. With retries recognised by the moment at which their callers stop waiting, the retry of a request that an entry instance had throttled counted as new if the report of the refusal waited for a message.

Cause: the times were taken at the refusal and read by the owner as of the message, which carries no refusals by itself, may be held back while the owner is slow and is kept while it cannot be sent. What the owner itself refuses has the lateness of its message taken off, what it counts for entries had not.

Change: pending refusals keep their times on the instance's clock and are converted when a message is sent; the owner takes the lateness off.

Evidence: TestRefusalsAreToldWithTheTimesLeft before: objective 1 s in place of -0.5 s after 1.5 s; passes now.

--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -97,7 +97,7 @@
 		is := is.New(t)
 		s := newSim(1, 2, 12, 100_000, 1000)
 		now := 3 * second
-		s.owner.CountThrottled("flood", ThrottledRequest{50_000, 7, 5 * second, 100 * time.Millisecond}, now)
+		s.owner.CountThrottled("flood", ThrottledRequest{50_000, 7, 5 * second, 100 * time.Millisecond}, 0, now)
 		s.owner.advanceShares(now + second)
 		now += second
 		req := Request{Service: "m", Workspace: "other", PromptTokens: 3500, Objective: second, RouteObjective: second, Deadline: 4 * second,
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -321,14 +321,14 @@
 }
 
 // CountThrottled counts a request that a throttling entry instance refused on the owner's
-// behalf.
-func (o *Owner) CountThrottled(workspace string, r ThrottledRequest, now time.Duration) {
+// behalf, and of which it told lateness before now.
+func (o *Owner) CountThrottled(workspace string, r ThrottledRequest, lateness, now time.Duration) {
 	o.advanceShares(now)
-	id := newIdentity(r.Hash, r.CallerDeadline, now)
+	id := newIdentity(r.Hash, r.CallerDeadline, now-lateness)
 	if _, isRetry := o.retries.firstAttempt(id); !isRetry {
 		o.shares.recordRequested(workspace, float64(r.Tokens))
 	}
-	o.retries.recordRefusal(id, now+r.Objective, now)
+	o.retries.recordRefusal(id, now-lateness+r.Objective, now)
 	o.shares.recordUnmet(workspace, now)
 }
 
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -157,7 +157,7 @@
 		s.owner.Submit(k, req, s.now)
 		return
 	}
-	s.owner.CountThrottled(req.Workspace, ThrottledRequest{req.PromptTokens + 2*req.OutputTokens, req.Hash, req.CallerDeadline, req.Objective}, s.now)
+	s.owner.CountThrottled(req.Workspace, ThrottledRequest{req.PromptTokens + 2*req.OutputTokens, req.Hash, req.CallerDeadline, req.Objective}, 0, s.now)
 	s.endRefused(k, "throttled", throttle.RetryAfter(req.Workspace))
 }
 
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -207,6 +207,15 @@
 	return Refused{int64(Tokens(w)), int64(RequestHash(w)), (w.Objective - now).Milliseconds(), callerDeadlineMs(w, now)}
 }
 
+// after returns the message with the times that are left after a time.
+func (r Refused) after(d time.Duration) Refused {
+	r[2] -= d.Milliseconds()
+	if r[3] > 0 {
+		r[3] = max(1, r[3]-d.Milliseconds())
+	}
+	return r
+}
+
 // ToPlacement converts the message to the type of package placement.
 func (r Refused) ToPlacement() placement.ThrottledRequest {
 	return placement.ThrottledRequest{
--- a/internal/placewire/refusals.go
+++ b/internal/placewire/refusals.go
@@ -1,5 +1,7 @@
 package placewire
 
+import "time"
+
 // AddRefused adds a request that the entry instance refused. A workspace keeps at most limit of
 // them; further ones are dropped.
 func (m *EntryMessage) AddRefused(workspace string, r Refused, limit int) {
@@ -11,6 +13,20 @@
 	}
 }
 
+// RefusedAfter returns a copy of refused requests by workspace with the times that are left after a time.
+func RefusedAfter(refused map[string][]Refused, d time.Duration) map[string][]Refused {
+	if refused == nil {
+		return nil
+	}
+	out := make(map[string][]Refused, len(refused))
+	for workspace, list := range refused {
+		for _, r := range list {
+			out[workspace] = append(out[workspace], r.after(d))
+		}
+	}
+	return out
+}
+
 // AddShed adds the tokens of a request that the entry instance shed.
 func (m *EntryMessage) AddShed(workspace string, tokens int) {
 	if m.Shed == nil {
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -517,7 +517,7 @@
 	}
 	for workspace, requests := range u.Refused {
 		for _, r := range requests {
-			o.state.CountThrottled(workspace, r.ToPlacement(), now)
+			o.state.CountThrottled(workspace, r.ToPlacement(), late, now)
 		}
 	}
 	if o.unconfirmed {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -154,7 +154,8 @@
 		return nil
 	}
 	p.throttled.Inc()
-	p.pending.AddRefused(w.Workspace, placewire.NewRefused(w, now), maxPendingRefusals) // sent with the next message
+	// Sent with the next message. Until then its times are on the kernel clock.
+	p.pending.AddRefused(w.Workspace, placewire.NewRefused(w, 0), maxPendingRefusals)
 	return &api.Refusal{
 		Code: placement.CodeShareExceeded, Status: 503, Run: api.NotRun, Step: "place", RetryAfter: p.throttle.RetryAfter(w.Workspace),
 		Message:  "the workspace exceeds its share",
--- a/plugin/placer/report.go
+++ b/plugin/placer/report.go
@@ -122,14 +122,17 @@
 		p.addStarts(&u)
 		p.addEvidence(&u)
 	}
-	owner := p.owner
+	owner, now := p.owner, p.clock.Now()
 	p.mu.Unlock()
 	if owner.name == "" {
 		return true
 	}
+	refused := u.Refused
+	u.Refused = placewire.RefusedAfter(refused, now)
 	u.Term, u.DataCentre = owner.term, p.dataCentre
 	if err := p.mesh.Notify(owner.name, placewire.MethodUp, u); err != nil {
 		p.log.Debug("report to the owner not sent", "step", "owner", "peer", owner.name, "error", err)
+		u.Refused = refused
 		p.mu.Lock()
 		p.pending.AddRefusals(u, maxPendingRefusals)
 		p.pending.AddCrashes(u)
--- a/plugin/placer/report_test.go
+++ b/plugin/placer/report_test.go
@@ -93,3 +93,36 @@
 	r.True(!r.p.sendPending())
 	r.Equal(len(r.p.pending.Refused["flood"]), maxPendingRefusals)
 }
+
+// Guards against refusals whose times are those of the refusal and not of the message, so that the owner takes the retry
+// of a request for a new one, and against times that run twice while a message cannot be sent.
+func TestRefusalsAreToldWithTheTimesLeft(t *testing.T) {
+	r := newHarness(t)
+	w := modelRequest()
+	w.Objective, w.CallerDeadline = r.p.clock.Now()+time.Second, r.p.clock.Now()+9*time.Second
+	r.p.throttle.SetShare("flood", 0, r.p.clock.Now())
+	r.True(r.p.Precheck(w) != nil)
+	connected := r.p.mesh
+	r.p.mesh = failingMesh{}
+	for range 2 {
+		r.Advance(600*time.Millisecond, 600*time.Millisecond)
+		r.True(!r.p.sendPending())
+	}
+	r.p.mesh = connected
+	r.Advance(300*time.Millisecond, 300*time.Millisecond)
+	r.True(r.p.sendPending())
+	refused := r.sent[len(r.sent)-1].Refused["flood"]
+	r.Equal(len(refused), 1)
+	told := refused[0].ToPlacement()
+	r.Equal(told.Objective, -500*time.Millisecond)
+	r.Equal(told.CallerDeadline, 7500*time.Millisecond)
+	r.Equal(told.Hash, placewire.RequestHash(w))
+}
+
+// modelRequest returns a request of the workspace flood with its identity.
+func modelRequest() *api.PlacementRequest {
+	return &api.PlacementRequest{
+		Service: "m", Workspace: "flood", PromptTokens: 100, Engine: &routing.Engine{Slots: 4}, Route: &routing.Route{}, Prompt: []api.PromptPart{{ID: "root"}, {ID: "session"}},
+		Identity: api.NewRequestIdentity("flood", []byte("POST"), []byte("h"), []byte("/chat"), nil),
+	}
+}
