placement: throttling draws requests, not sessions

Cause: an entry instance drew by a hash of the last prompt part, which a session's requests share. A session was refused for as long as the share stood, and what passed was the load of the sessions that were drawn, not the share.

Change: the draw is by the request's hash and the span of 2 s in which its caller stops waiting, on the wall clock. A retry gets the result of the first attempt, at other instances too; requests that a session repeats word for word are drawn anew from span to span.

A retry whose deadline falls into the next span is drawn again.

--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -57,9 +57,10 @@
 }
 
 // Refuses reports whether a request is throttled, that is, refused by the entry instance. It
-// depends on a hash of uniquePart, the part that only this request has, and not on chance: a
-// retry through another instance with the same share gets the same result.
-func (th *Throttle) Refuses(workspace string, uniquePart PartID, now time.Duration) bool {
+// depends on the identity of the request, and not on chance or on its session: a retry through
+// another instance with the same share gets the same result. callerDeadline is when its caller
+// stops waiting, on the wall clock, which instances share; without one it is the present time.
+func (th *Throttle) Refuses(workspace string, hash RequestHash, callerDeadline, now time.Duration) bool {
 	limit, ok := th.byWorkspace[workspace]
 	if !ok {
 		return false
@@ -68,7 +69,19 @@
 		delete(th.byWorkspace, workspace)
 		return false
 	}
-	return float64(mix(uint64(uniquePart), hashName(workspace)))/math.MaxUint64 >= limit.share
+	return float64(mix(drawOf(hash, callerDeadline), hashName(workspace)))/math.MaxUint64 >= limit.share
+}
+
+// drawPeriod is the time for which requests with the same hash are drawn alike, by their callers'
+// deadlines. The deadlines of the attempts of one request differ by a small part of it, those of
+// requests that a session repeats word for word mostly by more.
+const drawPeriod = 2 * time.Second
+
+// drawOf returns the number by which a request is drawn. The periods of different hashes begin at
+// different times, so that not all callers who repeat a request are drawn anew at once.
+func drawOf(hash RequestHash, callerDeadline time.Duration) uint64 {
+	offset := time.Duration(mix(uint64(hash), 0) % uint64(drawPeriod))
+	return mix(uint64(hash), uint64((callerDeadline+offset)/drawPeriod))
 }
 
 // Share returns the share of a workspace's requests that pass, 1 if it is not throttled. It
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -411,14 +411,6 @@
 	return placement.RequestHash(max(1, uint32(h.Sum64())))
 }
 
-// LastPartID returns the ID of a prompt's last part, which only its request has; 0 = none.
-func LastPartID(prompt []api.PromptPart) placement.PartID {
-	if len(prompt) == 0 {
-		return 0
-	}
-	return PartID(prompt[len(prompt)-1].ID)
-}
-
 func encodePrompt(prompt []api.PromptPart) [][2]uint64 {
 	out := make([][2]uint64, len(prompt))
 	for i, p := range prompt {
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -150,7 +150,11 @@
 	if refusal := p.refuseBlocked(w, now); refusal != nil {
 		return refusal
 	}
-	if !p.throttle.Refuses(w.Workspace, placewire.LastPartID(w.Prompt), now) {
+	wall := p.readClocks().Wall
+	if w.CallerDeadline > 0 {
+		wall += w.CallerDeadline - now
+	}
+	if !p.throttle.Refuses(w.Workspace, placewire.RequestHash(w), wall, now) {
 		return nil
 	}
 	p.throttled.Inc()
