placement: a session's own prompt part is blocked if targets crash with it

Callers saw: a session whose every request crashes its target went on without an end; each crash ended all streams of that target (25 crashes in 49 s, one for each request it sent, measured at by the users).

Cause: the last part of a prompt was left out of the records of crashes, as one that no other request has, and told different requests apart. For a session it does neither: its part was never blamed, and its requests counted as one, so that a part which only it uses was not blamed either. Entry instances did not look up the last part in the list of blocked ones.

Change: all parts get records, of long prompts the first 31 and the last. Different requests are told apart by RequestIdentity; without a stated deadline the same hash counts as the same request. A part that only one request has still has no two of them.

Conclusion: fixed; a first request may still be tried on a second target.

--- a/internal/placement/crashes.go
+++ b/internal/placement/crashes.go
@@ -55,8 +55,8 @@
 }
 
 // crashTracker finds the prompt parts that crash targets. A part is blamed if targets crash with
-// each of its requests, so a single request that a target answers clears all of its parts. The
-// last part of a prompt belongs to one request only and is never blamed.
+// each of its requests, so a single request that a target answers clears all of its parts. Each
+// part may be that of several requests, the last one of a prompt too: it may belong to a session.
 type crashTracker struct {
 	suspects   map[PartID]*suspect
 	numBlocked int
@@ -69,7 +69,7 @@
 // suspect is the record of a prompt part of requests with which targets crashed.
 type suspect struct {
 	crashes      int
-	requests     [minCrashRequests]PartID // last parts of the first different requests
+	requests     [minCrashRequests]RequestIdentity // the first different ones
 	numRequests  int
 	sent         int    // requests with the part that were sent to targets since the first crash
 	target       string // of the newest crash
@@ -83,30 +83,29 @@
 
 func newCrashTracker() *crashTracker { return &crashTracker{suspects: map[PartID]*suspect{}} }
 
-// sharedParts returns the parts of a prompt that other requests may share and that get a record.
-func sharedParts(prompt []Part) []Part {
-	if len(prompt) < 2 {
-		return nil
+// trackedParts returns the parts of a prompt that get a record: the first ones, which most requests
+// share, and the last one, which may be all that the requests of a session share with no others.
+func trackedParts(prompt []Part) []Part {
+	if len(prompt) <= maxPartsPerPrompt {
+		return prompt
 	}
-	return prompt[:min(len(prompt)-1, maxPartsPerPrompt)]
+	return append(slices.Clip(prompt[:maxPartsPerPrompt-1]), prompt[len(prompt)-1])
 }
 
-// uniquePart returns the last part of a prompt, which no other request has. 0 = none.
-func uniquePart(prompt []Part) PartID {
-	if len(prompt) == 0 {
-		return 0
-	}
-	return prompt[len(prompt)-1].ID
+// failedRequest is a request that a target did not answer.
+type failedRequest struct {
+	identity RequestIdentity
+	prompt   []Part
 }
 
-// recordCrash records that a target failed before it had answered the requests with some prompts.
-// It returns the parts that are blocked from now on.
-func (c *crashTracker) recordCrash(targetID string, now time.Duration, prompts ...[]Part) (blocked []PartID) {
-	for _, prompt := range prompts {
-		c.recordFailed(prompt, targetID, now)
+// recordCrash records that a target failed before it had answered some requests. It returns the
+// parts that are blocked from now on.
+func (c *crashTracker) recordCrash(targetID string, now time.Duration, requests ...failedRequest) (blocked []PartID) {
+	for _, r := range requests {
+		c.recordFailed(r, targetID, now)
 	}
-	for _, prompt := range prompts {
-		for _, p := range sharedParts(prompt) {
+	for _, r := range requests {
+		for _, p := range trackedParts(r.prompt) {
 			if s := c.suspects[p.ID]; s != nil && c.block(s, now) {
 				blocked = append(blocked, p.ID)
 			}
@@ -116,10 +115,10 @@
 }
 
 // recordFailed adds a failed request to the records of its parts.
-func (c *crashTracker) recordFailed(prompt []Part, targetID string, now time.Duration) {
+func (c *crashTracker) recordFailed(r failedRequest, targetID string, now time.Duration) {
 	c.decay(now)
 	c.failed++
-	for _, p := range sharedParts(prompt) {
+	for _, p := range trackedParts(r.prompt) {
 		s := c.suspects[p.ID]
 		if s == nil {
 			if !c.makeRoom(now) {
@@ -131,7 +130,7 @@
 		if !s.blocked && now-s.crashedAt > suspicionTime {
 			*s = suspect{}
 		}
-		s.addRequest(uniquePart(prompt))
+		s.addRequest(r.identity)
 		if s.crashes == 0 || (now-s.countedAt > commonCauseTime && (s.target != targetID || now-s.crashedAt > sameCrashTime)) {
 			s.crashes++
 			s.countedAt = now
@@ -142,9 +141,9 @@
 }
 
 // addRequest counts a request that has not been counted before.
-func (s *suspect) addRequest(unique PartID) {
-	if s.numRequests < len(s.requests) && !slices.Contains(s.requests[:s.numRequests], unique) {
-		s.requests[s.numRequests] = unique
+func (s *suspect) addRequest(id RequestIdentity) {
+	if s.numRequests < len(s.requests) && !slices.ContainsFunc(s.requests[:s.numRequests], id.maybeSame) {
+		s.requests[s.numRequests] = id
 		s.numRequests++
 	}
 }
@@ -221,7 +220,7 @@
 	if len(c.suspects) == 0 {
 		return
 	}
-	for _, p := range sharedParts(prompt) {
+	for _, p := range trackedParts(prompt) {
 		if s := c.suspects[p.ID]; s != nil {
 			s.sent++
 		}
@@ -235,7 +234,7 @@
 	if len(c.suspects) == 0 {
 		return
 	}
-	for _, p := range sharedParts(prompt) {
+	for _, p := range trackedParts(prompt) {
 		if s := c.suspects[p.ID]; s != nil {
 			c.remove(p.ID, s)
 		}
@@ -257,7 +256,7 @@
 		return 0, false
 	}
 	var trials []*suspect
-	for _, p := range sharedParts(prompt) {
+	for _, p := range trackedParts(prompt) {
 		s := c.suspects[p.ID]
 		if s == nil || !s.blocked {
 			continue
@@ -279,7 +278,7 @@
 // isSuspect reports whether targets crashed with several requests that share a part with this
 // prompt, and none has answered one since.
 func (c *crashTracker) isSuspect(prompt []Part, now time.Duration) bool {
-	for _, p := range sharedParts(prompt) {
+	for _, p := range trackedParts(prompt) {
 		if s := c.suspects[p.ID]; s != nil && s.numRequests >= minCrashRequests && s.crashes >= minSuspectCrashes &&
 			now-s.crashedAt <= suspicionTime && !c.hasNarrowerSuspect(s, now) {
 			return true
@@ -377,7 +376,7 @@
 	case outcome == api.AttemptServed:
 		o.noteAnswered(w, now)
 	case !w.answered && (outcome == api.AttemptIncomplete || silent) && len(t.failures) < maxFailures:
-		t.failures = append(t.failures, failure{now, w.request.Prompt})
+		t.failures = append(t.failures, failure{now, failedRequest{w.identity, w.request.Prompt}})
 		o.unsettled[t] = struct{}{}
 	}
 	o.settleFailures(t, now)
@@ -405,18 +404,18 @@
 	for _, w := range t.running {
 		oldest = min(oldest, w.sentAt)
 	}
-	var prompts [][]Part
+	var failed []failedRequest
 	t.failures = slices.DeleteFunc(t.failures, func(f failure) bool {
 		if oldest < f.at && now-f.at < maxSettleTime {
 			return false
 		}
-		prompts = append(prompts, f.prompt)
+		failed = append(failed, f.request)
 		return true
 	})
-	if len(prompts) > 0 {
+	if len(failed) > 0 {
 		t.cache.generation++
 	}
-	o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(t.info.ID, now, prompts...)...)
+	o.newlyBlocked = append(o.newlyBlocked, o.crashes.recordCrash(t.info.ID, now, failed...)...)
 }
 
 // BlockList holds the prompt parts that the owner has blocked, for an entry instance, which
--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -19,18 +19,32 @@
 // generatePrompts schedules requests whose prompts all begin with rootPart. A share of them holds
 // deadlyPart, the others one of a number of documents.
 func (s *sim) generatePrompts(perSecond, deadlyShare float64, documents int, from, to time.Duration) {
+	s.generateSessionPrompts(perSecond, deadlyShare, documents, 0, from, to)
+}
+
+// generateSessionPrompts is generatePrompts with the requests of a number of sessions, each of which has one last
+// prompt part. Without documents deadlyPart is the last part of one session.
+func (s *sim) generateSessionPrompts(perSecond, deadlyShare float64, documents, sessions int, from, to time.Duration) {
 	for at := from; at < to; at += time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second)) {
 		s.number++
-		n, second := s.number, hashPart("document", s.rng.IntN(documents))
-		if s.rng.Float64() < deadlyShare {
+		n, second, last := s.number, hashPart("document", s.rng.IntN(max(1, documents))), hashPart("own", int(s.number))
+		if sessions > 0 {
+			last = hashPart("session", s.rng.IntN(sessions))
+		}
+		if deadly := s.rng.Float64() < deadlyShare; deadly && documents > 0 {
 			second = deadlyPart
+		} else if deadly {
+			last = deadlyPart
 		}
 		k := Key{Entry: fmt.Sprint("n", n%numEntries), Number: n}
 		req := Request{
 			Service: "m", Workspace: "w", PromptTokens: 1200, OutputTokens: 200,
-			Prompt:    []Part{{rootPart, 500}, {second, 500}, {hashPart("own", int(n)), 200}},
+			Prompt:    []Part{{rootPart, 500}, {second, 500}, {last, 200}},
 			Objective: time.Second, Deadline: 15 * time.Second, RouteObjective: time.Second, Hash: RequestHash(n), CallerDeadline: 15 * time.Second,
 		}
+		if s.sameHash {
+			req.Hash = RequestHash(last)
+		}
 		s.after(at-s.now, func() {
 			s.calls[k] = &call{request: req, workspace: "w", kind: "draft", submittedAt: s.now}
 			s.ask(k, req)
@@ -67,6 +81,61 @@
 	}
 }
 
+// Guards against a session that crashes one target after the other with each of its requests: its own part, which is
+// the last one of its prompts, must be blocked as any other, and none that sound sessions have. Where the deadly part is
+// shared by sessions, their own parts must not keep it from being found.
+func TestSessionThatCrashesTargetsIsBlocked(t *testing.T) {
+	for _, x := range []struct {
+		deadlyShare float64
+		documents   int
+		sameHash    bool
+	}{{0.01, 0, false}, {0.01, 0, true}, {0.05, 0, false}, {0.02, 125, false}, {0.05, 125, false}} {
+		for seed := range uint64(5) {
+			is := is.New(t)
+			s := newSim(seed, 18, 64, 400_000, 400_000)
+			s.tick()
+			s.deadly, s.sameHash = deadlyPart, x.sameHash
+			s.generateSessionPrompts(60, x.deadlyShare, x.documents, 100, 0, 40*second)
+			s.run(50 * second)
+			late := 0
+			for _, at := range s.deadlyStarts {
+				if len(s.crashes) >= 5 && at > s.crashes[4]+3*second {
+					late++
+				}
+			}
+			sound := s.summarize(20*second, 40*second, func(c *call) bool { return !hasPart(c.request.Prompt, deadlyPart) })
+			blocked := s.owner.BlockedParts(s.now)
+			t.Logf("%+v seed %d: %d crashes, %d requests reached targets late, sound: %+v", x, seed, len(s.crashes), late, sound)
+			is.True(late <= 3)
+			is.True(sound.started*10 >= sound.asked*9)
+			is.Equal(len(blocked), 1)
+			is.Equal(blocked[0].Part, deadlyPart)
+		}
+	}
+}
+
+// Guards against blame that rests on one request, whose caller comes back with it, and against a session that goes
+// unblamed because its requests are taken for one.
+func TestDistinctRequestsOfSession(t *testing.T) {
+	is := is.New(t)
+	crash := func(id func(n int) RequestIdentity) (blocked []PartID) {
+		c := newCrashTracker()
+		for n := range 100 {
+			c.recordAnswered(prompt(7, PartID(n)), 0)
+		}
+		for n := range maxCrashes {
+			r := failedRequest{id(n), prompt(7, 99)}
+			blocked = append(blocked, c.recordCrash(fmt.Sprint("t", n), time.Duration(n+1)*2*second, r)...)
+			c.recordAnswered(prompt(7, 1), time.Duration(n+1)*2*second+second)
+		}
+		return blocked
+	}
+	is.Equal(len(crash(func(int) RequestIdentity { return RequestIdentity{5, 60 * second} })), 0)                // one request
+	is.Equal(len(crash(func(int) RequestIdentity { return RequestIdentity{Hash: 5} })), 0)                       // it may be one
+	is.Equal(crash(func(n int) RequestIdentity { return RequestIdentity{Hash: RequestHash(n)} })[0], PartID(99)) // URLs of their own
+	is.Equal(crash(func(n int) RequestIdentity { return RequestIdentity{5, time.Duration(20+2*n) * second} })[0], PartID(99))
+}
+
 // Guards against a part that is blamed for the loss of all targets at once, after which nothing is
 // answered for a while.
 func TestLossOfAllTargetsBlamesNoPart(t *testing.T) {
@@ -117,11 +186,16 @@
 	return out
 }
 
+// failed returns a failed request whose last prompt part no other request has.
+func failed(prompt []Part) failedRequest {
+	return failedRequest{RequestIdentity{Hash: RequestHash(prompt[len(prompt)-1].ID)}, prompt}
+}
+
 // blockPart crashes targets with a part until it is blocked.
 func blockPart(is *is.I, c *crashTracker, now time.Duration) {
 	for n := range maxCrashes {
 		at := now - time.Duration(maxCrashes-n)*100*time.Millisecond
-		if blocked := c.recordCrash(fmt.Sprint("t", n), at, prompt(deadlyPart, PartID(1000+n))); len(blocked) > 0 {
+		if blocked := c.recordCrash(fmt.Sprint("t", n), at, failed(prompt(deadlyPart, PartID(1000+n)))); len(blocked) > 0 {
 			is.Equal(blocked, []PartID{deadlyPart})
 			return
 		}
@@ -144,8 +218,8 @@
 	now += initialBlockTime
 	is.True(passed())  // the trial
 	is.True(!passed()) // one at a time
-	is.Equal(c.recordCrash("t9", now+second, prompt(deadlyPart, 5)), []PartID{deadlyPart})
-	is.Equal(c.recordCrash("t9", now+second, prompt(deadlyPart, 6)), nil) // a bystander
+	is.Equal(c.recordCrash("t9", now+second, failed(prompt(deadlyPart, 5))), []PartID{deadlyPart})
+	is.Equal(c.recordCrash("t9", now+second, failed(prompt(deadlyPart, 6))), nil) // a bystander
 	now += second + 2*initialBlockTime - time.Millisecond
 	is.True(!passed()) // for twice as long
 	now += time.Millisecond
@@ -164,10 +238,10 @@
 	is := is.New(t)
 	c := newCrashTracker()
 	for n := range 50 { // bystanders of one crash
-		is.Equal(len(c.recordCrash("t1", second, prompt(rootPart, PartID(n)))), 0)
+		is.Equal(len(c.recordCrash("t1", second, failed(prompt(rootPart, PartID(n))))), 0)
 	}
 	for n := range 50 { // one request that is repeated
-		is.Equal(len(c.recordCrash(fmt.Sprint("t", n), second, prompt(2, 99))), 0)
+		is.Equal(len(c.recordCrash(fmt.Sprint("t", n), second, failed(prompt(2, 99)))), 0)
 	}
 }
 
@@ -181,9 +255,9 @@
 	}
 	var blocked []PartID
 	for n := range 4 {
-		crashed := [][]Part{prompt(deadlyPart, PartID(1000+n))}
+		crashed := []failedRequest{failed(prompt(deadlyPart, PartID(1000+n)))}
 		if n < 2 { // two bystanders, which are repeated once
-			crashed = append(crashed, prompt(8, 1), prompt(8, 2))
+			crashed = append(crashed, failed(prompt(8, 1)), failed(prompt(8, 2)))
 		}
 		blocked = append(blocked, c.recordCrash(fmt.Sprint("t", n), time.Duration(n+1)*2*second, crashed...)...)
 	}
@@ -197,7 +271,7 @@
 	is := is.New(t)
 	c := newCrashTracker()
 	for n := range 20 * maxSuspects {
-		c.recordCrash(fmt.Sprint("f", n), time.Duration(n)*time.Millisecond, prompt(PartID(10_000+n), 1))
+		c.recordCrash(fmt.Sprint("f", n), time.Duration(n)*time.Millisecond, failed(prompt(PartID(10_000+n), 1)))
 		c.recordAnswered(prompt(3, 4), time.Duration(n)*time.Millisecond)
 	}
 	is.True(len(c.suspects) <= maxSuspects)
@@ -205,7 +279,7 @@
 	now := 20 * maxSuspects * time.Millisecond
 	for n := range 2 * maxBlocked { // many parts that look deadly
 		for i := range 10 {
-			c.recordCrash(fmt.Sprint("g", i), now+time.Duration(i)*100*time.Millisecond, prompt(PartID(500_000+n), PartID(i)))
+			c.recordCrash(fmt.Sprint("g", i), now+time.Duration(i)*100*time.Millisecond, failed(prompt(PartID(500_000+n), PartID(i))))
 		}
 	}
 	is.Equal(c.numBlocked, maxBlocked)
@@ -214,7 +288,7 @@
 	is.True(refused)
 	now += 2 * initialBlockTime // the blocks have ended, and no request with those parts has come
 	for i := range 10 {
-		c.recordCrash(fmt.Sprint("h", i), now+time.Duration(i)*100*time.Millisecond, prompt(900_000, PartID(i)))
+		c.recordCrash(fmt.Sprint("h", i), now+time.Duration(i)*100*time.Millisecond, failed(prompt(900_000, PartID(i))))
 	}
 	_, refused = c.refuses(prompt(900_000, 1), now+second)
 	is.True(refused) // they keep no other part from being blocked
@@ -228,11 +302,11 @@
 	timeOut := func(n uint64, part PartID, othersAnswered bool) {
 		k, other := Key{"e", n}, Key{"e", n + 100}
 		target := fmt.Sprintf("e%02d", n%12)
-		req.Prompt = prompt(part, PartID(1000+n))
+		req.Prompt, req.Hash = prompt(part, PartID(1000+n)), RequestHash(1000+n)
 		s.owner.AddRunning(k, req, target, false, false, 0, s.now)
 		s.now += second
 		if othersAnswered {
-			req.Prompt = prompt(9, PartID(2000+n))
+			req.Prompt, req.Hash = prompt(9, PartID(2000+n)), RequestHash(2000+n)
 			s.owner.AddRunning(other, req, target, false, false, 0, s.now)
 			s.owner.RecordFirstEvent(other, s.now)
 			s.owner.End(other, api.AttemptServed, s.now)
@@ -280,7 +354,7 @@
 			p := prompt(PartID(rapid.IntRange(1, 4).Draw(t, "first")), PartID(rapid.IntRange(5, 8).Draw(t, "second")), PartID(rapid.IntRange(100, 120).Draw(t, "own")))
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
-				blocked := c.recordCrash(fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target")), now, p)
+				blocked := c.recordCrash(fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target")), now, failed(p))
 				for _, part := range p[:2] {
 					if requests[part.ID] == nil {
 						requests[part.ID] = map[PartID]bool{}
--- a/internal/placement/identity.go
+++ b/internal/placement/identity.go
@@ -28,6 +28,12 @@
 	return id
 }
 
+// maybeSame reports whether two identities may be those of attempts of one request, as far as they say.
+func (id RequestIdentity) maybeSame(other RequestIdentity) bool {
+	return id.Hash == other.Hash &&
+		(id.CallerDeadline == 0 || other.CallerDeadline == 0 || id.deadlineDifference(other) <= deadlineTolerance)
+}
+
 // deadlineSlot numbers the spans of deadlineTolerance in which callers' deadlines lie.
 func (id RequestIdentity) deadlineSlot() int64 { return int64(id.CallerDeadline / deadlineTolerance) }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -137,8 +137,8 @@
 
 // failure is a request that failed on a target before it was answered.
 type failure struct {
-	at     time.Duration
-	prompt []Part
+	at      time.Duration
+	request failedRequest
 }
 
 const (
--- a/plugin/placer/blocked_test.go
+++ b/plugin/placer/blocked_test.go
@@ -41,7 +41,8 @@
 	r.Equal(refusal.Run, api.NotRun)
 	r.Equal(refusal.RetryAfter, 20*time.Second)
 	r.True(r.p.Precheck(promptRequest("root", "sound", "own")) == nil)
-	r.True(r.p.Precheck(promptRequest("root", "deadly")) == nil) // the last part belongs to the request alone
+	r.True(r.p.Precheck(promptRequest("root", "deadly")) != nil) // the last part of a session
+	r.True(r.p.Precheck(promptRequest("deadly")) != nil)
 	r.Advance(20*time.Second, 20*time.Second)
 	r.True(r.p.Precheck(promptRequest("root", "deadly", "own")) == nil) // the owner lets one try it
 }
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -173,11 +173,11 @@
 // refuseBlocked refuses a request with a prompt part that the owner has blocked; nil = not
 // refused. The lock must be held.
 func (p *Placer) refuseBlocked(w *api.PlacementRequest, now time.Duration) *api.Refusal {
-	if p.blocked.Empty() || len(w.Prompt) < 2 {
+	if p.blocked.Empty() {
 		return nil
 	}
 	remaining := time.Duration(0)
-	for _, part := range w.Prompt[:len(w.Prompt)-1] {
+	for _, part := range w.Prompt {
 		remaining = max(remaining, p.blocked.Remaining(placewire.PartID(part.ID), now))
 	}
 	if remaining == 0 {
