placer: a new owner is told of whole prompts, with the parts of sessions

Callers saw: after a change of the owner a session's next request could go to a target that had to prefill the session's own part again, though another one held it.

Cause: entry instances left the last part out of the recent prompts that they tell a new owner of, as one that belongs to one request alone.

TestNewOwnerFindsSession, which gives the owner the whole prompt, passes before and after: the owner's memory of prompts needed no change.

Not measured yet: what it saves on a deployment.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -293,8 +293,8 @@
 	return best
 }
 
-// AffinityPart returns the part by which a prompt's affinity target is selected: the last one
-// that it shares with other requests, which is the last but one. 0 = none.
+// AffinityPart returns the part by which a prompt's affinity target is selected: the last but
+// one, as requests of several sessions may share it. 0 = none.
 func AffinityPart(prompt []Part) PartID {
 	if len(prompt) < 2 {
 		return 0
--- a/internal/placement/recent.go
+++ b/internal/placement/recent.go
@@ -17,7 +17,7 @@
 // RecordRecentPrompts records what targets have prefilled before this owner began, as far as it does not know
 // of later use and the targets have room for it. Parts of another incarnation are ignored.
 func (o *Owner) RecordRecentPrompts(prompts []RecentPrompt) {
-	slices.SortFunc(prompts, func(a, b RecentPrompt) int { return cmp.Compare(a.Ago, b.Ago) })
+	slices.SortStableFunc(prompts, func(a, b RecentPrompt) int { return cmp.Compare(a.Ago, b.Ago) })
 	for i := range prompts {
 		p := &prompts[i]
 		if t := o.targets[p.Target]; t != nil && t.info.StartedUnixMs == p.StartedUnixMs && len(p.Parts) > 0 {
--- a/internal/placement/recent_test.go
+++ b/internal/placement/recent_test.go
@@ -32,3 +32,23 @@
 	is.Equal(full.cache.prefilledTokens(shared), 0)
 	is.Equal(full.cache.prefilledTokens([]Part{{30, full.cache.capacity - 100}}), full.cache.capacity-100)
 }
+
+// Guards against a new owner that sends a session's next request to a target which must prefill the session's own part
+// again.
+func TestNewOwnerFindsSession(t *testing.T) {
+	is := is.New(t)
+	s := newFetchSim()
+	shared, session := []Part{{21, 1000}, {22, 4000}}, Part{23, 6000}
+	var prompts []RecentPrompt
+	for _, id := range []string{"e01", "e02", "e03"} {
+		prompts = append(prompts, RecentPrompt{Target: id, StartedUnixMs: s.owner.targets[id].info.StartedUnixMs, Parts: shared, Ago: time.Second})
+	}
+	prompts = append(prompts, RecentPrompt{Target: "e03", StartedUnixMs: s.owner.targets["e03"].info.StartedUnixMs, Parts: append(append([]Part{}, shared...), session), Ago: time.Second})
+	s.owner.RecordRecentPrompts(prompts)
+	req := fetchRequest(1)
+	req.Prompt = append(append([]Part{}, shared...), session)
+	s.owner.Submit(Key{"n", 1}, req, s.now)
+	d := s.owner.Decisions()[0]
+	is.Equal(d.Target, "e03")
+	is.Equal(d.UncachedTokens, 0)
+}
--- a/internal/placewire/messages.go
+++ b/internal/placewire/messages.go
@@ -150,8 +150,8 @@
 	// Shed is the number of tokens of the requests that the entry instance shed for
 	// lack of processor time or memory, by workspace. The tokens count as in Tokens.
 	Shed map[string]int `json:"y,omitempty"`
-	// Recent lists the shared parts of prompts that targets have prefilled lately for this entry instance. It
-	// is sent once to a new owner.
+	// Recent lists the prompts that targets have prefilled lately for this entry instance. It is sent once
+	// to a new owner.
 	Recent []RecentPrompt `json:"w2,omitempty"`
 	// Rollouts lists what this entry instance has seen of running rollouts: those whose figures have
 	// changed, or in a full report all.
--- a/plugin/owner/setup.go
+++ b/plugin/owner/setup.go
@@ -493,9 +493,9 @@
 		o.state.AddRunning(placement.Key{Entry: from, Number: r.Number}, r.Request.ToPlacement(u.DataCentre), r.Target, r.Began, r.Answered, time.Duration(r.AgoMs)*time.Millisecond, now)
 	}
 	if len(u.Recent) > 0 {
-		recent := make([]placement.RecentPrompt, len(u.Recent))
+		var recent []placement.RecentPrompt
 		for i := range u.Recent {
-			recent[i] = u.Recent[i].ToPlacement()
+			recent = append(recent, u.Recent[i].ToPlacement()...)
 		}
 		o.state.RecordRecentPrompts(recent)
 	}
--- a/plugin/placer/local.go
+++ b/plugin/placer/local.go
@@ -212,8 +212,8 @@
 	return defaultEntryCount
 }
 
-// affinityPart returns the prompt part by which requests are routed to the same target,
-// the last one before the part that belongs to the request alone; 0 = none.
+// affinityPart returns the prompt part by which requests are routed to the same target, as
+// placement.AffinityPart does; 0 = none.
 func affinityPart(prompt []api.PromptPart) placement.PartID {
 	if len(prompt) < 2 {
 		return 0
