gateway, dispatch: more broken answers that must not reach callers

Measured: handled already in both profiles, nothing in the product is changed.

A first form of the test closed the connection before any unread byte had arrived: then the target's end comes first and in order, and the body counts as whole, as docs/incidents/broken-answers.md says under What remains.

--- a/plugin/dispatch/broken_answers_test.go
+++ b/plugin/dispatch/broken_answers_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -118,3 +119,29 @@
 		}
 	}
 }
+
+// Guards against what TestResetDuringUpload leaves out: uploads that fit the buffers of a connection, no body or a long one
+// before the reset, a reset at once, and HTTP/1.0.
+func TestOtherResetsDuringUpload(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 400 X\r\nContent-Type: application/json\r\n\r\n"} {
+		for _, upload := range []int{10_000, 300_000, 32 << 20} {
+			for _, part := range []int{0, 1, 200_000} {
+				for _, delay := range []time.Duration{0, 2 * time.Millisecond, 30 * time.Millisecond} {
+					t.Run(fmt.Sprintf("%q %d bytes %d of the body after %v", head, upload, part, delay), func(t *testing.T) {
+						target := newRawTarget(t, func(w *scriptConn) {
+							w.raw(head + strings.Repeat("x", part))
+							time.Sleep(delay)
+							w.reset()
+						})
+						env := newTestEnv(t, target)
+						req := serviceRequest("POST")
+						req.Body = make([]byte, upload)
+						if body, _, err := env.do(req); err == nil {
+							t.Fatalf("a complete response of %d bytes", len(body))
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/plugin/gateway/broken_answers_test.go
+++ b/plugin/gateway/broken_answers_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"nutmegrouter/platform/standin"
 )
 
@@ -165,3 +167,76 @@
 	c.send(request("POST", "/order/early", "id1", strings.Repeat("b", uploadBytes)))
 	c.want(200, "all of it") // a response that waits for the end of the upload is refused at the deadline
 }
+
+// closeUnread closes a connection once bytes have arrived that were not read, so that the kernel resets it. Before that
+// it would end this direction in order.
+func closeUnread(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	for unread := 0; unread == 0; {
+		_ = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	}
+	c.Close()
+}
+
+// Guards against what TestResetDuringUpload leaves out: uploads that fit the buffers of a connection, no body or a long one
+// before the reset, a reset at once, one that the kernel makes of a close with unread bytes, and HTTP/1.0.
+func TestOtherResetsDuringUpload(t *testing.T) {
+	cfg := configForUploads()
+	ends := map[string]func(net.Conn){"reset": resetConn, "close with unread bytes": closeUnread}
+	for end, endConn := range ends {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, upload := range []int{10_000, 300_000, uploadBytes} {
+				for _, part := range []int{0, 1, 200_000} {
+					for _, delay := range []time.Duration{0, 2 * time.Millisecond, 30 * time.Millisecond} {
+						t.Run(fmt.Sprintf("%s %s %d bytes %d of the body after %v", end, version, upload, part, delay), func(t *testing.T) {
+							x := newTarget(t, "t1", func(c net.Conn, r *http.Request, _ int) {
+								write(c, strings.Replace(responseHeader(200, attemptID(r)), "HTTP/1.1", version, 1)+"\r\n"+strings.Repeat("x", part))
+								time.Sleep(delay)
+								endConn(c)
+							})
+							r := newRig(t, x)
+							r.fleet.Install(newView(1, cfg.Document()))
+							c := r.dial()
+							c.send(request("POST", "/order/early", "id1", strings.Repeat("b", upload)))
+							resp, body, err := c.readResponse()
+							if err == nil && resp.StatusCode < 300 {
+								t.Fatalf("a complete response of %d bytes", len(body))
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against statuses of other forms than those of malformedHeads, and against one that is no status in an early response
+// to a long upload.
+func TestOtherMalformedStatuses(t *testing.T) {
+	cfg := configForUploads()
+	for _, status := range []string{"000", "000 ", "000 OK", "00 OK", "0 OK", "0000 OK", "099 OK", "-200 OK", "+200 OK", "2e2 OK", "20 OK", "2000 OK", "0x0 OK", "600 OK"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for framing, body := range map[string]string{"Content-Length: 2\r\n": "ok", "Transfer-Encoding: chunked\r\n": "2\r\nok\r\n0\r\n\r\n", "": "ok"} {
+				for _, upload := range []int{1, uploadBytes} {
+					t.Run(fmt.Sprintf("%s %s %q %d", version, status, framing, upload), func(t *testing.T) {
+						x := newTarget(t, "t1", func(c net.Conn, r *http.Request, _ int) {
+							header := responseHeader(200, attemptID(r))
+							write(c, version+" "+status+header[strings.Index(header, "\r\n"):]+framing+"\r\n"+body)
+							time.Sleep(5 * time.Millisecond)
+							c.Close()
+						})
+						r := newRig(t, x)
+						r.fleet.Install(newView(1, cfg.Document()))
+						c := r.dial()
+						c.send(request("POST", "/order/early", "id1", strings.Repeat("b", upload)))
+						resp := c.want(502, "*")
+						r.is.Equal(resp.Header.Get(standin.HeaderStamp), "")
+					})
+				}
+			}
+		}
+	}
+}
