placement: a prompt's only part is found again once a second request has it

Callers saw: a session whose prompts have no part in common with others could have its own part prefilled again while a busy target held it.

Cause: the only part of a prompt was taken for that of one request. It was left out of the index of targets by first part, so fetches from other targets were not considered, and beyond 256 targets the target that holds it was not looked for.

Change: such a part is indexed at a target when a second request with it runs there; then it is a session's. Parts of single requests stay out of the index, which they would make large.

Evidence, before and after: TestOnlyPartOfSessionIsFound: not in the index and no fetch; now the fifth request fetches it from the busy target.

Not measured: how many prompts of a deployment have one part.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -109,7 +109,7 @@
 		keepBest(c)
 	}
 	var caching map[*target]struct{}
-	if len(w.request.Prompt) > 1 {
+	if len(w.request.Prompt) > 0 {
 		caching = o.cacheIndex[w.request.Prompt[0].ID]
 	}
 	examined, truncated := 0, false
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -99,7 +99,7 @@
 func (o *Owner) findSources(w *work, now time.Duration) {
 	f := &o.sources
 	f.list = f.list[:0]
-	if !f.enabled || len(w.request.Prompt) < 2 {
+	if !f.enabled || len(w.request.Prompt) == 0 {
 		return
 	}
 	s := o.view.Services[w.request.Service]
--- a/internal/placement/promptcache.go
+++ b/internal/placement/promptcache.go
@@ -32,7 +32,7 @@
 type cachedPart struct {
 	Part
 	pins    int32
-	indexed bool // first part of a longer prompt, which other prompts may share
+	indexed bool // first part of a longer prompt, or of several prompts, which further ones may share
 	// prefilledIn is the generation of the cache in which the part was prefilled; 0 = not yet.
 	prefilledIn uint32
 }
@@ -117,18 +117,21 @@
 func (c *promptCache) pin(prompt []Part, otherTokens int) {
 	for i, p := range prompt {
 		e := c.byID[p.ID]
-		if e == nil {
-			indexed := i == 0 && len(prompt) > 1
-			e = &list.Element{Value: &cachedPart{Part: p, indexed: indexed}}
+		known := e != nil
+		if !known {
+			e = &list.Element{Value: &cachedPart{Part: p}}
 			c.byID[p.ID] = e
 			c.usedTokens += p.Tokens
-			if indexed {
-				c.index.add(p.ID, c.target)
-			}
 		} else if e.Value.(*cachedPart).pins == 0 {
 			c.unpinned.Remove(e)
 		}
 		part := e.Value.(*cachedPart)
+		// The only part of a prompt is a session's once a second request has it. Those of single
+		// requests would make the index large.
+		if i == 0 && !part.indexed && (known || len(prompt) > 1) {
+			part.indexed = true
+			c.index.add(part.ID, c.target)
+		}
 		if part.pins == 0 {
 			c.pinnedTokens += part.Tokens
 		}
--- a/internal/placement/recent.go
+++ b/internal/placement/recent.go
@@ -36,7 +36,7 @@
 		if c.usedTokens+otherTokens+p.Tokens > c.capacity {
 			return
 		}
-		part := &cachedPart{Part: p, indexed: i == 0, prefilledIn: c.generation}
+		part := &cachedPart{Part: p, indexed: i == 0 && len(parts) > 1, prefilledIn: c.generation}
 		c.byID[p.ID] = c.unpinned.PushBack(part)
 		c.usedTokens += p.Tokens
 		if part.indexed {
--- a/internal/placement/sessions_test.go
+++ b/internal/placement/sessions_test.go
@@ -101,3 +101,33 @@
 		is.New(t).True(float64(with) >= 0.9*float64(without))
 	}
 }
+
+// Guards against a session without shared parts whose part is prefilled again although a target has it: the only part of a
+// prompt was taken for that of one request, so no fetch from a busy target was considered. A part that only one request
+// has must not be indexed.
+func TestOnlyPartOfSessionIsFound(t *testing.T) {
+	is := is.New(t)
+	s := newFetchSim()
+	run := func(n uint64, part PartID) {
+		req := fetchRequest(0)
+		req.Prompt = []Part{{part, fetchTokens}}
+		s.owner.AddRunning(Key{"e01", n}, req, "e01", true, true, 2*second, s.now)
+	}
+	run(1, 50)
+	run(2, 60)
+	is.Equal(len(s.owner.cacheIndex[50]), 0)
+	for n := range uint64(3) {
+		run(10+n, 60) // all slots are in use
+	}
+	is.Equal(len(s.owner.cacheIndex[60]), 1)
+	req := fetchRequest(0)
+	req.Prompt = []Part{{60, fetchTokens}}
+	s.owner.Submit(Key{"n", 1}, req, s.now)
+	d := s.owner.Decisions()
+	is.Equal(len(d), 1)
+	is.True(d[0].Target != "" && d[0].Target != "e01")
+	is.Equal(d[0].FetchFrom, "e01")
+	s.view.Targets = s.view.Targets[:1]
+	s.owner.SetView(s.view, s.now)
+	is.Equal(len(s.owner.cacheIndex[60]), 0)
+}
