placement: a returning caller keeps the first attempt's times when records are rotated

Callers saw: nothing measured. A request that was refused again just when the records of its first refusal were dropped was recorded with the deadline of the retry, up to 0.5 s from the first one's, so that its next retry could count as new.

Cause: the record was looked up after the rotation that drops it, and again at the refusal, which comes later than the request if it was queued.

Change: it is looked up before, and a request that is taken for a retry keeps the identity of the first attempt.

Evidence: TestRetryTrackerProperties (rapid) failed before, passes in 20,000 runs.

--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -267,7 +267,7 @@
 	o.requests[k] = w
 	w.effectiveObjectiveAt = max(w.objectiveAt, now-req.Lateness+time.Duration(longPromptFactor*float64(o.typicalPrefillTime(req)+baseLatency)))
 	if first, isRetry := o.retries.firstAttempt(w.identity); isRetry && !req.Resumes {
-		w.objectiveAt = min(w.objectiveAt, first.objectiveAt)
+		w.objectiveAt, w.identity = min(w.objectiveAt, first.objectiveAt), first.identity
 		// It is late because of its first attempt, not for lack of capacity.
 		w.effectiveObjectiveAt, w.missCounted, w.isRetry = w.objectiveAt, true, true
 	} else if !req.Resumes {
--- a/internal/placement/retries.go
+++ b/internal/placement/retries.go
@@ -40,11 +40,11 @@
 // retry it keeps the first attempt's times, so that a record describes no other request than
 // that one however often it is renewed.
 func (r *retryTracker) recordRefusal(id RequestIdentity, objectiveAt, now time.Duration) {
+	refused, isRetry := r.firstAttempt(id) // before its record is dropped
 	r.rotate(now)
 	if id.Hash == 0 || id.CallerDeadline == 0 {
 		return
 	}
-	refused, isRetry := r.firstAttempt(id)
 	if !isRetry {
 		refused = refusedRequest{id, objectiveAt}
 	}
--- a/internal/placement/retries_test.go
+++ b/internal/placement/retries_test.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // Guards against two refused requests of one session, both of which come back, that get each other's place.
@@ -77,3 +79,45 @@
 		r.recordRefusal(retry, now+second, now)
 	}
 }
+
+// Guards against a tracker that takes one request for the retry of another, or loses its place, in any order of refusals
+// and returns.
+func TestRetryTrackerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type refused struct {
+			id          RequestIdentity
+			objectiveAt time.Duration
+			refusedAt   time.Duration // last
+		}
+		r, now, known := newRetryTracker(), second, []refused{}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			id := newIdentity(RequestHash(rapid.IntRange(0, 3).Draw(t, "hash")), time.Duration(rapid.IntRange(0, 40).Draw(t, "left"))*500*time.Millisecond, now)
+			first, isRetry := r.firstAttempt(id)
+			var possible []refused
+			for _, k := range known {
+				if id.Hash != 0 && id.CallerDeadline != 0 && k.id.Hash == id.Hash && k.id.deadlineDifference(id) <= deadlineTolerance {
+					possible = append(possible, k)
+				}
+			}
+			if isRetry {
+				if !slices.ContainsFunc(possible, func(k refused) bool { return k.id == first.identity && k.objectiveAt == first.objectiveAt }) {
+					t.Fatalf("%v is taken for a retry of %v", id, first)
+				}
+			} else if slices.ContainsFunc(possible, func(k refused) bool { return now-k.refusedAt < refusalTTL }) {
+				t.Fatalf("%v is no retry of any of %v", id, possible)
+			}
+			r.recordRefusal(id, now+second, now)
+			switch {
+			case isRetry:
+				for i := range known {
+					if known[i].id == first.identity {
+						known[i].refusedAt = now
+					}
+				}
+			case id.Hash != 0 && id.CallerDeadline != 0:
+				known = append(known, refused{id, now + second, now})
+			}
+		}
+	})
+}
