soak: half of the model requests belong to sessions

Cause: each model request of the soak had a last prompt part of its own, so that no run could show a session that is refused, throttled or blamed.

Change: every other one has the last part of one of 30 sessions.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -65,9 +65,12 @@
 	g.wg.Wait()
 }
 
+// sessions is the number of sessions of model requests, each with one last prompt part.
+const sessions = 30
+
 // newRequest returns a random request to one of the four base routes. Model requests
-// have a prompt of one part that all share, one of 20 parts that some share, and one
-// of their own. One request in 40 disconnects.
+// have a prompt of one part that all share, one of 20 parts that some share, and a last
+// one of their own or, every other time, of one of 30 sessions. One request in 40 disconnects.
 func (g *loadGenerator) newRequest(rng *rand.Rand) *request {
 	g.generated++
 	routes := g.harness.config.Routes
@@ -85,11 +88,12 @@
 		req.call.APIKey = keys[rng.IntN(len(keys))]
 	}
 	if route.Kind == "streaming" {
-		sharedBlock := rng.IntN(20)
-		req.call.MaxOutput = 200
-		req.call.Prompt = []standin.Part{
-			{ID: "a1", Tokens: 100}, {ID: fmt.Sprintf("b%d", sharedBlock), Tokens: 800}, {ID: fmt.Sprintf("c%d", g.generated), Tokens: 200 + rng.IntN(1500)},
+		sharedBlock, last := rng.IntN(20), standin.Part{ID: fmt.Sprintf("c%d", g.generated), Tokens: 200 + rng.IntN(1500)}
+		if session := rng.IntN(2 * sessions); session < sessions {
+			sharedBlock, last = session%20, standin.Part{ID: fmt.Sprintf("d%d", session), Tokens: 600}
 		}
+		req.call.MaxOutput = 200
+		req.call.Prompt = []standin.Part{{ID: "a1", Tokens: 100}, {ID: fmt.Sprintf("b%d", sharedBlock), Tokens: 800}, last}
 		req.call.Body = make([]byte, 2000)
 	}
 	return req
