--- a/internal/placement/crashes_test.go
+++ b/internal/placement/crashes_test.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// lateDeadlyStarts returns how many requests with the deadly part reached engines later than three
+// seconds after the fifth crash.
+func (s *sim) lateDeadlyStarts() (n int) {
+	for _, at := range s.deadlyStarts {
+		if len(s.crashes) >= 5 && at > s.crashes[4]+3*second {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against requests that crash one target after the other: three seconds after the fifth
 // crash no more than three requests with the part may reach targets, and sound requests that share
 // the first part are served.
@@ -64,12 +75,7 @@
 			s.deadly = deadlyPart
 			s.generatePrompts(60, share, 125, 0, 40*second)
 			s.run(50 * second)
-			late := 0
-			for _, at := range s.deadlyStarts {
-				if len(s.crashes) >= 5 && at > s.crashes[4]+3*second {
-					late++
-				}
-			}
+			late := s.lateDeadlyStarts()
 			sound := s.summarize(20*second, 40*second, func(c *call) bool { return !hasPart(c.request.Prompt, deadlyPart) })
 			t.Logf("share %v seed %d: %d crashes, %d requests reached targets late, sound: %+v", share, seed, len(s.crashes), late, sound)
 			is.True(late <= 3)
@@ -97,12 +103,7 @@
 			s.deadly, s.sameHash = deadlyPart, x.sameHash
 			s.generateSessionPrompts(60, x.deadlyShare, x.documents, 100, 0, 40*second)
 			s.run(50 * second)
-			late := 0
-			for _, at := range s.deadlyStarts {
-				if len(s.crashes) >= 5 && at > s.crashes[4]+3*second {
-					late++
-				}
-			}
+			late := s.lateDeadlyStarts()
 			sound := s.summarize(20*second, 40*second, func(c *call) bool { return !hasPart(c.request.Prompt, deadlyPart) })
 			blocked := s.owner.BlockedParts(s.now)
 			t.Logf("%+v seed %d: %d crashes, %d requests reached targets late, sound: %+v", x, seed, len(s.crashes), late, sound)
