placer: recent prompts can be reported before the first one is recorded

Callers saw: nothing; in the product the list is always made.

Cause: the tests' harness makes a placer without the list of recent prompts. 0.3 to 1 s after a change of the owner a timer reports it; a test that still ran then, beside load, found the linked list of missing, where a map had been.

Change: the zero value can be reported; the harness makes the list.

Evidence: TestReportWithoutRecentPrompts failed with the same nil pointer, passes.

--- a/plugin/placer/recent.go
+++ b/plugin/placer/recent.go
@@ -45,15 +45,15 @@
 // recentPrompts holds the prompts that targets have prefilled for this instance lately, so that a new owner does not
 // take their prompt caches for empty. The last part of a prompt may be a session's, whose next request needs it, or
 // that of one request alone. Last parts are therefore kept apart from the shared ones: they may be many, and must not
-// take the room of those.
+// take the room of those. A zero value can be reported, but not recorded in.
 type recentPrompts struct {
 	shared    map[recentKey]*recentPrompt
 	lastParts map[recentKey]*list.Element // of newest
-	newest    *list.List                  // of *recentLastPart, newest first
+	newest    list.List                   // of *recentLastPart, newest first
 }
 
 func newRecentPrompts() recentPrompts {
-	return recentPrompts{shared: map[recentKey]*recentPrompt{}, lastParts: map[recentKey]*list.Element{}, newest: list.New()}
+	return recentPrompts{shared: map[recentKey]*recentPrompt{}, lastParts: map[recentKey]*list.Element{}}
 }
 
 // record records that a target has prefilled a prompt. At maxRecentPrompts, prompts whose shared parts are new are left
--- a/plugin/placer/recent_test.go
+++ b/plugin/placer/recent_test.go
@@ -75,3 +75,9 @@
 		}
 	}
 }
+
+// Guards against a report before the first prompt that ends the process.
+func TestReportWithoutRecentPrompts(t *testing.T) {
+	var r recentPrompts
+	is.New(t).Equal(len(r.report(time.Minute)), 0)
+}
--- a/plugin/placer/suspension_test.go
+++ b/plugin/placer/suspension_test.go
@@ -66,7 +66,7 @@
 	set := metrics.NewSet()
 	r.p = &Placer{
 		mesh: recordingMesh{r: r}, topology: topology{}, fleet: fleet{}, directory: directory{}, clock: r, log: slog.New(slog.DiscardHandler),
-		dataCentre: "z", readClocks: r.ReadClocks, local: placement.NewLocal("z"), throttle: placement.NewThrottle(), blocked: placement.NewBlockList(), notices: placement.NewNotices(), suspects: placement.NewSuspectList(), localByWorkspace: map[string]int{}, starts: placement.NewStartShare(), subsets: map[string]subset{}, listsKnown: make(chan struct{}), startedAt: -startTimeout,
+		dataCentre: "z", readClocks: r.ReadClocks, local: placement.NewLocal("z"), throttle: placement.NewThrottle(), blocked: placement.NewBlockList(), notices: placement.NewNotices(), suspects: placement.NewSuspectList(), localByWorkspace: map[string]int{}, starts: placement.NewStartShare(), recent: newRecentPrompts(), subsets: map[string]subset{}, listsKnown: make(chan struct{}), startedAt: -startTimeout,
 		leavingNotices: set.NewCounter("g"), pauseNotices: set.NewCounter("h"), limitNotices: set.NewCounter("i"), unmeteredSends: set.NewCounter("j"),
 		owner: ownerState{name: "o", term: 1}, waiting: map[uint64]*waiter{}, running: map[uint64]*assignment{},
 		sendSignal: make(chan struct{}, 1), watchSignal: make(chan struct{}, 1),
