--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -231,7 +231,7 @@
 	_ = os.RemoveAll(f.dir)
 }
 
-// memoryMB returns the resident memory of the process in MB of 2^20 bytes.
+// residentMB returns the resident memory of the process in MB of 2^20 bytes.
 func (i *instance) residentMB() float64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.cmd.Process.Pid))
 	if err != nil {
