routing: an empty list of workspaces closes the routes instead of opening them

Cause: the decoder read an absent list, an empty one and null into the same empty slice, and the gateway took a list of length 0 for a configuration without workspaces.

Evidence: TestRoutesWithoutKeys failed before on "empty list" (status 200, want 401) and passes now. FuzzConfig 20 s and the race detector on the touched packages: passed.

--- a/cmd/nutmegctl/main_test.go
+++ b/cmd/nutmegctl/main_test.go
@@ -15,6 +15,7 @@
 
 	"nutmegrouter/internal/adminapi"
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/routing"
 )
 
 // fakeInstance serves the operators' API with preset responses and records the changes
@@ -54,7 +55,7 @@
 	case adminapi.PathInForce:
 		out = adminapi.InForce{Revision: 5, InForce: f.inForce, WaitingInstances: []string{"b"}}
 	case adminapi.PathStatus:
-		out = adminapi.Status{Instance: "a", Ready: true, Control: api.ControlStatus{Role: "leader"}}
+		out = adminapi.Status{Instance: "a", Ready: true, Access: routing.AccessClosed, Control: api.ControlStatus{Role: "leader"}}
 	case adminapi.PathChanges:
 		var s api.Submission
 		_ = json.Unmarshal(r.PostBody(), &s)
@@ -153,6 +154,15 @@
 	is.Equal(code, exitFailure)
 }
 
+// Guards against a fleet that is closed to all callers, or open to all, without the operator seeing it.
+func TestStatusShowsAccess(t *testing.T) {
+	is := is.New(t)
+	f := startFakeInstance(t)
+	_, out, _ := runTool("", "-admin", f.address, "status")
+	is.True(strings.Contains(out, "ACCESS"))
+	is.True(strings.Contains(out, string(routing.AccessClosed)))
+}
+
 // Guards against one suspended instance using up the time of the whole command. The
 // operating system still accepts connections for it, but it never responds.
 func TestSuspendedInstance(t *testing.T) {
--- a/cmd/nutmegctl/read.go
+++ b/cmd/nutmegctl/read.go
@@ -125,10 +125,10 @@
 		return t.printJSON(statuses)
 	}
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tREADY\tREVISION\tCONTROL\tOWNS\tUNREACHABLE")
+	fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tREADY\tREVISION\tACCESS\tCONTROL\tOWNS\tUNREACHABLE")
 	for _, s := range statuses {
 		if s.Status == nil {
-			fmt.Fprintf(w, "%s\t-\tno: %s\t-\t-\t-\t-\n", s.Address, s.Error)
+			fmt.Fprintf(w, "%s\t-\tno: %s\t-\t-\t-\t-\t-\n", s.Address, s.Error)
 			continue
 		}
 		fmt.Fprintln(w, statusLine(*s.Status))
@@ -154,7 +154,7 @@
 		}
 	}
 	return strings.Join([]string{
-		s.Instance, s.DataCentre, ready, fmt.Sprint(s.Revision), s.Control.Role,
+		s.Instance, s.DataCentre, ready, fmt.Sprint(s.Revision), orDash(string(s.Access)), s.Control.Role,
 		orDash(strings.Join(owns, " ")), orDash(strings.Join(unreachable, " ")),
 	}, "\t")
 }
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -6,6 +6,7 @@
 import (
 	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/routing"
 )
 
 // Paths of the API, with the method, parameters and types of request and response.
@@ -35,16 +36,19 @@
 
 // Status is the state of one instance and the state of its peers as known to it.
 type Status struct {
-	Instance   string            `json:"instance"`
-	DataCentre string            `json:"data_centre"`
-	Ready      bool              `json:"ready"`
-	NotReady   string            `json:"not_ready,omitempty"` // reason if not ready
-	LeaseValid bool              `json:"lease"`               // the instance lease is valid
-	Revision   uint64            `json:"revision"`            // of the view in force
-	Out        []string          `json:"out,omitempty"`       // data centres out of service
-	Pools      []PoolStatus      `json:"pools,omitempty"`
-	Peers      []PeerStatus      `json:"peers,omitempty"`
-	Control    api.ControlStatus `json:"control"`
+	Instance   string   `json:"instance"`
+	DataCentre string   `json:"data_centre"`
+	Ready      bool     `json:"ready"`
+	NotReady   string   `json:"not_ready,omitempty"` // reason if not ready
+	LeaseValid bool     `json:"lease"`               // the instance lease is valid
+	Revision   uint64   `json:"revision"`            // of the view in force
+	Out        []string `json:"out,omitempty"`       // data centres out of service
+	// Access says which keys the configuration in force accepts: "open", "keys" or "closed"; "" without a
+	// configuration, or if it is not readable. It is set with the profile "routes" only.
+	Access  routing.Access    `json:"access,omitempty"`
+	Pools   []PoolStatus      `json:"pools,omitempty"`
+	Peers   []PeerStatus      `json:"peers,omitempty"`
+	Control api.ControlStatus `json:"control"`
 }
 
 // PoolStatus is the owner of a pool as known to an instance.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -138,7 +138,10 @@
 	// Services maps names to services.
 	Services   map[string]*Service
 	Workspaces []Workspace
-	Callers    CallerLimits
+	// Open is set if the configuration has no list of workspaces: no route needs a key. An empty list
+	// leaves Open unset, and then only public routes serve requests.
+	Open    bool
+	Callers CallerLimits
 	// TokensPerSecond is the throughput of all engines together. A prompt token counts
 	// once, a generated token twice.
 	TokensPerSecond float64
@@ -161,6 +164,31 @@
 // Workspace returns the workspace with the given API key, or nil.
 func (t *Table) Workspace(key string) *Workspace { return t.workspacesByKey[HashKey(key)] }
 
+// Access says which keys a table accepts.
+type Access string
+
+// Kinds of access.
+const (
+	AccessOpen   Access = "open"   // no route needs a key
+	AccessByKey  Access = "keys"   // routes that are not public need the key of a workspace
+	AccessClosed Access = "closed" // no workspace has a key, so only public routes serve requests
+)
+
+// Access returns which keys the table accepts.
+func (t *Table) Access() Access {
+	keys := len(t.workspacesByKey)
+	if t.Workspace("") != nil {
+		keys-- // an empty key is the same as none
+	}
+	switch {
+	case t.Open:
+		return AccessOpen
+	case keys > 0:
+		return AccessByKey
+	}
+	return AccessClosed
+}
+
 // NormalHost returns the host in lower case and without a port.
 func NormalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/plugin/admin/http.go
+++ b/plugin/admin/http.go
@@ -14,6 +14,7 @@
 
 	"nutmegrouter/internal/adminapi"
 	"nutmegrouter/internal/api"
+	"nutmegrouter/internal/routing"
 )
 
 // controlTimeout bounds the wait of an operator's call for the control log. It is longer
@@ -81,7 +82,7 @@
 	view := a.fleet.View()
 	out := adminapi.Status{
 		Instance: s.Instance, DataCentre: s.DataCentre,
-		Revision: view.Revision,
+		Revision: view.Revision, Access: a.access(view),
 	}
 	if a.control != nil {
 		out.Control = a.control.Status()
@@ -115,6 +116,22 @@
 	return out
 }
 
+// access returns which keys the configuration of a view accepts; "" if the view has none, or one that is
+// not readable.
+func (a *Admin) access(view *api.View) routing.Access {
+	if a.dialect == nil {
+		return ""
+	}
+	table, err := view.ParseTable(a.dialect)
+	if err != nil {
+		a.kernel.Log.Error("configuration not readable", "step", "status", "version", view.Version, "error", err)
+	}
+	if err != nil || table == nil {
+		return ""
+	}
+	return table.Access()
+}
+
 // serveHistory responds with the newest accepted changes; limit is 1 to 1000, default 20.
 func (a *Admin) serveHistory(r *fasthttp.RequestCtx) {
 	if !a.requireControl(r) {
--- a/plugin/admin/setup.go
+++ b/plugin/admin/setup.go
@@ -39,6 +39,7 @@
 	lease   api.Lease // nil with the profile "routes"
 	fleet   api.Fleet
 	control api.Control // nil on entry instances of the profile "routes"
+	dialect api.Dialect // nil with the profile "pools"
 
 	listener net.Listener
 	server   *fasthttp.Server
@@ -84,6 +85,9 @@
 		return err
 	}
 	if c.Settings.IsRoutes() {
+		if a.dialect, err = kernel.Lookup[api.Dialect](c); err != nil {
+			return err
+		}
 		if c.Settings.ServesCallers() {
 			return nil
 		}
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -106,6 +106,19 @@
 	return resp, string(b)
 }
 
+// Guards against a configuration without workspaces that lets requests pass.
+func TestNoWorkspaces(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDispatcher{}
+	s := newServer(t, d)
+	s.fleet.Install(&api.View{Revision: 2, Config: &fleetconfig.Config{Pools: []fleetconfig.Pool{{Name: "svc", Kind: fleetconfig.KindService}}}})
+	for _, header := range []string{auth, "Host: x\r\n"} {
+		resp, _ := roundTrip(t, s, "GET /v1/pools/svc/x HTTP/1.1\r\n"+header+"\r\n")
+		is.Equal(resp.StatusCode, 401)
+	}
+	is.Equal(len(d.requests), 0)
+}
+
 const auth = "Host: x\r\nAuthorization: Bearer secret\r\n"
 
 // Guards against requests that reach a target although they must be refused: without a
--- a/plugin/gateway/callers_test.go
+++ b/plugin/gateway/callers_test.go
@@ -183,6 +183,44 @@
 	c.want(200, "ok")
 }
 
+// Guards against a configuration whose list of workspaces is empty, or has no key, that opens all routes
+// to everybody. Only a configuration without such a list does.
+func TestRoutesWithoutKeys(t *testing.T) {
+	const unauthorized, ok = 401, 200
+	for _, c := range []struct {
+		name       string
+		workspaces map[string][]string
+		want       int // status of a request with a key of no workspace, with a removed one, and with none
+	}{
+		{"no list", nil, ok},
+		{"empty list", map[string][]string{}, unauthorized},
+		{"no keys", map[string][]string{"w": {}}, unauthorized},
+		{"keys not set", map[string][]string{"w": nil}, unauthorized},
+		{"empty key", map[string][]string{"w": {""}}, unauthorized},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newTarget(t, "t1", respondWith("ok"))
+			r := newRig(t, x).configure(1) // has a workspace
+			newer := configOf(2)
+			newer.Workspaces = c.workspaces
+			newer.Routes[4].Public = false
+			r.fleet.Install(newView(2, newer.Document()))
+			look := request("GET", "/look/1", "i", "")
+			for _, text := range []string{
+				look, strings.Replace(look, "Bearer key", "Bearer unknown", 1), strings.Replace(look, "Bearer key", "Bearer ", 1),
+				strings.Replace(look, "Authorization: Bearer key\r\n", "", 1),
+			} {
+				caller := r.dial()
+				caller.send(text)
+				caller.want(c.want, "*")
+			}
+			caller := r.dial()
+			caller.send(request("POST", "/order/1", "i", "x")) // a public route
+			caller.want(ok, "*")
+		})
+	}
+}
+
 // Guards against a planned stop that aborts or refuses a request, or that leaves the
 // instance ready.
 func TestDrain(t *testing.T) {
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -148,7 +148,7 @@
 }
 
 // authorize sets the workspace that owns the bearer key, or returns a refusal. Public
-// routes, and configurations without workspaces, accept a missing or unknown key.
+// routes, and all routes of an open table, accept a missing or unknown key.
 func authorize(t *routing.Table, r *api.ForwardRequest) *api.Refusal {
 	if r.Fields.BearerKey != "" {
 		if w := t.Workspace(r.Fields.BearerKey); w != nil {
@@ -156,7 +156,7 @@
 			return nil
 		}
 	}
-	if r.Route.Public || len(t.Workspaces) == 0 {
+	if r.Route.Public || t.Open {
 		return nil
 	}
 	return newRefusal(fasthttp.StatusUnauthorized, codeUnauthorized, "the key is missing or unknown")
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -133,7 +133,7 @@
 	g.table.Store(t)
 	g.endStartup()
 	logqueue.Notice(g.log, "configuration in force", "step", "view", "version", v.Version, "revision", v.Revision,
-		"routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces))
+		"routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces), "access", t.Access())
 }
 
 // callerLimits returns the configured limits, or none before the first configuration.
--- a/plugin/operators/setup.go
+++ b/plugin/operators/setup.go
@@ -112,7 +112,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	s.submit(ctx, callCtx, api.Submission{Version: table.Version, Document: api.PackDocument(body)})
+	s.submit(ctx, callCtx, api.Submission{Version: table.Version, Document: api.PackDocument(body)}, "access", table.Access())
 }
 
 // setDataCentreOut takes a data centre out of service or brings it back.
@@ -135,8 +135,8 @@
 
 // submit submits a change to the control log and responds with the result. The change of
 // a disconnected caller is not submitted: the caller may have sent it, and a later one,
-// to another instance meanwhile.
-func (s *Server) submit(ctx *fasthttp.RequestCtx, callCtx context.Context, submission api.Submission) {
+// to another instance meanwhile. logAttrs are added to the log line of an accepted change.
+func (s *Server) submit(ctx *fasthttp.RequestCtx, callCtx context.Context, submission api.Submission, logAttrs ...any) {
 	if !targetconn.IsOpen(ctx.Conn()) {
 		s.unavailable(ctx, errors.New("the caller has disconnected"))
 		return
@@ -152,8 +152,8 @@
 		s.refuse(ctx, fasthttp.StatusBadRequest, result.Error)
 	default:
 		s.accepted.Inc()
-		logqueue.Notice(s.log, "change accepted", "step", "operators", "change", submission.ChangeID, "version", submission.Version,
-			"data_centre", submission.DataCentre, "out", submission.Out, "revision", result.Revision)
+		logqueue.Notice(s.log, "change accepted", append([]any{"step", "operators", "change", submission.ChangeID, "version", submission.Version,
+			"data_centre", submission.DataCentre, "out", submission.Out, "revision", result.Revision}, logAttrs...)...)
 		ctx.SetStatusCode(fasthttp.StatusOK)
 	}
 }
