gateway: a stopping instance admits nothing that was sent 3 s after the signal

Cause: the users' rules excuse a truncated response if its request was sent within 3 s of the signal. drainAdmitTime was the same 3 s, but began when Drain ran, ended at the next poll (20 ms), and was compared when the request had arrived.

Change: drainAdmitTime ends signalDelay (0.3 s) earlier, and each request is compared with the clock, not with the poll. A suspension of the machine during the stop counts. It cannot be fooled by a signal that is noticed up to 0.3 s late; one that is noticed later still, after a freeze, is not covered.

--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -14,27 +14,46 @@
 	// deregistrationDelay is how long the load balancer may still send new connections
 	// after the instance reports that it is not ready: two readiness checks a second apart.
 	deregistrationDelay = 2500 * time.Millisecond
+	// latestSend is how long after the stop signal a caller may send a request that the exit of the
+	// process truncates. It counts from the signal itself, to the moment of sending (users' rules, LOST).
+	latestSend = 3 * time.Second
+	// signalDelay bounds the time from the stop signal until Drain runs, on a busy instance.
+	signalDelay = 300 * time.Millisecond
 	// drainAdmitTime is how long a draining instance still admits requests, or half of
 	// the stop time if that is shorter. A load balancer with too few ready instances sends
 	// requests until the process exits. A stream admitted late would be truncated; a
 	// refused one is retried on another instance.
-	drainAdmitTime = 3 * time.Second
+	drainAdmitTime = latestSend - signalDelay
 	// stopMargin is the time between the return of Drain and the kill of the process.
 	stopMargin = 300 * time.Millisecond
 )
 
+// stopTime returns the time from the start of Drain until it returns at the latest.
+func (g *Gateway) stopTime() time.Duration {
+	return settings.Ms(g.kernel.Settings.Routes.Bounds.StopMs) - stopMargin
+}
+
+// admissionClosed reports whether a planned stop refuses all further requests. A suspension of the
+// machine since the stop signal counts, because the process is killed all the same.
+func (g *Gateway) admissionClosed() bool {
+	begin := g.stopBegin.Load()
+	return begin != nil && g.readClocks().Since(*begin) >= min(drainAdmitTime, g.stopTime()/2)
+}
+
 // Drain implements kernel.Drainer. It reports the instance as not ready and asks callers
 // to close their connections. Requests are admitted for drainAdmitTime. Connections are
 // accepted for deregistrationDelay, and longer while new ones arrive. Drain returns nil
 // once all connections are closed or the stop time is over, and the context's error if
 // that ends first.
 func (g *Gateway) Drain(ctx context.Context) error {
+	now := g.readClocks()
+	g.stopBegin.CompareAndSwap(nil, &now)
 	g.draining.Store(true)
 	begin := g.clock.Now()
-	limit := settings.Ms(g.kernel.Settings.Routes.Bounds.StopMs) - stopMargin
-	closed := false
-	for g.clock.Now()-begin < limit {
-		if g.clock.Now()-begin >= min(drainAdmitTime, limit/2) && !g.admissionClosed.Swap(true) {
+	refusing, closed := false, false
+	for g.clock.Now()-begin < g.stopTime() {
+		if !refusing && g.admissionClosed() {
+			refusing = true
 			logqueue.Notice(g.log, "refusing new requests", "step", "drain")
 		}
 		if !closed && g.clock.Now()-begin >= deregistrationDelay && g.listener.NoRecentAccept() {
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -97,7 +97,7 @@
 
 // checkStopping returns a refusal if a planned stop refuses all further requests, or nil.
 func (g *Gateway) checkStopping() *api.Refusal {
-	if !g.admissionClosed.Load() {
+	if !g.admissionClosed() {
 		return nil
 	}
 	refusal := newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -78,8 +78,9 @@
 	http            *fasthttp.Server
 	listener        *callerconn.Listener
 	conns           *callerconn.Tracker
-	draining        atomic.Bool // set when a planned stop begins
-	admissionClosed atomic.Bool // set when a planned stop refuses all further requests
+	draining        atomic.Bool                         // set when a planned stop begins
+	stopBegin       atomic.Pointer[kernel.ClockReading] // start of the planned stop; nil = none
+	readClocks      func() kernel.ClockReading
 }
 
 // Provision implements kernel.Plugin. It fails if a service that the gateway uses is not
@@ -97,7 +98,7 @@
 	if g.dialect, err = kernel.Lookup[api.Dialect](c); err != nil {
 		return err
 	}
-	g.kernel, g.clock, g.log = c, c.Clock, c.Log.With("plugin", "gateway")
+	g.kernel, g.clock, g.readClocks, g.log = c, c.Clock, kernel.ReadClocks, c.Log.With("plugin", "gateway")
 	g.stats = newStats(c.Metrics)
 	memory := c.Settings.Routes.MemoryMB * (1 << 20)
 	g.memory = overload.NewMemoryLimit(int64(requestMemoryShare * memory))
--- a/plugin/gateway/stop_test.go
+++ b/plugin/gateway/stop_test.go
@@ -10,6 +10,11 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"nutmegrouter/internal/kernel"
+	"nutmegrouter/internal/settings"
 )
 
 // Guards against requests that reach a target but get no response during a planned stop
@@ -117,3 +122,72 @@
 	r.is.True(served.Load() > 500)
 	r.is.Equal(lost.Load(), int64(0))
 }
+
+// Guards against a request that reaches a target although it was sent more than 3 s after the stop signal:
+// its response may be truncated when the process exits. Here the process notices the signal late.
+func TestLateRequestsReachNoTarget(t *testing.T) {
+	const (
+		latestSend  = 3 * time.Second // after the signal
+		noticeDelay = 200 * time.Millisecond
+	)
+	var reached sync.Map // ids of requests that reached the target
+	r := newRig(t, newTarget(t, "t1", func(c net.Conn, r *http.Request, _ int) {
+		reached.Store(attemptID(r), true)
+		write(c, streamHeader(attemptID(r))+chunk(event(1))+endChunk)
+	})).configure(1)
+	r.gateway.kernel.Settings.Routes.Bounds.StopMs = 8000
+	address := r.gateway.listener.Addr().String()
+	signalled := time.Now()
+	time.AfterFunc(noticeDelay, func() { _ = r.gateway.Drain(context.Background()) })
+	var callers sync.WaitGroup
+	var sentInTime, late, lateReached atomic.Int64
+	for i := 0; time.Since(signalled) < latestSend+2*noticeDelay; i++ {
+		conn, err := net.Dial("tcp", address)
+		r.is.NoErr(err)
+		callers.Go(func() {
+			defer conn.Close()
+			id := fmt.Sprint("id", i)
+			c := newCaller(t, conn)
+			sentAt := time.Since(signalled)
+			c.send(request("POST", "/draft/1", id, "x"))
+			_, _, err := c.readResponse()
+			if err != nil {
+				t.Errorf("request sent after %v: %v", sentAt, err)
+			}
+			if _, ok := reached.Load(id); sentAt <= latestSend {
+				sentInTime.Add(1)
+			} else if late.Add(1); ok {
+				lateReached.Add(1)
+			}
+		})
+		time.Sleep(2 * time.Millisecond)
+	}
+	callers.Wait()
+	t.Logf("%d sent in time, %d late, of these %d reached the target", sentInTime.Load(), late.Load(), lateReached.Load())
+	r.is.True(sentInTime.Load() > 100 && late.Load() > 50)
+	r.is.Equal(lateReached.Load(), int64(0))
+}
+
+// Guards against a stopping instance that admits requests for longer after the stop signal because the
+// machine was suspended, and against one that refuses requests without a stop.
+func TestAdmissionEndsAlsoAfterSuspension(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{kernel: &kernel.Context{Settings: &settings.Settings{Routes: settings.Routes{Bounds: settings.Bounds{StopMs: 8000}}}}}
+	start := kernel.ClockReading{Monotonic: time.Hour, Wall: time.Hour}
+	var now kernel.ClockReading
+	g.readClocks = func() kernel.ClockReading { return now }
+	after := func(monotonic, wall time.Duration) bool {
+		now = kernel.ClockReading{Monotonic: start.Monotonic + monotonic, Wall: start.Wall + wall}
+		return g.checkStopping() != nil
+	}
+	is.True(!after(time.Minute, time.Minute)) // no stop
+	g.stopBegin.Store(&start)
+	is.True(!after(0, 0))
+	is.True(!after(drainAdmitTime-1, drainAdmitTime-1))
+	is.True(after(drainAdmitTime, drainAdmitTime))
+	is.True(after(time.Second, 4*time.Second))   // suspended for 3 s
+	is.True(after(drainAdmitTime, -time.Minute)) // the wall clock was set back
+	g.kernel.Settings.Routes.Bounds.StopMs = 2300
+	is.True(!after(time.Second-1, time.Second-1)) // half of the time for the stop
+	is.True(after(time.Second, time.Second))
+}
