gateway, placer: requests that wait for a target are refused before the exit

Callers would see: a request that still waits for a target when a stopping instance exits gets no response. Its connection closes, which promises nothing, so a request that must not run twice is not repeated although it did not run.

Cause: Drain waits for open connections and then returns; nothing ends the waits in the placer.

Change: Drain refuses the waiting model requests a second before it returns, with 503, "not run" and the Retry-After of a stop, and the owner is told. Model requests that come to the placer later are refused, too. A request that an earlier attempt may have run is answered 502, as before.

Evidence: TestWaitingRequestIsRefusedBeforeExit failed before (no response for 10 s, Drain returned) and passes.

--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -134,6 +134,9 @@
 	// ReportShed reports a request that this instance shed for lack of its own
 	// resources, so that its workspace's demand is counted in the shares.
 	ReportShed(w *PlacementRequest)
+	// RefuseWaiting refuses the model requests that wait in Place, and those that come later. It is
+	// used in a planned stop; r must not be modified afterwards.
+	RefuseWaiting(r *Refusal)
 	// Place waits until the request may start on a target. The error is a
 	// *Refusal or the context's error.
 	Place(ctx context.Context, w *PlacementRequest) (Placement, error)
@@ -186,6 +189,9 @@
 	// ReportShed reports a request that the instance shed after Precheck, for lack
 	// of its own resources.
 	ReportShed(r *ForwardRequest)
+	// RefuseWaiting is Placer.RefuseWaiting. A request that an earlier attempt may have run is refused
+	// as one whose run state is not known.
+	RefuseWaiting(r *Refusal)
 	// Forward returns the response once its headers have arrived. The error is a
 	// *Refusal, or the context's error after the caller has disconnected.
 	Forward(ctx context.Context, r *ForwardRequest) (ForwardResponse, error)
--- a/plugin/forward/call.go
+++ b/plugin/forward/call.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// RefuseWaiting implements api.Forwarder.
+func (f *Forwarder) RefuseWaiting(r *api.Refusal) { f.placer.RefuseWaiting(r) }
+
 // Forward implements api.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, r *api.ForwardRequest) (api.ForwardResponse, error) {
 	c := &call{fwd: f, req: r, ctx: ctx, log: f.log.With("request", r.ID)}
--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -24,6 +24,9 @@
 	// requests until the process exits. A stream admitted late would be truncated; a
 	// refused one is retried on another instance.
 	drainAdmitTime = latestSend - signalDelay
+	// lastStart is the time before the return of Drain from which no model request starts on a target: the
+	// exit would truncate its stream, and its caller can still repeat it elsewhere.
+	lastStart = time.Second
 	// stopMargin is the time between the return of Drain and the kill of the process.
 	stopMargin = 300 * time.Millisecond
 )
@@ -44,18 +47,22 @@
 // to close their connections. Requests are admitted for drainAdmitTime. Connections are
 // accepted for deregistrationDelay, and longer while new ones arrive. Drain returns nil
 // once all connections are closed or the stop time is over, and the context's error if
-// that ends first.
+// that ends first. Requests that wait for a target are refused lastStart before that time.
 func (g *Gateway) Drain(ctx context.Context) error {
 	now := g.readClocks()
 	g.stopBegin.CompareAndSwap(nil, &now)
 	g.draining.Store(true)
 	begin := g.clock.Now()
-	refusing, closed := false, false
+	refusing, waitingRefused, closed := false, false, false
 	for g.clock.Now()-begin < g.stopTime() {
 		if !refusing && g.admissionClosed() {
 			refusing = true
 			logqueue.Notice(g.log, "refusing new requests", "step", "drain")
 		}
+		if !waitingRefused && g.clock.Now()-begin >= g.stopTime()-lastStart {
+			waitingRefused = true
+			g.forwarder.RefuseWaiting(stoppingRefusal())
+		}
 		if !closed && g.clock.Now()-begin >= deregistrationDelay && g.listener.NoRecentAccept() {
 			closed = true
 			_ = g.listener.Close() // the balancer sends no more connections
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -100,9 +100,7 @@
 	if !g.admissionClosed() {
 		return nil
 	}
-	refusal := newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
-	refusal.RetryAfter = retryAfterOtherInstance
-	return refusal
+	return stoppingRefusal()
 }
 
 // admit validates a request and resolves its route, workspace, service and deadline.
--- a/plugin/gateway/refuse.go
+++ b/plugin/gateway/refuse.go
@@ -49,6 +49,13 @@
 	return r
 }
 
+// stoppingRefusal returns the refusal of a planned stop. The caller's retry reaches another instance.
+func stoppingRefusal() *api.Refusal {
+	r := newRefusal(fasthttp.StatusServiceUnavailable, codeStopping, "the instance stops")
+	r.RetryAfter = retryAfterOtherInstance
+	return r
+}
+
 // asRefusal returns the refusal in an error's chain. Any other error becomes an internal
 // error with an unknown run state, because a target may have executed the request.
 func asRefusal(err error) *api.Refusal {
--- a/plugin/gateway/rig_test.go
+++ b/plugin/gateway/rig_test.go
@@ -60,6 +60,8 @@
 	crashes  []string // targets and fingerprints
 	placed   int
 	precheck *api.Refusal // returned by Precheck
+	hold     bool         // Place waits until RefuseWaiting is called
+	refuse   chan *api.Refusal
 	// shed has the ids of the requests that ReportShed reported.
 	shed []string
 	logs logBuffer
@@ -93,7 +95,7 @@
 // newRigWithEntries starts a rig whose gateway is one of a number of entry instances.
 func newRigWithEntries(t testing.TB, entries int, targets ...*target) *rig {
 	t.Helper()
-	r := &rig{t: t, is: is.New(t), targets: targets}
+	r := &rig{t: t, is: is.New(t), targets: targets, refuse: make(chan *api.Refusal, 1)}
 	return r.start(entries, slog.NewJSONHandler(&r.logs, &slog.HandlerOptions{Level: slog.LevelDebug}))
 }
 
@@ -159,10 +161,27 @@
 	r.shed = append(r.shed, w.RequestID)
 }
 
+// RefuseWaiting implements api.Placer. It ends the wait of one request.
+func (r *rig) RefuseWaiting(refusal *api.Refusal) {
+	if r.hold {
+		r.refuse <- refusal
+	}
+}
+
 // Place implements api.Placer.
 func (r *rig) Place(ctx context.Context, w *api.PlacementRequest) (api.Placement, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.hold {
+		r.mu.Unlock()
+		defer r.mu.Lock()
+		select {
+		case refusal := <-r.refuse:
+			return nil, refusal
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	if len(r.targets) == 0 || len(w.TriedTargets) >= len(r.targets) {
 		return nil, &api.Refusal{Code: "no_target", Status: 503, Run: api.NotRun, Step: "place", RetryAfter: time.Second}
 	}
--- a/plugin/gateway/setup.go
+++ b/plugin/gateway/setup.go
@@ -70,17 +70,17 @@
 	log       *slog.Logger
 	stats     *stats
 
-	table           atomic.Pointer[routing.Table]
-	startup         startup
-	waitEstimator   waitEstimator
-	memory          *overload.MemoryLimit
-	load            *loadGate
-	http            *fasthttp.Server
-	listener        *callerconn.Listener
-	conns           *callerconn.Tracker
-	draining        atomic.Bool                         // set when a planned stop begins
-	stopBegin       atomic.Pointer[kernel.ClockReading] // start of the planned stop; nil = none
-	readClocks      func() kernel.ClockReading
+	table         atomic.Pointer[routing.Table]
+	startup       startup
+	waitEstimator waitEstimator
+	memory        *overload.MemoryLimit
+	load          *loadGate
+	http          *fasthttp.Server
+	listener      *callerconn.Listener
+	conns         *callerconn.Tracker
+	draining      atomic.Bool                         // set when a planned stop begins
+	stopBegin     atomic.Pointer[kernel.ClockReading] // start of the planned stop; nil = none
+	readClocks    func() kernel.ClockReading
 }
 
 // Provision implements kernel.Plugin. It fails if a service that the gateway uses is not
--- a/plugin/gateway/stop_test.go
+++ b/plugin/gateway/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"nutmegrouter/internal/api"
 	"nutmegrouter/internal/kernel"
 	"nutmegrouter/internal/settings"
 )
@@ -191,3 +192,25 @@
 	is.True(!after(time.Second-1, time.Second-1)) // half of the time for the stop
 	is.True(after(time.Second, time.Second))
 }
+
+// Guards against a request that still waits for a target when the process exits, and whose caller gets no
+// response and may not repeat it.
+func TestWaitingRequestIsRefusedBeforeExit(t *testing.T) {
+	x := newTarget(t, "t1", respondWith("ok"))
+	r := newRig(t, x).configure(1)
+	r.hold = true
+	r.gateway.kernel.Settings.Routes.Bounds.StopMs = 2000
+	c := r.dial()
+	c.send(request("POST", "/chat/1", "id1", "x"))
+	time.Sleep(100 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- r.gateway.Drain(context.Background()) }()
+	resp, body, err := c.readResponse()
+	r.is.NoErr(err)
+	r.is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.is.True(strings.Contains(body, codeStopping) && strings.Contains(body, string(api.NotRun)))
+	r.is.True(resp.Header.Get("Retry-After") != "")
+	r.is.NoErr(<-done)
+	requests, _ := x.count()
+	r.is.Equal(requests, 0)
+}
--- a/plugin/placer/remote.go
+++ b/plugin/placer/remote.go
@@ -72,6 +72,7 @@
 	granted  *assignment // set if decision is a grant
 	// placeLocally is set if the owner is unavailable, askAgain if its grant has expired.
 	placeLocally, askAgain bool
+	refusal                *api.Refusal // set if this instance stops; the owner has not decided
 }
 
 // Place implements api.Placer.
@@ -116,6 +117,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case resp.refusal != nil:
+			return nil, resp.refusal
 		case resp.askAgain:
 		case resp.placeLocally:
 			return p.placeEngineLocal(w, s, "owner does not answer")
@@ -196,13 +199,32 @@
 	p.pending.AddShed(w.Workspace, placewire.Tokens(w)) // sent with the next message
 }
 
+// RefuseWaiting implements api.Placer.
+func (p *Placer) RefuseWaiting(r *api.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopRefusal = r
+	for n, wt := range p.waiting {
+		if wt.work.Engine != nil {
+			p.endWait(n, wt)
+			wt.response <- ownerResponse{refusal: r}
+		}
+	}
+}
+
 // askOwner sends a request to the owner and returns its number and waiter. A plain request asks for one
 // of its candidates, of whose rate limits the owner is told first. It reports false if the owner is
-// unknown, unreachable or within ownerRetryDelay.
+// unknown, unreachable or within ownerRetryDelay. After RefuseWaiting the waiter of a model request has its
+// refusal already.
 func (p *Placer) askOwner(w *api.PlacementRequest, candidates []api.Target, s suspicion) (uint64, *waiter, bool) {
 	now, route := p.clock.Now(), p.rolloutRoute(w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopRefusal != nil && w.Engine != nil {
+		wt := &waiter{askedAt: now, response: make(chan ownerResponse, 1)}
+		wt.response <- ownerResponse{refusal: p.stopRefusal}
+		return 0, wt, true
+	}
 	if p.owner.name == "" || now < p.owner.unavailableUntil || !p.mesh.Reachable(p.owner.name) {
 		return 0, nil, false
 	}
--- a/plugin/placer/setup.go
+++ b/plugin/placer/setup.go
@@ -53,6 +53,7 @@
 	owner         ownerState
 	lastNumber    uint64                    // number of the newest model request
 	waiting       map[uint64]*waiter        // model requests without the owner's response, by number
+	stopRefusal   *api.Refusal              // see RefuseWaiting; nil = this instance does not stop
 	suspension    kernel.SuspensionDetector // checked while requests wait
 	suspensionEnd time.Duration             // when this process last resumed after a suspension
 	running       map[uint64]*assignment    // model requests on targets, by number
