gateway: a stopping instance admits requests that end before it does

Callers saw: requests whose deadline ends before the exit were refused like long streams, and each caller has one retry.

Change: after drainAdmitTime a request is still admitted if its deadline, the earlier one of its route and its caller, ends 0.1 s before Drain returns. It cannot be truncated.

--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -19,11 +19,14 @@
 	latestSend = 3 * time.Second
 	// signalDelay bounds the time from the stop signal until Drain runs, on a busy instance.
 	signalDelay = 300 * time.Millisecond
-	// drainAdmitTime is how long a draining instance still admits requests, or half of
+	// drainAdmitTime is how long a draining instance still admits any request, or half of
 	// the stop time if that is shorter. A load balancer with too few ready instances sends
 	// requests until the process exits. A stream admitted late would be truncated; a
-	// refused one is retried on another instance.
+	// refused one is retried on another instance. Requests whose deadline ends before the
+	// exit are admitted later, too.
 	drainAdmitTime = latestSend - signalDelay
+	// writeTime is the time for the response to a request that ends at its deadline.
+	writeTime = 100 * time.Millisecond
 	// lastStart is the time before the return of Drain from which no model request starts on a target: the
 	// exit would truncate its stream, and its caller can still repeat it elsewhere.
 	lastStart = time.Second
@@ -36,16 +39,24 @@
 	return settings.Ms(g.kernel.Settings.Routes.Bounds.StopMs) - stopMargin
 }
 
-// admissionClosed reports whether a planned stop refuses all further requests. A suspension of the
-// machine since the stop signal counts, because the process is killed all the same.
+// admissionClosed reports whether a planned stop refuses requests that may outlast it.
 func (g *Gateway) admissionClosed() bool {
-	begin := g.stopBegin.Load()
-	return begin != nil && g.readClocks().Since(*begin) >= min(drainAdmitTime, g.stopTime()/2)
+	return g.stopBegin.Load() != nil && g.sinceStop() >= min(drainAdmitTime, g.stopTime()/2)
+}
+
+// sinceStop returns the time since the start of a planned stop. A suspension of the machine counts,
+// because the process is killed all the same.
+func (g *Gateway) sinceStop() time.Duration { return g.readClocks().Since(*g.stopBegin.Load()) }
+
+// endsBeforeStop reports whether a request with this deadline, on the kernel clock, ends before a
+// planned stop does.
+func (g *Gateway) endsBeforeStop(deadline time.Duration) bool {
+	return deadline-g.clock.Now()+writeTime <= g.stopTime()-g.sinceStop()
 }
 
 // Drain implements kernel.Drainer. It reports the instance as not ready and asks callers
-// to close their connections. Requests are admitted for drainAdmitTime. Connections are
-// accepted for deregistrationDelay, and longer while new ones arrive. Drain returns nil
+// to close their connections. Requests that may outlast the stop are admitted for
+// drainAdmitTime, others as long as they end before it. Connections are accepted for deregistrationDelay, and longer while new ones arrive. Drain returns nil
 // once all connections are closed or the stop time is over, and the context's error if
 // that ends first. Requests that wait for a target are refused lastStart before that time.
 func (g *Gateway) Drain(ctx context.Context) error {
@@ -57,7 +68,7 @@
 	for g.clock.Now()-begin < g.stopTime() {
 		if !refusing && g.admissionClosed() {
 			refusing = true
-			logqueue.Notice(g.log, "refusing new requests", "step", "drain")
+			logqueue.Notice(g.log, "refusing requests that may outlast the stop", "step", "drain")
 		}
 		if !waitingRefused && g.clock.Now()-begin >= g.stopTime()-lastStart {
 			waitingRefused = true
--- a/plugin/gateway/handler.go
+++ b/plugin/gateway/handler.go
@@ -67,7 +67,7 @@
 func (g *Gateway) accept(ctx *fasthttp.RequestCtx, arrived time.Duration) (*api.ForwardRequest, *overload.Buffer, *api.Refusal) {
 	r, refusal := g.admit(ctx, arrived)
 	if refusal == nil {
-		refusal = g.checkStopping()
+		refusal = g.checkStopping(r)
 	}
 	if refusal == nil {
 		refusal = g.forwarder.Precheck(r)
@@ -82,7 +82,7 @@
 	}
 	body, refusal := g.readBody(ctx)
 	if refusal == nil {
-		refusal = g.checkStopping() // the body may have taken long
+		refusal = g.checkStopping(r) // the body may have taken long
 	} else if refusal.Code == codeMemoryFull {
 		g.forwarder.ReportShed(r)
 	}
@@ -95,9 +95,9 @@
 	return r, body, nil
 }
 
-// checkStopping returns a refusal if a planned stop refuses all further requests, or nil.
-func (g *Gateway) checkStopping() *api.Refusal {
-	if !g.admissionClosed() {
+// checkStopping returns a refusal if the response may be truncated by the exit of a planned stop, or nil.
+func (g *Gateway) checkStopping(r *api.ForwardRequest) *api.Refusal {
+	if !g.admissionClosed() || g.endsBeforeStop(r.Deadline) {
 		return nil
 	}
 	return stoppingRefusal()
