--- a/plugin/gateway/drain.go
+++ b/plugin/gateway/drain.go
@@ -56,9 +56,10 @@
 
 // Drain implements kernel.Drainer. It reports the instance as not ready and asks callers
 // to close their connections. Requests that may outlast the stop are admitted for
-// drainAdmitTime, others as long as they end before it. Connections are accepted for deregistrationDelay, and longer while new ones arrive. Drain returns nil
-// once all connections are closed or the stop time is over, and the context's error if
-// that ends first. Requests that wait for a target are refused lastStart before that time.
+// drainAdmitTime, others as long as they end before it; those that wait for a target
+// lastStart before the end are refused. Connections are accepted for deregistrationDelay,
+// and longer while new ones arrive. Drain returns nil once all connections are closed or
+// the stop time is over, and the context's error if that ends first.
 func (g *Gateway) Drain(ctx context.Context) error {
 	now := g.readClocks()
 	g.stopBegin.CompareAndSwap(nil, &now)
