owner: TestHeartbeatsWhileAnEntryIsActive waits for the end of a round

Cause: the test took two checks for two rounds. One round may handle both and send its heartbeat after the test has looked; a round that was still under way could send before the test forgot the earlier messages. Traced with the owner's state at the failure: the heartbeat was already stamped (sentAt 310 ms, clock 310 ms), and no message sent. The product is not at fault.

Change: the test waits until a round has ended that reads the clock after it was set, and forgets earlier messages together with setting the clock. What it asks for is the same: without contactTime, or without heartbeats to idle peers, it still fails.

--- a/plugin/owner/heartbeat_test.go
+++ b/plugin/owner/heartbeat_test.go
@@ -19,12 +19,11 @@
 		r.waitForCheck()
 	}
 	heartbeat := func() bool { // in a round after the interval
-		r.Advance(heartbeatInterval, heartbeatInterval)
-		r.mu.Lock()
+		r.mu.Lock() // a round may be under way and send with the new time
 		r.sent = nil
+		r.Advance(heartbeatInterval, heartbeatInterval)
 		r.mu.Unlock()
-		r.waitForCheck()
-		r.waitForCheck()
+		r.waitForRound()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for _, m := range r.sent {
--- a/plugin/owner/suspension_test.go
+++ b/plugin/owner/suspension_test.go
@@ -105,6 +105,19 @@
 	<-done
 }
 
+// waitForRound waits for the end of a round of the owner that reads its clock after the call. Two calls of
+// waitForCheck do not: one round may handle both and send its messages later.
+func (r *harness) waitForRound() {
+	rounds := func() (n int) {
+		done := make(chan struct{})
+		r.o.inbox.Push(func() { n = r.o.load.rounds; close(done) })
+		<-done
+		return n
+	}
+	for first := rounds(); rounds() == first; {
+	}
+}
+
 // send delivers a message from an entry instance.
 func (r *harness) send(u placewire.EntryMessage) {
 	u.Term = 7
